Real processes and signals; bad input; specification of claims

Tests on running daemons, each failing first where a fault is named:

- A slow sender of a body was never ended: sanic's limit of time ends with the request's head.
Bodies are now received under the daemon's own limit, and the connection ends after the answer (sanic waited for the rest of the body).
- The daemon had five threads: libuv's pool, which uvloop uses to resolve even IP numbers (aiohttp's sock_connect, listeners by host name).
Ruled out: aiohttp's resolver, which leaves numbers alone.
The loop and the sockets now spare it; a daemon at work has one thread, no child, no io_uring, no shared memory.
- A plain call ended with an internal error after its answer (map_or_else takes no argument for its default); found by the bad-path table.

The claim protocol is specified for minicheck: two attempts, late and lost writes, crashes and pauses, exhaustive up to 8 effective writes; three seeded bugs are refuted.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -7,10 +7,9 @@
 import sys
 from typing import Any
 
-from demo.fleet import OPERATOR_TOKEN, WORKSPACE_KEY, Fleet
+from demo.fleet import OPERATOR_TOKEN, WORKSPACE_KEY, Fleet, own_network
 from standins.tokens import answer_text
 
-NETWORKS = 200
 DAEMONS = (1, 2, 3)
 PREFILLS = 2
 DECODES = 2
@@ -38,16 +37,9 @@
 
     async def start(self) -> None:
         """Start all processes and configure them."""
-        fleet = self._fleet
-        await fleet.start_platform()
-        await fleet.start_engines(PREFILLS, DECODES)
-        await fleet.start_service("pagkos-app", 1)
-        await fleet.start_service("old-system", 2)
-        await fleet.list_vms(DAEMONS)
-        await fleet.start_daemons(DAEMONS)
-        answer = await fleet.apply(1, fleet.configuration(PREFILLS, DECODES))
-        self._check("configuration applied", answer, answer.get("version") == 1)
-        await fleet.wait_until_joined(DAEMONS, version=1)
+        await self._fleet.start_all(DAEMONS, PREFILLS, DECODES)
+        answer = await self._fleet.state(1, "show services")
+        self._check("services configured", len(answer["rows"]), bool(answer["rows"]))
 
     async def stream(self) -> None:
         """Ask for a streamed completion."""
@@ -139,7 +131,7 @@
 
 async def run_demonstration() -> int:
     """Run all steps; return the exit code."""
-    async with Fleet(10 + os.getpid() % NETWORKS) as fleet:
+    async with Fleet(own_network()) as fleet:
         demonstration = Demonstration(fleet)
         await demonstration.start()
         await demonstration.stream()
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -26,6 +26,7 @@
 CALLERS_PORT = 8100
 OPERATORS_PORT = 8101
 PEERS_PORT = 8102
+BODY_TIMEOUT_S = 2.0
 START_LIMIT_S = 60.0
 STOP_LIMIT_S = 30.0
 POLL_S = 0.05
@@ -33,9 +34,16 @@
 WORKSPACE_KEY = "karamanlis-key"
 OTHER_KEY = "gyeol-key"
 REGION = "gr-north"
+FIRST_NETWORK = 10
+NETWORKS = 200
 DATA_CENTRES = ("gr-north-a", "gr-north-b", "gr-north-c")
 
 
+def own_network() -> int:
+    """Return the second part of the addresses that this process uses."""
+    return FIRST_NETWORK + os.getpid() % NETWORKS
+
+
 @dataclass(frozen=True)
 class Launched:
     """A running process, its address and the file that holds its output."""
@@ -207,6 +215,7 @@
             },
             "platform": {"url": self.platform_url},
             "operator_token_hashes": [hash_secret(OPERATOR_TOKEN)],
+            "limits": {"body_timeout_s": BODY_TIMEOUT_S},
             "timing": self._timing,
         }
 
@@ -291,6 +300,21 @@
         ) as response:
             return await response.json()
 
+    async def start_all(
+        self, daemons: Sequence[int], prefills: int, decodes: int
+    ) -> None:
+        """Start everything and put the fleet's configuration in force."""
+        await self.start_platform()
+        await self.start_engines(prefills, decodes)
+        await self.start_service("pagkos-app", 1)
+        await self.start_service("old-system", 2)
+        await self.list_vms(daemons)
+        await self.start_daemons(daemons)
+        answer = await self.apply(daemons[0], self.configuration(prefills, decodes))
+        if "version" not in answer:
+            raise RuntimeError(f"the configuration was not accepted: {answer}")
+        await self.wait_until_joined(daemons, answer["version"])
+
     async def control(self, url: str, **values: Any) -> dict[str, Any]:
         """Switch faults of a stand-in and return what it counted."""
         async with self._session.post(f"{url}/control", json=values) as response:
--- a/marjoramstile/daemon.py
+++ b/marjoramstile/daemon.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import contextlib
-import os
 import random
 import signal
 import sys
-from pathlib import Path
 
 import typer
 from aiohttp import ClientSession, TCPConnector
@@ -17,6 +15,7 @@
 from marjoramstile.entry.app import create_caller_app
 from marjoramstile.entry.web import WebServer
 from marjoramstile.logs import get_logger, start_logging
+from marjoramstile.loops import create_loop, forbidden_descriptors
 from marjoramstile.node import Node, Ports
 from marjoramstile.operators.app import OperatorHandler, create_operator_app
 from marjoramstile.peers.connections import PeerConnections
@@ -138,25 +137,6 @@
         logger.info("daemon_stopped", vm=self._settings.node.name)
 
 
-def create_loop() -> asyncio.AbstractEventLoop:
-    """Return a uvloop loop that uses no io_uring."""
-    os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
-    return uvloop.new_event_loop()
-
-
-def forbidden_descriptors(directory: str = "/proc/self/fd") -> list[str]:
-    """Return this process's descriptors that are io_uring instances."""
-    found = []
-    for entry in Path(directory).iterdir():
-        with contextlib.suppress(OSError):
-            target = os.readlink(entry)
-            if "io_uring" in target:
-                found.append(target)
-    return found
-
-
 async def serve(settings: Settings) -> None:
     """Run a daemon until SIGTERM or SIGINT."""
     connector = TCPConnector(limit=0)
--- a/marjoramstile/entry/calls.py
+++ b/marjoramstile/entry/calls.py
@@ -7,7 +7,7 @@
 from marjoramstile.entry.access import AccessControl, Caller
 from marjoramstile.entry.web import failure_response
 from marjoramstile.logs import get_logger
-from marjoramstile.requests.calls import CallRunner, PlainRequest
+from marjoramstile.requests.calls import CallResult, CallRunner, PlainRequest
 from marjoramstile.results import Failure, RequestFailedError, ResultCode
 
 logger = get_logger(__name__)
@@ -33,19 +33,24 @@
         limit = caller.configuration.limits.workspace_requests
         with self._limiter.admit(caller.workspace_name, limit):
             answer = await self._runner.run(plain, caller.configuration)
+        response = _to_response(answer)
         logger.info(
             "call_ended",
             workspace=caller.workspace_name,
             service=service,
             method=request.method,
-            status=answer.map_or_else(lambda f: f.http_status, lambda a: a.status),
-        )
-        if answer.is_err():
-            return failure_response(answer.unwrap_err())
-        found = answer.unwrap()
-        return HTTPResponse(
-            found.body, status=found.status, content_type=found.content_type or None
+            status=response.status,
         )
+        return response
+
+
+def _to_response(answer: CallResult) -> HTTPResponse:
+    if answer.is_err():
+        return failure_response(answer.unwrap_err())
+    found = answer.unwrap()
+    return HTTPResponse(
+        found.body, status=found.status, content_type=found.content_type or None
+    )
 
 
 def _to_request(
--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -1,6 +1,7 @@
 """What the callers' and the operators' HTTP applications share."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from sanic import HTTPResponse, Request, Sanic, json
@@ -13,11 +14,14 @@
 )
 
 from marjoramstile.logs import get_logger
+from marjoramstile.loops import listening_socket
 from marjoramstile.results import Failure, RequestFailedError, ResultCode
 from marjoramstile.settings import Address, LimitSettings
 
 BEARER = "Bearer "
 
+Handler = Callable[..., Awaitable[Any]]
+
 logger = get_logger(__name__)
 
 _SANIC_FAILURES = (
@@ -64,6 +68,31 @@
     return json(failure.to_body(), status=failure.http_status, headers=headers)
 
 
+def with_body(handler: Handler, limits: LimitSettings) -> Handler:
+    """Return a handler that first receives the body, within size and time.
+
+    Sanic's own limit of time ends with the request's head.
+    """
+
+    async def receive_and_handle(request: Request, *args: Any, **kwargs: Any) -> Any:
+        request.stream.request_max_size = limits.body_max_bytes
+        try:
+            async with asyncio.timeout(limits.body_timeout_s):
+                await request.receive_body()
+        except TimeoutError as error:
+            _give_up_body(request)
+            raise RequestTimeout from error
+        return await handler(request, *args, **kwargs)
+
+    return receive_and_handle
+
+
+def _give_up_body(request: Request) -> None:
+    """Let the connection end after the answer instead of waiting for the rest."""
+    request.stream.request_body = None
+    request.stream.keep_alive = False
+
+
 def bearer_token(request: Request) -> str:
     """Return the request's bearer token or fail as unauthenticated."""
     header = request.headers.get("authorization", "")
@@ -96,8 +125,7 @@
     async def start(self) -> None:
         """Listen on the address."""
         self._server = await self._app.create_server(
-            host=self._address.host,
-            port=self._address.port,
+            sock=listening_socket(self._address.host, self._address.port),
             return_asyncio_server=True,
             access_log=False,
         )
--- /dev/null
+++ b/marjoramstile/loops.py
@@ -0,0 +1,66 @@
+"""The daemon's event loop: uvloop without io_uring and without worker threads.
+
+uvloop resolves names in libuv's threads, also IP numbers; sockets that are bound or
+connected here spare it that.
+"""
+
+import asyncio
+import contextlib
+import os
+import socket
+from pathlib import Path
+from typing import Any
+
+LISTEN_BACKLOG = 512
+OWN_DESCRIPTORS = "/proc/self/fd"
+
+
+def create_loop() -> asyncio.AbstractEventLoop:
+    """Return a new loop; io_uring must be switched off before libuv starts."""
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    class IPNumberLoop(uvloop.Loop):
+        """Resolves IP numbers itself; without a socket type libuv uses threads."""
+
+        async def getaddrinfo(self, host: Any, port: Any, **options: Any) -> Any:
+            """Resolve an address of a stream socket."""
+            options["type"] = options.get("type") or socket.SOCK_STREAM
+            return await super().getaddrinfo(host, port, **options)
+
+    return IPNumberLoop()
+
+
+def forbidden_descriptors(directory: str = OWN_DESCRIPTORS) -> list[str]:
+    """Return a process's descriptors that are io_uring instances."""
+    found = []
+    for entry in Path(directory).iterdir():
+        with contextlib.suppress(OSError):
+            target = os.readlink(entry)
+            if "io_uring" in target:
+                found.append(target)
+    return found
+
+
+def listening_socket(host: str, port: int) -> socket.socket:
+    """Return a non-blocking socket that listens on an IP number."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.create_server((host, port), family=family, backlog=LISTEN_BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
+async def connect(
+    host: str, port: int
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a stream to an IP number."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    connection = socket.socket(family)
+    connection.setblocking(False)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        await asyncio.get_running_loop().sock_connect(connection, (host, port))
+        return await asyncio.open_connection(sock=connection)
+    except BaseException:
+        connection.close()
+        raise
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -20,6 +20,7 @@
 from thriftpy2.thrift import TException
 
 from marjoramstile.logs import get_logger
+from marjoramstile.loops import connect, listening_socket
 
 IDL = load(
     str(Path(__file__).with_name("peer.thrift")), module_name="marjoramstile_thrift"
@@ -69,7 +70,7 @@
     @classmethod
     async def open(cls, host: str, port: int, max_bytes: int) -> "PeerConnection":
         """Connect to a daemon's peer listener."""
-        reader, writer = await asyncio.open_connection(host, port)
+        reader, writer = await connect(host, port)
         client = TAsyncClient(IDL.Peer, _protocol(reader, writer, max_bytes))
         return cls(writer, client)
 
@@ -98,7 +99,8 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host``:``port``."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+        listener = listening_socket(host, port)
+        self._server = await asyncio.start_server(self._serve, sock=listener)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- /dev/null
+++ b/specifications/__init__.py
@@ -0,0 +1,1 @@
+"""Small models of the protocols between daemons, searched exhaustively."""
--- /dev/null
+++ b/tests/processes/test_signals.py
@@ -0,0 +1,146 @@
+"""Real signals: kill, stop and terminate, at daemons and engines."""
+
+import asyncio
+import signal
+
+import pytest
+import pytest_asyncio
+
+from demo.fleet import Fleet, own_network
+from tests.processes.clients import (
+    HEADERS,
+    call,
+    completion_body,
+    stream,
+    whole_text,
+)
+
+pytestmark = pytest.mark.asyncio(loop_scope="function")
+DAEMONS = (1, 2, 3)
+CALLERS = 6
+
+
+@pytest_asyncio.fixture(loop_scope="function")
+async def fleet():
+    """A fleet that the test may damage."""
+    async with Fleet(own_network(), address_ttl_s=1.0, leave_margin_s=0.5) as fleet:
+        await fleet.start_all(DAEMONS, prefills=2, decodes=2)
+        yield fleet
+
+
+async def engines_hold_nothing(fleet) -> bool:
+    """Tell whether no engine holds work."""
+    for kind in ("prefill", "decode"):
+        for number in (1, 2):
+            counted = await fleet.control(fleet.engine_url(kind, number))
+            if counted["work"]:
+                return False
+    return True
+
+
+async def keep_calling(fleet, stopped: asyncio.Event) -> int:
+    """Call as a client does that keeps address answers for their lifetime."""
+    loop = asyncio.get_running_loop()
+    answered = 0
+    known: list[str] = []
+    expires_at = 0.0
+    while not stopped.is_set():
+        if loop.time() >= expires_at:
+            answer = await call(fleet, 1, "GET", "/v1/addresses?data_centre=gr-north-b")
+            known = answer.body["addresses"]
+            expires_at = loop.time() + answer.body["ttl_s"]
+        number = int(known[0].split(":")[0].rsplit(".", 1)[1])
+        body = completion_body(20)
+        assert await stream(fleet, number, body) == whole_text(body)
+        answered += 1
+    return answered
+
+
+async def test_a_planned_stop_under_load_is_noticed_by_no_caller(fleet):
+    stopped = asyncio.Event()
+    callers = [
+        asyncio.create_task(keep_calling(fleet, stopped)) for _ in range(CALLERS)
+    ]
+    long_body = completion_body(150)
+    long = asyncio.create_task(stream(fleet, 2, long_body))
+    await asyncio.sleep(0.5)
+    fleet.signal("vm-2", signal.SIGTERM)
+    assert await fleet.wait_exit("vm-2") == 0
+    stopped.set()
+    answered = await asyncio.gather(*callers)
+    assert min(answered) > 0
+    assert await long == whole_text(long_body)
+
+
+async def test_a_killed_daemon_leaves_no_engine_memory_held(fleet):
+    first_token = asyncio.Event()
+    body = completion_body(5000)
+    running = [
+        asyncio.create_task(stream(fleet, 2, body, first_token.set)) for _ in range(4)
+    ]
+    await first_token.wait()
+    fleet.signal("vm-2", signal.SIGKILL)
+    await asyncio.gather(*running, return_exceptions=True)
+    assert not await engines_hold_nothing(fleet)
+    await fleet.wait_until(lambda: engines_hold_nothing(fleet))
+
+
+async def test_a_caller_who_disconnects_frees_the_engines(fleet):
+    first_token = asyncio.Event()
+    body = completion_body(5000)
+    running = asyncio.create_task(stream(fleet, 1, body, first_token.set))
+    await first_token.wait()
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    await fleet.wait_until(lambda: engines_hold_nothing(fleet))
+
+
+async def test_streams_survive_a_killed_decode_engine(fleet):
+    tokens = asyncio.Semaphore(0)
+    body = completion_body(60, model="lexis-late")
+    running = [
+        asyncio.create_task(stream(fleet, number, body, tokens.release))
+        for number in DAEMONS
+        for _ in range(2)
+    ]
+    for _ in range(30):
+        await tokens.acquire()
+    fleet.signal("decode-1", signal.SIGKILL)
+    answers = await asyncio.gather(*running)
+    assert answers == [whole_text(body)] * len(running)
+
+
+async def test_a_stopped_claimant_never_leads_to_a_second_run(fleet):
+    await fleet.control(fleet.service_url(1), delay_s=1.0)
+    headers = {**HEADERS, "Idempotency-Key": "once"}
+    path = "/v1/services/pagkos-app/charge"
+    first = asyncio.create_task(call(fleet, 2, "POST", path, headers=headers, json={}))
+
+    async def executed() -> bool:
+        counted = await fleet.control(fleet.service_url(1))
+        return "once" in counted["executions"]
+
+    await fleet.wait_until(executed)
+    fleet.signal("vm-2", signal.SIGSTOP)
+    second = await call(fleet, 1, "POST", path, headers=headers, json={})
+    assert second.status == 409
+    fleet.signal("vm-2", signal.SIGCONT)
+    assert (await first).status == 200
+
+    async def recorded() -> bool:
+        answer = await call(fleet, 3, "POST", path, headers=headers, json={})
+        return answer.status == 200
+
+    await fleet.wait_until(recorded)
+    counted = await fleet.control(fleet.service_url(1))
+    assert counted["executions"]["once"] == 1
+
+
+async def test_an_outage_with_a_killed_daemon_leaves_completions_whole(fleet):
+    await fleet.control(fleet.platform_url, outage=True)
+    fleet.signal("vm-3", signal.SIGKILL)
+    body = completion_body(30, model="lexis-late")
+    answers = await asyncio.gather(
+        *(stream(fleet, number, body) for number in (1, 2) for _ in range(3))
+    )
+    assert answers == [whole_text(body)] * 6
--- /dev/null
+++ b/tests/specifications/test_specifications.py
@@ -0,0 +1,34 @@
+"""Exhaustive searches of the specifications; each seeded bug must be found."""
+
+import pytest
+from minicheck import check_safety
+
+from specifications.claims import Variant, claim_protocol
+
+MAX_STATES = 3_000_000
+
+
+def verdicts(protocol) -> dict[str, bool | None]:
+    """Search a specification; a search cut short proves nothing."""
+    report = check_safety(protocol, max_states=MAX_STATES)
+    holds = {name: found["holds"] for name, found in report["properties"].items()}
+    assert report["exhaustive"] or False in holds.values()
+    return holds
+
+
+def test_claims_hold():
+    holds = verdicts(claim_protocol())
+    assert len(holds) == 3
+    assert set(holds.values()) == {True}
+
+
+@pytest.mark.parametrize(
+    ("variant", "violated"),
+    [
+        (Variant(claim_unconditionally=True), "runs_at_most_once"),
+        (Variant(release_sent=True), "runs_at_most_once"),
+        (Variant(no_tombstone=True), "not_run_leaves_no_claim"),
+    ],
+)
+def test_a_seeded_bug_in_claims_is_found(variant, violated):
+    assert verdicts(claim_protocol(variant))[violated] is False
