--- a/tests/specifications/test_specifications.py
+++ b/tests/specifications/test_specifications.py
@@ -3,7 +3,7 @@
 import pytest
 from minicheck import check_safety
 
-from specifications.claims import Variant, claim_protocol
+from specifications import changes, claims
 
 MAX_STATES = 3_000_000
 
@@ -17,7 +17,7 @@
 
 
 def test_claims_hold():
-    holds = verdicts(claim_protocol())
+    holds = verdicts(claims.claim_protocol())
     assert len(holds) == 3
     assert set(holds.values()) == {True}
 
@@ -25,10 +25,22 @@
 @pytest.mark.parametrize(
     ("variant", "violated"),
     [
-        (Variant(claim_unconditionally=True), "runs_at_most_once"),
-        (Variant(release_sent=True), "runs_at_most_once"),
-        (Variant(no_tombstone=True), "not_run_leaves_no_claim"),
+        (claims.Variant(claim_unconditionally=True), "runs_at_most_once"),
+        (claims.Variant(release_sent=True), "runs_at_most_once"),
+        (claims.Variant(no_tombstone=True), "not_run_leaves_no_claim"),
     ],
 )
 def test_a_seeded_bug_in_claims_is_found(variant, violated):
-    assert verdicts(claim_protocol(variant))[violated] is False
+    assert verdicts(claims.claim_protocol(variant))[violated] is False
+
+
+def test_changes_hold():
+    holds = verdicts(changes.change_protocol())
+    assert len(holds) == 3
+    assert set(holds.values()) == {True}
+
+
+@pytest.mark.parametrize("bug", changes.Variant._fields)
+def test_a_seeded_bug_in_changes_is_found(bug):
+    variant = changes.Variant(**{bug: True})
+    assert verdicts(changes.change_protocol(variant))["in_force_everywhere"] is False
