--- a/marjoramstile/admission/quarantine.py
+++ b/marjoramstile/admission/quarantine.py
@@ -1,8 +1,9 @@
 """Requests that crash endpoints: counted by content, refused after the limit.
 
-A strike names a content and an endpoint lost while it ran there. Strikes are
-soft state that daemons tell each other. Contents that reached the limit are also
-kept in the platform's table, so that they outlast every daemon.
+A strike names a content and an endpoint's process lost while it ran there. Strikes
+are soft state that daemons tell each other; a content that finishes is cleared on
+all of them. Contents that reached the limit are also kept in the platform's table,
+so that they outlast every daemon.
 """
 
 from marjoramstile.logs import get_logger
@@ -10,6 +11,7 @@
 from marjoramstile.platform.tables import ABSENT, Condition, TableService, Write
 
 QUARANTINE_TABLE = "quarantine"
+CLEARED_KEPT = 4096
 
 logger = get_logger(__name__)
 
@@ -19,6 +21,7 @@
 
     def __init__(self):
         self._strikes: dict[str, frozenset[str]] = {}
+        self._cleared: dict[tuple[str, str], None] = {}
         self._blocked: set[str] = set()
         self._news: GossipQueue[tuple[str, str]] = GossipQueue()
 
@@ -30,17 +33,27 @@
     def strike(self, content: str, endpoint: str) -> bool:
         """Note an endpoint lost under ``content``; return whether it is new."""
         known = self._strikes.get(content, frozenset())
-        if endpoint in known:
+        if endpoint in known or (content, endpoint) in self._cleared:
             return False
         self._strikes[content] = known | {endpoint}
         self._news.put((content, endpoint), (content, endpoint))
         logger.warning("request_struck", content=content[:16], endpoint=endpoint)
         return True
 
-    def clear(self, content: str) -> None:
-        """Forget the strikes of a content that has finished elsewhere."""
-        if content not in self._blocked:
-            self._strikes.pop(content, None)
+    def clear(self, content: str) -> bool:
+        """Forget the strikes of a content that has finished elsewhere.
+
+        The same strikes don't count when they are heard of again. Return whether
+        there were any.
+        """
+        if content in self._blocked or content not in self._strikes:
+            return False
+        for endpoint in self._strikes.pop(content):
+            self._news.discard((content, endpoint))
+            self._cleared[content, endpoint] = None
+        while len(self._cleared) > CLEARED_KEPT:
+            del self._cleared[next(iter(self._cleared))]
+        return True
 
     def is_suspect(self, content: str) -> bool:
         """Tell whether an endpoint was lost under ``content``."""
--- a/marjoramstile/membership/gossip.py
+++ b/marjoramstile/membership/gossip.py
@@ -24,6 +24,11 @@
         self._items[key] = item
         self._sent[key] = 0
 
+    def discard(self, key: Hashable) -> None:
+        """Drop the item of a key."""
+        self._items.pop(key, None)
+        self._sent.pop(key, None)
+
     def take(self, limit: int, member_count: int) -> tuple[Item, ...]:
         """Return up to ``limit`` items, the least sent first, and count them sent."""
         enough = REPEAT_FACTOR * math.ceil(math.log2(member_count + 1))
--- a/marjoramstile/node.py
+++ b/marjoramstile/node.py
@@ -161,7 +161,11 @@
             Placer(self.broker, self.hints, self.breakers, self.rng),
             self.canceller,
             CrashObserver(
-                engines, self.quarantine, self.breakers, self._announce_strike
+                engines,
+                self.quarantine,
+                self.breakers,
+                self._announce_strike,
+                self._announce_clear,
             ),
             self.quarantine,
             self.breakers,
@@ -187,6 +191,12 @@
                 strike = self.caller.strike(peer, content, endpoint)
                 self.tasks.start(strike, "announce_strike")
 
+    def _announce_clear(self, content: str) -> None:
+        for peer in self.view.others:
+            if peer.serving:
+                clear = self.caller.clear(peer, content)
+                self.tasks.start(clear, "announce_clear")
+
     def _build_handlers(self) -> None:
         access = AccessControl(self.keeper)
         self.meter = AnswerMeter(self.metrics, self.burn)
--- a/marjoramstile/peers/caller.py
+++ b/marjoramstile/peers/caller.py
@@ -130,6 +130,10 @@
         wire = IDL.Strike(content=content, endpoint=endpoint)
         await self._call(peer, "strike", wire, timeout_s=SLOT_TIMEOUT_S)
 
+    async def clear(self, peer: Peer, content: str) -> None:
+        """Tell a daemon that a struck content has finished."""
+        await self._call(peer, "clear", content, timeout_s=SLOT_TIMEOUT_S)
+
     async def query(self, peer: Peer, request: dict[str, Any]) -> Any | None:
         """Run a query on a daemon."""
         answer = await self._call(
--- a/marjoramstile/peers/handler.py
+++ b/marjoramstile/peers/handler.py
@@ -107,6 +107,10 @@
         """Note an endpoint lost under a content."""
         return self._quarantine.strike(strike.content, strike.endpoint)
 
+    async def clear(self, content: str) -> bool:
+        """Forget the strikes of a content that has finished."""
+        return self._quarantine.clear(content)
+
     async def query(self, request: str) -> str:
         """Answer this daemon's part of a query."""
         return json.dumps(self._answer_query(json.loads(request)))
--- a/marjoramstile/peers/peer.thrift
+++ b/marjoramstile/peers/peer.thrift
@@ -83,5 +83,6 @@
   bool finish(1: string change_id, 2: bool committed),
   Freshness freshness(1: string vm, 2: string incarnation),
   bool strike(1: Strike strike),
+  bool clear(1: string content),
   string query(1: string request),
 }
--- a/marjoramstile/requests/completions.py
+++ b/marjoramstile/requests/completions.py
@@ -338,7 +338,7 @@
             raise RequestFailedError(placed.unwrap_err())
         engine = placed.unwrap()
         used.add(engine.url)
-        await self._crashes.note_instance(engine)
+        instance = await self._crashes.instance_of(engine)
         order = PrefillOrder(
             request_id=attempt.work_id,
             incarnation=self._view.own.incarnation,
@@ -348,7 +348,9 @@
         )
         answer = await self._engines.prefill(engine.url, order)
         if answer.is_err():
-            await self._crashes.observe_failure(engine, request.content, self._now())
+            await self._crashes.observe_failure(
+                engine, instance, request.content, self._now()
+            )
             raise EndpointFailedError(engine.name, answer.unwrap_err())
         self._breakers.succeeded(engine.name)
         return answer.unwrap()
@@ -396,7 +398,7 @@
         self, attempt: _Attempt, decode: PlacedEngine
     ) -> AsyncIterator[Token]:
         request = attempt.request
-        await self._crashes.note_instance(decode)
+        instance = await self._crashes.instance_of(decode)
         order = DecodeOrder(
             request_id=attempt.work_id,
             incarnation=self._view.own.incarnation,
@@ -410,10 +412,11 @@
                 async for token in tokens:
                     yield token
         except EndpointFailedError as error:
-            await self._crashes.observe_failure(decode, request.content, self._now())
+            await self._crashes.observe_failure(
+                decode, instance, request.content, self._now()
+            )
             raise EndpointFailedError(decode.name, error.error) from error
-        self._breakers.succeeded(decode.name)
-        self._quarantine.clear(request.content)
+        self._crashes.observe_success(decode, request.content)
 
 
 def _import_timeout_s(export: Export, number: int) -> float:
--- a/marjoramstile/requests/crashes.py
+++ b/marjoramstile/requests/crashes.py
@@ -19,37 +19,48 @@
         engines: EngineClient,
         quarantine: Quarantine,
         breakers: BreakerBoard,
-        announce: Callable[[str, str], None],
+        announce_strike: Callable[[str, str], None],
+        announce_clear: Callable[[str], None],
     ):
         self._engines = engines
         self._quarantine = quarantine
         self._breakers = breakers
-        self._announce = announce
+        self._announce_strike = announce_strike
+        self._announce_clear = announce_clear
         self._instances: dict[str, str] = {}
 
-    async def note_instance(self, engine: PlacedEngine) -> None:
-        """Remember which process serves an engine; reads it the first time only."""
-        if engine.name not in self._instances:
-            await self._read_instance(engine)
+    async def instance_of(self, engine: PlacedEngine) -> str | None:
+        """Return which process serves an engine; reads it the first time only."""
+        known = self._instances.get(engine.name)
+        return known or await self._read_instance(engine)
 
     async def _read_instance(self, engine: PlacedEngine) -> str | None:
         load = await self._engines.load(engine.url)
         if load.is_err():
+            self._instances.pop(engine.name, None)
             return None
-        instance = load.unwrap().instance
-        self._instances[engine.name] = instance
-        return instance
+        self._instances[engine.name] = load.unwrap().instance
+        return load.unwrap().instance
 
     async def observe_failure(
-        self, engine: PlacedEngine, content: str, now: float
+        self, engine: PlacedEngine, instance: str | None, content: str, now: float
     ) -> None:
-        """Look at an engine whose stream broke; strike ``content`` if it is lost."""
-        before = self._instances.pop(engine.name, None)
-        instance = await self._read_instance(engine)
-        if instance is not None and instance == before:
+        """Look at an engine whose stream broke; strike ``content`` if it is lost.
+
+        ``instance`` is the process that the content was given to.
+        """
+        present = await self._read_instance(engine)
+        if instance is None or present == instance:
             self._breakers.failed(engine.name, now)
             return
         self._breakers.lost(engine.name, now)
         logger.warning("engine_lost", engine=engine.name, content=content[:16])
-        if self._quarantine.strike(content, engine.name):
-            self._announce(content, engine.name)
+        lost = f"{engine.name}#{instance}"
+        if self._quarantine.strike(content, lost):
+            self._announce_strike(content, lost)
+
+    def observe_success(self, engine: PlacedEngine, content: str) -> None:
+        """Note an answer that came to its end."""
+        self._breakers.succeeded(engine.name)
+        if self._quarantine.clear(content):
+            self._announce_clear(content)
