--- a/bench/fakes/engines.py
+++ b/bench/fakes/engines.py
@@ -33,6 +33,7 @@
 
 KV_BYTES_PER_TOKEN = 131_072
 POLL_S = 0.005
+SAMPLES_KEPT = 100
 
 
 @dataclass(frozen=True)
@@ -69,7 +70,7 @@
     link_free_at: float = 0.0
     fencing: int = 0
     ordered: dict[str, str] = field(default_factory=dict)
-    samples: list[tuple[float, int]] = field(default_factory=list)
+    samples: list[tuple[float, int, int, int]] = field(default_factory=list)
 
     def hold(self, request_id: str, incarnation: str, pieces: int) -> None:
         """Hold memory for a request."""
@@ -353,14 +354,19 @@
         if not engine.up:
             return Err(_unreachable())
         now = self._now()
-        engine.samples.append((now, engine.queued_tokens))
-        old = [n for at, n in engine.samples if at <= now - engine.model.load_lag_s]
-        engine.samples = engine.samples[-20:]
+        pieces = sum(item.pieces for item in engine.work.values())
+        engine.samples.append((now, engine.queued_tokens, len(engine.work), pieces))
+        lag_s = engine.model.load_lag_s
+        old = [sample for sample in engine.samples if sample[0] <= now - lag_s]
+        engine.samples = engine.samples[-SAMPLES_KEPT:]
+        _, queued_tokens, running, used_pieces = old[-1] if old else (0.0, 0, 0, 0)
         return Ok(
             EngineLoad(
                 str(engine.instance),
-                old[-1] if old else 0,
+                queued_tokens,
                 engine.model.tokens_per_s,
+                running,
+                used_pieces,
                 dict(engine.ordered),
             )
         )
--- a/marjoramstile/configuration/documents.py
+++ b/marjoramstile/configuration/documents.py
@@ -3,7 +3,7 @@
 import json
 from dataclasses import asdict, dataclass, field
 from enum import StrEnum
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 from result import Err, Ok, Result
@@ -81,7 +81,7 @@
     ttft_target_s: Seconds = 0.63
     tbt_target_s: Seconds = 0.067
     late_limit_s: Seconds = 600.0
-    policy: str = "reservation"
+    policy: Literal["random", "least_load", "reservation"] = "reservation"
 
 
 @dataclass(frozen=True)
--- a/marjoramstile/endpoints/engines.py
+++ b/marjoramstile/endpoints/engines.py
@@ -74,6 +74,8 @@
     instance: str
     queued_tokens: int
     tokens_per_s: float
+    running: int = 0
+    used_pieces: int = 0
     settings: dict[str, str] = field(default_factory=dict)
 
 
@@ -193,6 +195,8 @@
                 body["instance"],
                 body["queued_tokens"],
                 body["tokens_per_s"],
+                body["running"],
+                body["used_pieces"],
                 body.get("settings", {}),
             )
         )
--- a/marjoramstile/node.py
+++ b/marjoramstile/node.py
@@ -43,6 +43,7 @@
 from marjoramstile.slots.broker import SlotBroker
 from marjoramstile.slots.directory import OwnerDirectory
 from marjoramstile.slots.hints import HintTable
+from marjoramstile.slots.reports import LoadReports
 from marjoramstile.slots.service import OwnerService
 from marjoramstile.utils import TaskGroupOwner, new_token, run_every
 
@@ -137,6 +138,7 @@
         self.broker = SlotBroker(
             self.view, self.directory, self.owners, self.caller, self.hints
         )
+        self.reports = LoadReports(self.keeper, engines, self.hints)
         self.orders = OrderDesk(self.ports.tables, engines, self.keeper, self.directory)
 
     async def _send_grant(self, peer: Peer, request_id: str) -> bool:
@@ -257,6 +259,7 @@
             PeriodicTask("probe", timing.probe_period_s, self.prober.step),
             PeriodicTask("configuration", CONFIRM_PERIOD_S, self.keeper.step),
             PeriodicTask("owners", timing.poll_period_s, self.owners.step),
+            PeriodicTask("reports", timing.poll_period_s, self.reports.step),
             PeriodicTask("quarantine", QUARANTINE_PERIOD_S, self._keep_quarantine),
             PeriodicTask("orders", ORDERS_PERIOD_S, self.orders.step),
             PeriodicTask("stuck", STUCK_CHANGE_PERIOD_S, self._withdraw_stuck),
--- a/marjoramstile/routing/policies.py
+++ b/marjoramstile/routing/policies.py
@@ -53,6 +53,11 @@
     return _POLICIES[name](rng)
 
 
+def reserves(name: str) -> bool:
+    """Tell whether a policy reserves at the engines' owners."""
+    return _POLICIES[name].reserves
+
+
 def policy_names() -> tuple[str, ...]:
     """Return the names of all policies."""
     return tuple(sorted(_POLICIES))
--- /dev/null
+++ b/marjoramstile/slots/reports.py
@@ -0,0 +1,50 @@
+"""Engines' own load reports, for policies that don't reserve at owners."""
+
+import asyncio
+
+from marjoramstile.configuration.keeper import ConfigurationKeeper
+from marjoramstile.endpoints.engines import EngineClient
+from marjoramstile.routing.policies import reserves
+from marjoramstile.slots.hints import HintTable
+
+UNKNOWN_HOLD_S = 5.0
+
+
+class LoadReports:
+    """Polls every engine of the services whose policy relies on reports.
+
+    Its cost grows with daemons times engines; the reserving policy needs none of it.
+    """
+
+    def __init__(
+        self, keeper: ConfigurationKeeper, engines: EngineClient, hints: HintTable
+    ):
+        self._keeper = keeper
+        self._engines = engines
+        self._hints = hints
+
+    async def step(self) -> None:
+        """Read the reports; run periodically."""
+        await asyncio.gather(*(self._read(name) for name in self._reported()))
+
+    def _reported(self) -> set[str]:
+        configuration = self._keeper.configuration
+        return {
+            endpoint
+            for service in configuration.language_services.values()
+            if not reserves(service.policy)
+            for pool in (service.prefill_pool, service.decode_pool)
+            for endpoint in configuration.pools[pool].endpoints
+        }
+
+    async def _read(self, name: str) -> None:
+        endpoint = self._keeper.configuration.endpoints[name]
+        answer = await self._engines.load(endpoint.url)
+        if answer.is_err():
+            return
+        load = answer.unwrap()
+        now = asyncio.get_running_loop().time()
+        self._hints.note_slots(
+            name, load.running, load.used_pieces, 0, UNKNOWN_HOLD_S, now
+        )
+        self._hints.note_prefill(name, load.queued_tokens, load.tokens_per_s, now)
