Leaving endpoints by the platform's list; transfers and silent engines; combined failures

The second reservation now waits no longer than the export lives, owners refuse slots of engines that don't answer, and one failed transfer opens the breaker.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -28,6 +28,7 @@
     parse_configuration,
 )
 from marjoramstile.configuration.edits import Edit, apply_edits
+from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.prober import Probe
 from marjoramstile.membership.view import PeerState, Report, View
 from marjoramstile.peers.frames import IDL
@@ -166,7 +167,7 @@
     for engines in ENGINE_COUNTS:
         configuration = fleet_configuration(engines, 1)
         rng = random.Random(1)
-        hints = HintTable("c0", rng)
+        hints = HintTable("c0", LeavingHosts(), rng)
         policy = create_policy("reservation", rng)
 
         def rank(hints=hints, policy=policy, configuration=configuration) -> None:
--- a/marjoramstile/admission/breakers.py
+++ b/marjoramstile/admission/breakers.py
@@ -40,7 +40,7 @@
         self._breakers[endpoint] = _Breaker(failures, open_s, now + open_s)
 
     def lost(self, endpoint: str, now: float) -> None:
-        """Open the breaker at once: the endpoint's process is gone."""
-        self._breakers[endpoint] = _Breaker(
-            OPEN_AFTER_FAILURES, OPEN_FIRST_S, now + OPEN_FIRST_S
-        )
+        """Open the breaker at once: the endpoint's process is gone, or stalls."""
+        breaker = self._breakers.get(endpoint, _Breaker())
+        self._breakers[endpoint] = _Breaker(OPEN_AFTER_FAILURES, breaker.open_s)
+        self.failed(endpoint, now)
--- a/marjoramstile/membership/prober.py
+++ b/marjoramstile/membership/prober.py
@@ -7,8 +7,9 @@
 from typing import Protocol
 
 from marjoramstile.logs import get_logger
+from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.view import Peer, PeerState, Report, View
-from marjoramstile.platform.vms import VMList
+from marjoramstile.platform.vms import VMList, VMRole
 
 INDIRECT_PROBES = 2
 REPORTS_PER_MESSAGE = 20
@@ -46,12 +47,14 @@
         view: View,
         peers: ProbePeers,
         vm_list: VMList,
+        leaving: LeavingHosts,
         suspicion_s: float,
         rng: random.Random,
     ):
         self._view = view
         self._peers = peers
         self._vm_list = vm_list
+        self._leaving = leaving
         self._suspicion_s = suspicion_s
         self._rng = rng
         self._ring: list[str] = []
@@ -82,8 +85,12 @@
             return
         self._next_list_at = now + len(self._view.peers) * LIST_PERIOD_PER_VM_S
         answer = await self._vm_list.list_vms()
-        if answer.is_ok():
-            self._view.merge_list(answer.unwrap(), self._now())
+        if answer.is_err():
+            return
+        listed = answer.unwrap()
+        self._leaving.update(listed)
+        entries = [vm for vm in listed if vm.role == VMRole.ENTRY]
+        self._view.merge_list(entries, self._now())
 
     async def step(self) -> None:
         """Probe the next peer; run periodically."""
--- a/marjoramstile/node.py
+++ b/marjoramstile/node.py
@@ -20,6 +20,7 @@
 from marjoramstile.entry.status import AddressHandler, StatusHandler
 from marjoramstile.language.subjects import Sources
 from marjoramstile.ledger.ledger import Ledger
+from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.prober import Prober
 from marjoramstile.membership.view import Peer, View
 from marjoramstile.operators.desk import OperatorDesk
@@ -98,10 +99,12 @@
         self.caller = PeerCaller(
             self.ports.connections, peers.port, timing.probe_timeout_s
         )
+        self.leaving = LeavingHosts()
         self.prober = Prober(
             self.view,
             self.caller,
             self.ports.vm_list,
+            self.leaving,
             timing.suspicion_s,
             self.rng,
         )
@@ -131,10 +134,11 @@
             self.keeper,
             self.directory,
             engines,
+            self.leaving,
             self._send_grant,
             self.tasks,
         )
-        self.hints = HintTable(self.settings.node.data_centre, self.rng)
+        self.hints = HintTable(self.settings.node.data_centre, self.leaving, self.rng)
         self.broker = SlotBroker(
             self.view, self.directory, self.owners, self.caller, self.hints
         )
@@ -181,6 +185,7 @@
             self.ports.plain,
             self.ledger,
             self.ports.objects,
+            self.leaving,
             self.breakers,
             self.budget,
             self.tasks,
--- a/marjoramstile/platform/vms.py
+++ b/marjoramstile/platform/vms.py
@@ -17,6 +17,13 @@
     LEAVING = "leaving"
 
 
+class VMRole(StrEnum):
+    """What runs on a VM: a daemon, or an endpoint."""
+
+    ENTRY = "entry"
+    ENDPOINT = "endpoint"
+
+
 @dataclass(frozen=True)
 class ListedVM:
     """One entry of the list; ``host`` is the VM's IP number."""
@@ -26,6 +33,7 @@
     data_centre: str
     region: str
     state: ListedState
+    role: VMRole = VMRole.ENTRY
 
 
 class VMList(Protocol):
@@ -64,4 +72,5 @@
         data_centre=entry["data_centre"],
         region=entry["region"],
         state=ListedState(entry["state"]),
+        role=VMRole(entry.get("role", VMRole.ENTRY)),
     )
--- a/marjoramstile/requests/calls.py
+++ b/marjoramstile/requests/calls.py
@@ -22,6 +22,7 @@
 )
 from marjoramstile.ledger.ledger import Existing, Ledger, Permission
 from marjoramstile.logs import get_logger
+from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.view import View
 from marjoramstile.platform.objects import ObjectStore
 from marjoramstile.results import Failure, Ran, ResultCode
@@ -95,6 +96,7 @@
         client: PlainClient,
         ledger: Ledger,
         objects: ObjectStore,
+        leaving: LeavingHosts,
         breakers: BreakerBoard,
         budget: RetryBudget,
         tasks: TaskGroupOwner,
@@ -104,6 +106,7 @@
         self._client = client
         self._ledger = ledger
         self._objects = objects
+        self._leaving = leaving
         self._breakers = breakers
         self._budget = budget
         self._tasks = tasks
@@ -131,10 +134,12 @@
         names = target_names(
             request.service, request.call.workspace, request.service_name
         )
+        endpoints = [(name, configuration.endpoints[name]) for name in names]
         usable = [
-            (name, configuration.endpoints[name].url)
-            for name in names
-            if not configuration.endpoints[name].leaving
+            (name, endpoint.url)
+            for name, endpoint in endpoints
+            if not endpoint.leaving
+            and not self._leaving.includes(endpoint.url)
             and not self._breakers.is_open(name, self._now())
         ]
         self._rng.shuffle(usable)
--- a/marjoramstile/requests/completions.py
+++ b/marjoramstile/requests/completions.py
@@ -1,6 +1,7 @@
 """Runs completions: reserve, prefill, transfer, decode, and resume when broken."""
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 from contextlib import aclosing
 from dataclasses import dataclass, field, replace
@@ -313,13 +314,16 @@
             suspect=self._quarantine.is_suspect(request.content),
         )
 
-    async def _reserve(self, attempt: _Attempt) -> PlacedEngine:
+    async def _reserve(
+        self, attempt: _Attempt, limit_s: float = math.inf
+    ) -> PlacedEngine:
         demand = self._demand(attempt)
+        ask = self._ask(attempt, demand)
         placed = await self._placer.place_decode(
             attempt.configuration,
             attempt.request.service,
             demand,
-            self._ask(attempt, demand),
+            replace(ask, max_wait_s=min(ask.max_wait_s, limit_s)),
         )
         if placed.is_err():
             raise RequestFailedError(placed.unwrap_err())
@@ -378,21 +382,24 @@
                 return decode
             error = answer.unwrap_err()
             self._metrics.count("transfers_failed", attempt.request.service_name)
+            self._breakers.lost(decode.name, self._now())
             in_time = self._now() + EXPORT_MARGIN_S < expires_at
             if error.problem == EndpointProblem.GONE or not in_time:
                 break
             if number < IMPORT_TRIES:
-                decode = await self._reserve_other(attempt, decode)
+                life_s = expires_at - EXPORT_MARGIN_S - self._now()
+                decode = await self._reserve_other(attempt, decode, life_s)
                 used.add(decode.url)
         raise EndpointFailedError(decode.name, error)
 
     async def _reserve_other(
-        self, attempt: _Attempt, decode: PlacedEngine
+        self, attempt: _Attempt, decode: PlacedEngine, life_s: float
     ) -> PlacedEngine:
+        """Reserve another engine while the export has ``life_s`` left."""
         await self._placer.release(attempt.work_id)
         self._canceller.cancel(decode.url, attempt.work_id)
         excluded = attempt.excluded | {decode.name}
-        return await self._reserve(replace(attempt, excluded=excluded))
+        return await self._reserve(replace(attempt, excluded=excluded), life_s)
 
     async def _decode(
         self, attempt: _Attempt, decode: PlacedEngine
--- a/marjoramstile/slots/hints.py
+++ b/marjoramstile/slots/hints.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from marjoramstile.configuration.documents import Configuration
+from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.routing.snapshots import EngineView
 
 CANDIDATES_MAX = 16
@@ -22,8 +23,9 @@
 class HintTable:
     """Last hints by engine name."""
 
-    def __init__(self, data_centre: str, rng: random.Random):
+    def __init__(self, data_centre: str, leaving: LeavingHosts, rng: random.Random):
         self._data_centre = data_centre
+        self._leaving = leaving
         self._rng = rng
         self._hints: dict[str, Hint] = {}
 
@@ -84,7 +86,7 @@
         near, far = [], []
         for name in configuration.pools[pool].endpoints:
             endpoint = configuration.endpoints[name]
-            if endpoint.leaving:
+            if endpoint.leaving or self._leaving.includes(endpoint.url):
                 continue
             (near if endpoint.data_centre == self._data_centre else far).append(name)
         if len(near) > CANDIDATES_MAX:
--- a/marjoramstile/slots/service.py
+++ b/marjoramstile/slots/service.py
@@ -7,6 +7,7 @@
 from marjoramstile.configuration.keeper import ConfigurationKeeper
 from marjoramstile.endpoints.engines import EngineClient
 from marjoramstile.logs import get_logger
+from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.view import Peer, View
 from marjoramstile.slots.directory import OwnerDirectory
 from marjoramstile.slots.prefill_places import PrefillAnswer, PrefillOwner
@@ -27,6 +28,7 @@
         keeper: ConfigurationKeeper,
         directory: OwnerDirectory,
         engines: EngineClient,
+        leaving: LeavingHosts,
         send_grant: Callable[[Peer, str], object],
         tasks: TaskGroupOwner,
     ):
@@ -34,10 +36,12 @@
         self._keeper = keeper
         self._directory = directory
         self._engines = engines
+        self._leaving = leaving
         self._send_grant = send_grant
         self._tasks = tasks
         self._slot_owners: dict[str, SlotOwner] = {}
         self._prefill_owners: dict[str, PrefillOwner] = {}
+        self._silent: set[str] = set()
         self._unknown_since: dict[str, float] = {}
 
     @property
@@ -77,7 +81,9 @@
         owner = await self.slot_owner(ask.engine)
         if owner is None:
             return None
-        if self._configuration.endpoints[ask.engine].leaving:
+        endpoint = self._configuration.endpoints[ask.engine]
+        leaving = endpoint.leaving or self._leaving.includes(endpoint.url)
+        if leaving or ask.engine in self._silent:
             return Refused(owner.hold_s)
         return owner.ask(ask, self._now())
 
@@ -126,7 +132,9 @@
     async def _follow(self, name: str, endpoint: Endpoint) -> None:
         work = await self._engines.work(endpoint.url)
         if work.is_err():
+            self._silent.add(name)
             return
+        self._silent.discard(name)
         items = work.unwrap()
         await self._sweep(name, endpoint, items)
         if endpoint.kind == EndpointKind.DECODE:
--- /dev/null
+++ b/tests/admission/test_breakers.py
@@ -0,0 +1,40 @@
+"""Tests of circuit breakers and retry budgets."""
+
+from marjoramstile.admission.breakers import (
+    OPEN_AFTER_FAILURES,
+    OPEN_FIRST_S,
+    BreakerBoard,
+)
+from marjoramstile.admission.retries import BUDGET_MAX, RetryBudget
+
+
+def test_a_breaker_opens_after_several_failures_and_for_longer_each_time():
+    board = BreakerBoard()
+    for _ in range(OPEN_AFTER_FAILURES - 1):
+        board.failed("e", 0.0)
+        assert not board.is_open("e", 0.0)
+    board.failed("e", 0.0)
+    assert board.is_open("e", 0.0)
+    assert not board.is_open("e", OPEN_FIRST_S)
+    board.failed("e", OPEN_FIRST_S)
+    assert board.is_open("e", 2.5 * OPEN_FIRST_S)
+    board.succeeded("e")
+    assert not board.is_open("e", 2.5 * OPEN_FIRST_S)
+
+
+def test_a_lost_endpoint_opens_its_breaker_at_once():
+    board = BreakerBoard()
+    board.lost("e", 0.0)
+    assert board.is_open("e", 0.0)
+    assert not board.is_open("e", OPEN_FIRST_S)
+
+
+def test_retries_are_a_share_of_the_requests():
+    budget = RetryBudget()
+    for _ in range(1000):
+        budget.earn(10.0)
+    assert budget.balance == BUDGET_MAX
+    assert sum(budget.spend() for _ in range(100)) == BUDGET_MAX
+    for _ in range(100):
+        budget.earn(10.0)
+    assert sum(budget.spend() for _ in range(100)) in (9, 10)
