--- a/marjoramstile/requests/completions.py
+++ b/marjoramstile/requests/completions.py
@@ -97,6 +97,12 @@
         """Whether tokens were already sent to the caller."""
         return bool(self.generated)
 
+    @property
+    def patient(self) -> bool:
+        """Whether the answer may wait: it has begun, or it may be late."""
+        late = self.request.service.service_class == ServiceClass.LATE
+        return self.resumed or late
+
     def next(self, generated: list[str], excluded: frozenset[str]) -> "_Attempt":
         """Return the attempt that follows this one."""
         return replace(
@@ -182,7 +188,7 @@
                 self._note_failure(attempt, error)
                 excluded = frozenset({error.endpoint})
             except RequestFailedError:
-                if not generated:
+                if attempt.number == 0 or not attempt.patient:
                     raise
                 excluded = frozenset()
             attempt = attempt.next(generated, excluded)
@@ -224,10 +230,6 @@
 
         Answers that have begun or may be late wait for the budget; others fail.
         """
-        patient = (
-            attempt.resumed
-            or attempt.request.service.service_class == ServiceClass.LATE
-        )
         pause_s = min(
             RESUME_MAX_PAUSE_S, RESUME_FIRST_PAUSE_S * 2 ** (attempt.number - 1)
         )
@@ -237,7 +239,7 @@
                 break
             if self._budget.spend():
                 return
-            if not patient:
+            if not attempt.patient:
                 break
         raise RequestFailedError(
             Failure(
@@ -399,7 +401,11 @@
         await self._placer.release(attempt.work_id)
         self._canceller.cancel(decode.url, attempt.work_id)
         excluded = attempt.excluded | {decode.name}
-        return await self._reserve(replace(attempt, excluded=excluded), life_s)
+        try:
+            return await self._reserve(replace(attempt, excluded=excluded), life_s)
+        except RequestFailedError as error:
+            refused = EndpointError(EndpointProblem.REFUSED, error.failure.message)
+            raise EndpointFailedError(decode.name, refused) from error
 
     async def _decode(
         self, attempt: _Attempt, decode: PlacedEngine
