--- a/marjoramstile/configuration/keeper.py
+++ b/marjoramstile/configuration/keeper.py
@@ -29,7 +29,7 @@
 from marjoramstile.results import Failure, ResultCode
 
 CONFIRM_PERIOD_S = 2.5
-MEMBERS_PERIOD_S = 20.0
+MEMBERS_PERIOD_S = 60.0
 SETTLE_AFTER_S = 3.0
 WITHDRAW_AFTER_S = 15.0
 FENCED_RETRY_AFTER_S = 2.0
--- a/marjoramstile/membership/prober.py
+++ b/marjoramstile/membership/prober.py
@@ -14,7 +14,7 @@
 INDIRECT_PROBES = 2
 REPORTS_PER_MESSAGE = 20
 KEEP_ENDED_S = 600.0
-LIST_PERIOD_PER_VM_S = 0.025
+LIST_PERIOD_PER_VM_S = 0.05
 
 logger = get_logger(__name__)
 
--- a/marjoramstile/orders/desk.py
+++ b/marjoramstile/orders/desk.py
@@ -111,13 +111,14 @@
 
     async def step(self) -> None:
         """Give wanted orders again to own engines that differ; run periodically."""
-        read = await self._tables.scan(ORDERS_TABLE)
-        for row in read.unwrap_or(()):
-            endpoint = self._configuration.endpoints.get(row.key)
-            if endpoint is None or row.value is None:
+        for name, endpoint in self._configuration.endpoints.items():
+            if endpoint.kind == EndpointKind.PLAIN:
                 continue
-            if self._directory.is_own(row.key, endpoint.data_centre):
-                await self._reassert(endpoint.url, row)
+            if not self._directory.is_own(name, endpoint.data_centre):
+                continue
+            read = await self._tables.read(ORDERS_TABLE, name)
+            if read.is_ok() and read.unwrap().value is not None:
+                await self._reassert(endpoint.url, read.unwrap())
 
     async def _reassert(self, url: str, row: Row) -> None:
         load = await self._engines.load(url)
