--- a/bench/fakes/engines.py
+++ b/bench/fakes/engines.py
@@ -27,8 +27,9 @@
     EndpointFailedError,
     EndpointProblem,
 )
-from marjoramstile.requests.completions import BYTES_PER_TOKEN
+from marjoramstile.requests.attempts import BYTES_PER_TOKEN
 from marjoramstile.slots.reservations import WorkItem
+from marjoramstile.utils import loop_time
 from standins.tokens import token_text
 
 KV_BYTES_PER_TOKEN = 131_072
@@ -145,10 +146,6 @@
         self.engines[url] = FakeEngine(url, model)
         return self.engines[url]
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
     def held_by(self, prefix: str) -> list[str]:
         """Return the work held anywhere for requests with this id prefix."""
         return [
@@ -177,7 +174,7 @@
         export_id = f"export-{next(self._numbers)}"
         self.waste.computed(order.request_id, tokens)
         life_s = engine.model.export_life_s
-        engine.exports[export_id] = (order.request_id, self._now() + life_s)
+        engine.exports[export_id] = (order.request_id, loop_time() + life_s)
         asyncio.get_running_loop().call_later(
             life_s, self._expire, engine, export_id, instance
         )
@@ -267,9 +264,9 @@
         engine.hold(request_id, incarnation, pieces)
         if engine.stalled or source.stalled:
             await asyncio.Event().wait()
-        start = max(self._now(), source.link_free_at)
+        start = max(loop_time(), source.link_free_at)
         source.link_free_at = start + export.kv_bytes / source.model.link_bytes_per_s
-        await asyncio.sleep(source.link_free_at - self._now())
+        await asyncio.sleep(source.link_free_at - loop_time())
         if not engine.up:
             return Err(EndpointError(EndpointProblem.LOST, "the engine died"))
         if export.export_id not in source.exports:
@@ -353,7 +350,7 @@
         await asyncio.sleep(POLL_S)
         if not engine.up:
             return Err(_unreachable())
-        now = self._now()
+        now = loop_time()
         pieces = sum(item.pieces for item in engine.work.values())
         engine.samples.append((now, engine.queued_tokens, len(engine.work), pieces))
         lag_s = engine.model.load_lag_s
--- a/bench/harness.py
+++ b/bench/harness.py
@@ -10,7 +10,7 @@
 from bench.fakes.engines import EngineModel, FakeEngines
 from bench.fakes.plain import FakePlainServices
 from bench.fakes.tables import FakeObjects, FakePlatform, FakeTables, FakeVMList
-from marjoramstile.configuration.documents import Configuration, parse_configuration
+from marjoramstile.configuration.documents import parse_configuration
 from marjoramstile.configuration.edits import edits_between
 from marjoramstile.node import Node, Ports
 from marjoramstile.platform.vms import ListedState, ListedVM
@@ -181,11 +181,6 @@
     ).unwrap()
 
 
-def configuration_of(node: Node) -> Configuration:
-    """Return the configuration in force on a node."""
-    return node.keeper.configuration
-
-
 def serving_names(nodes: Sequence[Node]) -> set[str]:
     """Return the daemons that all ``nodes`` think to be serving."""
     views = [
--- a/bench/load.py
+++ b/bench/load.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from bench.scenario import Lengths, Scenario, TrafficClass
-from marjoramstile.requests.completions import BYTES_PER_TOKEN
+from marjoramstile.requests.attempts import BYTES_PER_TOKEN
 
 
 @dataclass(frozen=True)
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -14,8 +14,9 @@
 from marjoramstile.configuration.documents import ServiceClass
 from marjoramstile.entry.measuring import meets_targets
 from marjoramstile.node import Node
-from marjoramstile.requests.completions import CompletionRequest
+from marjoramstile.requests.attempts import CompletionRequest
 from marjoramstile.results import RequestFailedError
+from marjoramstile.utils import loop_time
 from standins.tokens import answer_text
 
 JOIN_S = 3.0
@@ -50,9 +51,9 @@
         started = time.process_time()
         callers = []
         faults = [asyncio.create_task(self._repeat(f)) for f in self._scenario.faults]
-        begin = self._now()
+        begin = loop_time()
         for arrival in arrivals(self._scenario, self._rng):
-            await asyncio.sleep(max(0.0, begin + arrival.at_s - self._now()))
+            await asyncio.sleep(max(0.0, begin + arrival.at_s - loop_time()))
             callers.append(asyncio.create_task(self._call(arrival)))
         await asyncio.gather(*callers)
         for task in faults:
@@ -63,10 +64,6 @@
         await self._harness.close()
         return result
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
     async def _start(self) -> None:
         scenario = self._scenario
         harness = self._harness
@@ -99,7 +96,7 @@
                 self._tally.refusals[error.failure.code.name.lower()] += 1
                 retry_s = error.failure.retry_after_s
             late = request.service.service_class == ServiceClass.LATE
-            if not late or retry_s is None or self._now() + retry_s >= deadline:
+            if not late or retry_s is None or loop_time() + retry_s >= deadline:
                 return
             await asyncio.sleep(retry_s)
 
@@ -112,7 +109,7 @@
         try:
             async with aclosing(running) as tokens:
                 async for token in tokens:
-                    times.append(self._now())
+                    times.append(loop_time())
                     texts.append(token.text)
         except RequestFailedError:
             if times:
@@ -194,7 +191,7 @@
         service=configuration.language_services[arrival.service],
         prompt=arrival.prompt,
         max_tokens=arrival.output_tokens,
-        received_at=asyncio.get_running_loop().time(),
+        received_at=loop_time(),
     )
 
 
--- a/marjoramstile/configuration/coordinator.py
+++ b/marjoramstile/configuration/coordinator.py
@@ -30,7 +30,7 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.platform.tables import Committed
 from marjoramstile.results import Failure, Ran, ResultCode
-from marjoramstile.utils import new_token
+from marjoramstile.utils import loop_time, new_token
 
 PREPARE_ATTEMPTS = 2
 PREPARE_PAUSE_S = 0.3
@@ -135,7 +135,7 @@
         """Withdraw a change that has been staged for long; run periodically."""
         read = await self._store.read_staged()
         staged = read.unwrap_or(None)
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         if staged is None:
             self._stuck = None
         elif self._stuck is None or self._stuck[0] != staged.row_version:
--- a/marjoramstile/configuration/keeper.py
+++ b/marjoramstile/configuration/keeper.py
@@ -27,6 +27,7 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.platform.tables import Committed
 from marjoramstile.results import Failure, ResultCode
+from marjoramstile.utils import loop_time
 
 CONFIRM_PERIOD_S = 2.5
 MEMBERS_PERIOD_S = 60.0
@@ -90,22 +91,18 @@
     @property
     def standing(self) -> Standing:
         """What this daemon may do now; a lapsed lease counts as cut off."""
-        return self._standing if self._now() < self._lease_until else Standing.CUT_OFF
+        return self._standing if loop_time() < self._lease_until else Standing.CUT_OFF
 
     @property
     def members(self) -> tuple[MemberRow, ...]:
         """The members that this daemon knows of."""
         return self._members
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
     def refusal(self, service: str, workspace: str) -> Failure | None:
         """Return why a request must be refused now, or None if it may be served."""
         if self.standing not in SERVING_STANDINGS:
             return _fenced(f"this daemon is {self.standing.replace('_', ' ')}")
-        if fenced_scope(self._state, self._now()).touches(service, workspace):
+        if fenced_scope(self._state, loop_time()).touches(service, workspace):
             return _fenced("a configuration change is being settled")
         return None
 
@@ -116,7 +113,7 @@
         else:
             await self._confirm()
         prepared = self._state.prepared
-        if prepared is not None and self._now() - prepared.at >= SETTLE_AFTER_S:
+        if prepared is not None and loop_time() - prepared.at >= SETTLE_AFTER_S:
             await self._settle()
 
     async def leave(self) -> None:
@@ -136,7 +133,7 @@
         )
         if written.is_err() or not isinstance(written.unwrap(), Committed):
             return
-        started = self._now()
+        started = loop_time()
         row = await self._store.read_member(self._vm)
         if row.is_err() or not self._owns(row.unwrap().value):
             return
@@ -158,7 +155,7 @@
             return False
         found = staged.unwrap()
         if found is not None:
-            self._state, _ = prepare(self._state, found.proposal, self._now())
+            self._state, _ = prepare(self._state, found.proposal, loop_time())
         return True
 
     async def _refresh(self, lease_from: float | None) -> bool:
@@ -192,7 +189,7 @@
         self._lease_until = started + LEASE_S
 
     async def _confirm(self) -> None:
-        started = self._now()
+        started = loop_time()
         row = await self._store.read_member(self._vm)
         if row.is_err():
             await self._ask_peers(started)
@@ -251,21 +248,21 @@
         prepared = self._state.prepared
         staged = await self._store.read_staged()
         if staged.is_err() or not await self._refresh(None):
-            await self._ask_peers(self._now())
+            await self._ask_peers(loop_time())
             return
         found = staged.unwrap()
         change_id = prepared.proposal.change_id
         if found is None or found.proposal.change_id != change_id:
             self._state = abort(self._state, change_id)
-        elif self._now() - prepared.at >= WITHDRAW_AFTER_S:
+        elif loop_time() - prepared.at >= WITHDRAW_AFTER_S:
             await self._store.unstage(found)
 
     async def on_prepare(self, proposal: Proposal) -> PrepareAnswer:
         """Answer a coordinator; catch up first if this member is behind."""
-        self._state, answer = prepare(self._state, proposal, self._now())
+        self._state, answer = prepare(self._state, proposal, loop_time())
         if answer != PrepareAnswer.PREPARED:
             await self._settle_or_refresh()
-            self._state, answer = prepare(self._state, proposal, self._now())
+            self._state, answer = prepare(self._state, proposal, loop_time())
         return answer
 
     async def _settle_or_refresh(self) -> None:
--- a/marjoramstile/daemon.py
+++ b/marjoramstile/daemon.py
@@ -25,6 +25,7 @@
 from marjoramstile.platform.vms import HTTPVMList
 from marjoramstile.results import Failure, RequestFailedError, ResultCode
 from marjoramstile.settings import Settings, load_settings
+from marjoramstile.utils import loop_time
 
 BAD_SETTINGS_EXIT = 78
 FORBIDDEN_LOOP_EXIT = 70
@@ -116,7 +117,7 @@
     async def _leave(self) -> None:
         """Leave the address answers, outlast callers' caches, end what runs."""
         timing = self._settings.timing
-        self._node.view.leave(asyncio.get_running_loop().time())
+        self._node.view.leave(loop_time())
         logger.info("daemon_leaving", ttl_s=timing.address_ttl_s)
         await self._node.prober.announce()
         await asyncio.sleep(timing.address_ttl_s + timing.leave_margin_s)
--- a/marjoramstile/entry/completions.py
+++ b/marjoramstile/entry/completions.py
@@ -1,6 +1,5 @@
 """Handler of completions, streamed and not."""
 
-import asyncio
 from collections.abc import AsyncIterator
 from contextlib import aclosing
 from dataclasses import replace
@@ -21,10 +20,11 @@
 from marjoramstile.entry.measuring import AnswerMeter
 from marjoramstile.entry.web import json_body
 from marjoramstile.logs import get_logger
-from marjoramstile.requests.completions import CompletionRequest, CompletionRunner
+from marjoramstile.requests.attempts import CompletionRequest
+from marjoramstile.requests.completions import CompletionRunner
 from marjoramstile.requests.recent import RecentRequest, RecentRequests, RequestState
 from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
-from marjoramstile.utils import new_token
+from marjoramstile.utils import loop_time, new_token
 
 REPEAT_RETRY_AFTER_S = 1.0
 
@@ -147,7 +147,7 @@
         service=service,
         prompt=body.prompt,
         max_tokens=body.max_tokens,
-        received_at=asyncio.get_running_loop().time(),
+        received_at=loop_time(),
     )
 
 
--- a/marjoramstile/entry/measuring.py
+++ b/marjoramstile/entry/measuring.py
@@ -8,7 +8,7 @@
 from marjoramstile.endpoints.engines import Token
 from marjoramstile.reports.burn import BurnReport
 from marjoramstile.reports.metrics import Metrics
-from marjoramstile.requests.completions import CompletionRequest
+from marjoramstile.requests.attempts import CompletionRequest
 
 
 class AnswerMeter:
--- a/marjoramstile/language/subjects.py
+++ b/marjoramstile/language/subjects.py
@@ -1,6 +1,5 @@
 """Sources of the rows that queries show, by subject."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any
@@ -15,6 +14,7 @@
 from marjoramstile.requests.running import RunningRequests
 from marjoramstile.slots.directory import OwnerDirectory
 from marjoramstile.slots.service import OwnerService
+from marjoramstile.utils import loop_time
 
 
 @dataclass(frozen=True)
@@ -56,10 +56,6 @@
     return register
 
 
-def _now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 @subject("daemons", everywhere=True)
 def daemon_rows(sources: Sources) -> list[Row]:
     """Return this daemon."""
@@ -128,7 +124,7 @@
         {
             "endpoint": name,
             "daemon": daemon,
-            "backlog_tokens": owner.backlog_tokens(_now()),
+            "backlog_tokens": owner.backlog_tokens(loop_time()),
         }
         for name, owner in sources.owners.prefill_owners.items()
     ]
@@ -206,7 +202,7 @@
             "service": entry.service,
             "phase": entry.phase,
             "tokens": entry.tokens,
-            "age_s": round(_now() - entry.started_at, 3),
+            "age_s": round(loop_time() - entry.started_at, 3),
         }
         for entry in sources.running.entries
     ]
@@ -237,7 +233,7 @@
 @subject("burn", everywhere=True)
 def burn_rows(sources: Sources) -> list[Row]:
     """Return this daemon's part of the service-level burn."""
-    return [asdict(row) for row in sources.burn.rows(_now())]
+    return [asdict(row) for row in sources.burn.rows(loop_time())]
 
 
 def join_rows(subject_name: str, rows: list[Row]) -> list[Row]:
--- a/marjoramstile/membership/prober.py
+++ b/marjoramstile/membership/prober.py
@@ -10,6 +10,7 @@
 from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.view import Peer, PeerState, Report, View
 from marjoramstile.platform.vms import VMList, VMRole
+from marjoramstile.utils import loop_time
 
 INDIRECT_PROBES = 2
 REPORTS_PER_MESSAGE = 20
@@ -62,10 +63,6 @@
         self._strike_source: Callable[[int], tuple] = lambda limit: ()
         self._strike_sink: Callable[[str, str], None] = lambda content, endpoint: None
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
     def carry_strikes(
         self,
         source: Callable[[int], tuple[tuple[str, str], ...]],
@@ -80,7 +77,7 @@
 
         The more VMs there are, the less often it is read, at a constant rate of bytes.
         """
-        now = self._now()
+        now = loop_time()
         if now < self._next_list_at:
             return
         self._next_list_at = now + len(self._view.peers) * LIST_PERIOD_PER_VM_S
@@ -90,13 +87,13 @@
         listed = answer.unwrap()
         self._leaving.update(listed)
         entries = [vm for vm in listed if vm.role == VMRole.ENTRY]
-        self._view.merge_list(entries, self._now())
+        self._view.merge_list(entries, loop_time())
 
     async def step(self) -> None:
         """Probe the next peer; run periodically."""
-        for peer in self._view.expire_suspects(self._suspicion_s, self._now()):
+        for peer in self._view.expire_suspects(self._suspicion_s, loop_time()):
             logger.warning("peer_dead", vm=peer.vm.name, incarnation=peer.incarnation)
-        self._view.forget_ended(KEEP_ENDED_S, self._now())
+        self._view.forget_ended(KEEP_ENDED_S, loop_time())
         target = self._next_target()
         if target is not None:
             await self._probe(target)
@@ -122,7 +119,7 @@
             return
         current = self._view.get(target.vm.name)
         if current is not None and current.incarnation == target.incarnation:
-            self._view.suspect(target.vm.name, self._now())
+            self._view.suspect(target.vm.name, loop_time())
 
     async def _probe_indirectly(self, target: Peer) -> bool:
         helpers = [
@@ -151,7 +148,7 @@
         )
 
     def _merge(self, probe: Probe) -> None:
-        now = self._now()
+        now = loop_time()
         self._view.heard_from(probe.vm, probe.incarnation, now)
         for report in probe.reports:
             self._view.merge_report(report, now)
--- a/marjoramstile/peers/handler.py
+++ b/marjoramstile/peers/handler.py
@@ -1,6 +1,5 @@
 """Answers the calls of other daemons by handing them to the roles."""
 
-import asyncio
 import json
 from collections.abc import Callable
 from typing import Any
@@ -24,6 +23,7 @@
     slot_reply_to_wire,
     unknown_engine_wire,
 )
+from marjoramstile.utils import loop_time
 
 
 class PeerHandler:
@@ -85,7 +85,7 @@
         return IDL.PrefillAnswer(
             accepted=answer.accepted,
             start_in_s=answer.start_in_s,
-            backlog_tokens=places.backlog_tokens(asyncio.get_running_loop().time()),
+            backlog_tokens=places.backlog_tokens(loop_time()),
             tokens_per_s=places.tokens_per_s,
         )
 
--- /dev/null
+++ b/marjoramstile/requests/attempts.py
@@ -0,0 +1,88 @@
+"""A completion as asked for, and the attempts to produce it."""
+
+from dataclasses import dataclass, field, replace
+
+from marjoramstile.configuration.documents import (
+    Configuration,
+    LanguageService,
+    ServiceClass,
+)
+from marjoramstile.routing.pieces import pieces_needed
+from marjoramstile.routing.snapshots import Demand
+from marjoramstile.utils import content_fingerprint
+
+BYTES_PER_TOKEN = 4
+
+
+@dataclass(frozen=True)
+class CompletionRequest:
+    """A checked request for a completion."""
+
+    request_id: str
+    workspace: str
+    share: int
+    service_name: str
+    service: LanguageService
+    prompt: str
+    max_tokens: int
+    received_at: float
+
+    @property
+    def content(self) -> str:
+        """Fingerprint of what is asked, whoever asks."""
+        return content_fingerprint(
+            self.service.model, self.prompt, str(self.max_tokens)
+        )
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Estimated length of the prompt."""
+        return max(1, len(self.prompt.encode()) // BYTES_PER_TOKEN)
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """One try to produce the rest of an answer after the tokens in ``generated``."""
+
+    number: int
+    request: CompletionRequest
+    configuration: Configuration
+    generated: tuple[str, ...] = ()
+    excluded: frozenset[str] = field(default_factory=frozenset)
+
+    @property
+    def work_id(self) -> str:
+        """Identifier of the attempt's work on engines."""
+        return f"{self.request.request_id}.{self.number}"
+
+    @property
+    def resumed(self) -> bool:
+        """Whether tokens were already sent to the caller."""
+        return bool(self.generated)
+
+    @property
+    def demand(self) -> Demand:
+        """What the rest of the answer needs of engines."""
+        prompt_tokens = self.request.prompt_tokens + len(self.generated)
+        output_tokens = self.request.max_tokens - len(self.generated)
+        return Demand(
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            pieces=pieces_needed(prompt_tokens, output_tokens),
+            excluded=self.excluded,
+        )
+
+    @property
+    def patient(self) -> bool:
+        """Whether the answer may wait: it has begun, or it may be late."""
+        late = self.request.service.service_class == ServiceClass.LATE
+        return self.resumed or late
+
+    def next(self, generated: list[str], excluded: frozenset[str]) -> "Attempt":
+        """Return the attempt that follows this one."""
+        return replace(
+            self,
+            number=self.number + 1,
+            generated=tuple(generated),
+            excluded=excluded,
+        )
--- a/marjoramstile/requests/calls.py
+++ b/marjoramstile/requests/calls.py
@@ -29,6 +29,7 @@
 from marjoramstile.utils import (
     TaskGroupOwner,
     content_fingerprint,
+    loop_time,
     new_token,
     stable_percent,
 )
@@ -140,15 +141,11 @@
             for name, endpoint in endpoints
             if not endpoint.leaving
             and not self._leaving.includes(endpoint.url)
-            and not self._breakers.is_open(name, self._now())
+            and not self._breakers.is_open(name, loop_time())
         ]
         self._rng.shuffle(usable)
         return usable
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
     async def _send(
         self, request: PlainRequest, target: tuple[str, str]
     ) -> Result[PlainAnswer, EndpointError]:
@@ -157,7 +154,7 @@
         if answer.is_ok():
             self._breakers.succeeded(name)
         else:
-            self._breakers.failed(name, self._now())
+            self._breakers.failed(name, loop_time())
         return answer
 
     async def _run_repeatable(
--- a/marjoramstile/requests/completions.py
+++ b/marjoramstile/requests/completions.py
@@ -4,14 +4,13 @@
 import math
 from collections.abc import AsyncIterator
 from contextlib import aclosing
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from marjoramstile.admission.breakers import BreakerBoard
 from marjoramstile.admission.quarantine import Quarantine
 from marjoramstile.admission.retries import RetryBudget
 from marjoramstile.configuration.documents import (
     Configuration,
-    LanguageService,
     ServiceClass,
 )
 from marjoramstile.endpoints.engines import (
@@ -29,17 +28,16 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import View
 from marjoramstile.reports.metrics import Metrics
+from marjoramstile.requests.attempts import Attempt, CompletionRequest
 from marjoramstile.requests.canceller import Canceller
 from marjoramstile.requests.crashes import CrashObserver
 from marjoramstile.requests.placement import PlacedEngine, Placer, slot_wait_limit_s
 from marjoramstile.requests.running import Phase, RunningRequest, RunningRequests
 from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
-from marjoramstile.routing.pieces import pieces_needed
 from marjoramstile.routing.snapshots import Demand
 from marjoramstile.slots.reservations import Ask
-from marjoramstile.utils import TaskGroupOwner, content_fingerprint
+from marjoramstile.utils import TaskGroupOwner, loop_time
 
-BYTES_PER_TOKEN = 4
 EXPECTED_TRANSFER_S = 0.05
 EXPECTED_TOKENS_PER_S = 20_000.0
 IMPORT_TRIES = 2
@@ -52,68 +50,6 @@
 logger = get_logger(__name__)
 
 
-@dataclass(frozen=True)
-class CompletionRequest:
-    """A checked request for a completion."""
-
-    request_id: str
-    workspace: str
-    share: int
-    service_name: str
-    service: LanguageService
-    prompt: str
-    max_tokens: int
-    received_at: float
-
-    @property
-    def content(self) -> str:
-        """Fingerprint of what is asked, whoever asks."""
-        return content_fingerprint(
-            self.service.model, self.prompt, str(self.max_tokens)
-        )
-
-    @property
-    def prompt_tokens(self) -> int:
-        """Estimated length of the prompt."""
-        return max(1, len(self.prompt.encode()) // BYTES_PER_TOKEN)
-
-
-@dataclass(frozen=True)
-class _Attempt:
-    """One try to produce the rest of an answer after the tokens in ``generated``."""
-
-    number: int
-    request: CompletionRequest
-    configuration: Configuration
-    generated: tuple[str, ...] = ()
-    excluded: frozenset[str] = field(default_factory=frozenset)
-
-    @property
-    def work_id(self) -> str:
-        """Identifier of the attempt's work on engines."""
-        return f"{self.request.request_id}.{self.number}"
-
-    @property
-    def resumed(self) -> bool:
-        """Whether tokens were already sent to the caller."""
-        return bool(self.generated)
-
-    @property
-    def patient(self) -> bool:
-        """Whether the answer may wait: it has begun, or it may be late."""
-        late = self.request.service.service_class == ServiceClass.LATE
-        return self.resumed or late
-
-    def next(self, generated: list[str], excluded: frozenset[str]) -> "_Attempt":
-        """Return the attempt that follows this one."""
-        return replace(
-            self,
-            number=self.number + 1,
-            generated=tuple(generated),
-            excluded=excluded,
-        )
-
-
 class CompletionRunner:
     """Produces the tokens of completions on one daemon."""
 
@@ -143,10 +79,6 @@
         self._running = running
         self._tasks = tasks
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
     async def run(
         self, request: CompletionRequest, configuration: Configuration
     ) -> AsyncIterator[Token]:
@@ -173,7 +105,7 @@
     async def _run(
         self, request: CompletionRequest, configuration: Configuration
     ) -> AsyncIterator[Token]:
-        attempt = _Attempt(0, request, configuration)
+        attempt = Attempt(0, request, configuration)
         generated: list[str] = []
         deadline = request.received_at + request.service.late_limit_s
         while True:
@@ -204,12 +136,12 @@
             raise EndpointFailedError("", gap)
         return token.position == len(generated)
 
-    def _note_progress(self, attempt: _Attempt, tokens: int) -> None:
+    def _note_progress(self, attempt: Attempt, tokens: int) -> None:
         """Clear a suspect that has come past the point where an engine was lost."""
         if tokens - len(attempt.generated) == PROGRESS_TOKENS:
             self._crashes.observe_progress(attempt.request.content)
 
-    def _note_failure(self, attempt: _Attempt, error: EndpointFailedError) -> None:
+    def _note_failure(self, attempt: Attempt, error: EndpointFailedError) -> None:
         request = attempt.request
         self._metrics.count("attempts_failed", request.service_name)
         logger.warning(
@@ -221,7 +153,7 @@
             detail=error.error.detail,
         )
 
-    def _refuse_quarantined(self, attempt: _Attempt) -> None:
+    def _refuse_quarantined(self, attempt: Attempt) -> None:
         limit = attempt.configuration.limits.crash_limit
         if self._quarantine.is_blocked(attempt.request.content, limit):
             raise RequestFailedError(
@@ -232,7 +164,7 @@
                 )
             )
 
-    async def _before_retry(self, attempt: _Attempt, deadline: float) -> None:
+    async def _before_retry(self, attempt: Attempt, deadline: float) -> None:
         """Wait before the next attempt; fail when it can't be made in time.
 
         Answers that have begun or may be late wait for the budget; others fail.
@@ -242,7 +174,7 @@
         )
         while True:
             await asyncio.sleep(pause_s)
-            if self._now() >= deadline:
+            if loop_time() >= deadline:
                 break
             if self._budget.spend():
                 return
@@ -257,7 +189,7 @@
             )
         )
 
-    async def _attempt(self, attempt: _Attempt) -> AsyncIterator[Token]:
+    async def _attempt(self, attempt: Attempt) -> AsyncIterator[Token]:
         """Reserve, prefill, transfer and decode once."""
         used: set[str] = set()
         finished = False
@@ -278,10 +210,10 @@
         finally:
             self._clean_up(attempt, used, finished)
 
-    def _enter(self, attempt: _Attempt, phase: Phase) -> None:
+    def _enter(self, attempt: Attempt, phase: Phase) -> None:
         self._running.enter(attempt.request.request_id, phase, len(attempt.generated))
 
-    def _clean_up(self, attempt: _Attempt, used: set[str], finished: bool) -> None:
+    def _clean_up(self, attempt: Attempt, used: set[str], finished: bool) -> None:
         """Free the slot, and the engines that may still hold something."""
         self._tasks.start(self._placer.release(attempt.work_id), "release_slot")
         if finished:
@@ -289,24 +221,13 @@
         for url in used:
             self._canceller.cancel(url, attempt.work_id)
 
-    def _demand(self, attempt: _Attempt) -> Demand:
-        request = attempt.request
-        prompt_tokens = request.prompt_tokens + len(attempt.generated)
-        output_tokens = request.max_tokens - len(attempt.generated)
-        return Demand(
-            prompt_tokens=prompt_tokens,
-            output_tokens=output_tokens,
-            pieces=pieces_needed(prompt_tokens, output_tokens),
-            excluded=attempt.excluded,
-        )
-
-    def _remaining_s(self, attempt: _Attempt, needed_s: float) -> float:
+    def _remaining_s(self, attempt: Attempt, needed_s: float) -> float:
         """Return how long an attempt may wait if it then needs ``needed_s``."""
         request = attempt.request
         limit_s = slot_wait_limit_s(request.service, needed_s, attempt.resumed)
-        return max(0.0, limit_s - (self._now() - request.received_at))
+        return max(0.0, limit_s - (loop_time() - request.received_at))
 
-    def _ask(self, attempt: _Attempt, demand: Demand) -> Ask:
+    def _ask(self, attempt: Attempt, demand: Demand) -> Ask:
         request = attempt.request
         ready_in_s = demand.prompt_tokens / EXPECTED_TOKENS_PER_S + EXPECTED_TRANSFER_S
         return Ask(
@@ -324,9 +245,9 @@
         )
 
     async def _reserve(
-        self, attempt: _Attempt, limit_s: float = math.inf
+        self, attempt: Attempt, limit_s: float = math.inf
     ) -> PlacedEngine:
-        demand = self._demand(attempt)
+        demand = attempt.demand
         ask = self._ask(attempt, demand)
         placed = await self._placer.place_decode(
             attempt.configuration,
@@ -338,10 +259,10 @@
             raise RequestFailedError(placed.unwrap_err())
         return placed.unwrap()
 
-    async def _prefill(self, attempt: _Attempt, used: set[str]) -> Export:
+    async def _prefill(self, attempt: Attempt, used: set[str]) -> Export:
         request = attempt.request
         service = request.service
-        demand = self._demand(attempt)
+        demand = attempt.demand
         duration_s = demand.prompt_tokens / EXPECTED_TOKENS_PER_S
         wait_s = self._remaining_s(attempt, duration_s + EXPECTED_TRANSFER_S)
         placed = await self._placer.place_prefill(
@@ -362,7 +283,7 @@
         answer = await self._engines.prefill(engine.url, order)
         if answer.is_err():
             await self._crashes.observe_failure(
-                engine, instance, request.content, self._now()
+                engine, instance, request.content, loop_time()
             )
             raise EndpointFailedError(engine.name, answer.unwrap_err())
         self._breakers.succeeded(engine.name)
@@ -370,14 +291,14 @@
 
     async def _transfer(
         self,
-        attempt: _Attempt,
+        attempt: Attempt,
         decode: PlacedEngine,
         export: Export,
         used: set[str],
     ) -> PlacedEngine:
         """Bring the KV cache to the decode engine, or to another one in time."""
-        expires_at = self._now() + export.lives_s
-        demand = self._demand(attempt)
+        expires_at = loop_time() + export.lives_s
+        demand = attempt.demand
         for number in range(1, IMPORT_TRIES + 1):
             answer = await self._engines.import_kv(
                 decode.url,
@@ -391,18 +312,18 @@
                 return decode
             error = answer.unwrap_err()
             self._metrics.count("transfers_failed", attempt.request.service_name)
-            self._breakers.lost(decode.name, self._now())
-            in_time = self._now() + EXPORT_MARGIN_S < expires_at
+            self._breakers.lost(decode.name, loop_time())
+            in_time = loop_time() + EXPORT_MARGIN_S < expires_at
             if error.problem == EndpointProblem.GONE or not in_time:
                 break
             if number < IMPORT_TRIES:
-                life_s = expires_at - EXPORT_MARGIN_S - self._now()
+                life_s = expires_at - EXPORT_MARGIN_S - loop_time()
                 decode = await self._reserve_other(attempt, decode, life_s)
                 used.add(decode.url)
         raise EndpointFailedError(decode.name, error)
 
     async def _reserve_other(
-        self, attempt: _Attempt, decode: PlacedEngine, life_s: float
+        self, attempt: Attempt, decode: PlacedEngine, life_s: float
     ) -> PlacedEngine:
         """Reserve another engine while the export has ``life_s`` left."""
         await self._placer.release(attempt.work_id)
@@ -415,7 +336,7 @@
             raise EndpointFailedError(decode.name, refused) from error
 
     async def _decode(
-        self, attempt: _Attempt, decode: PlacedEngine
+        self, attempt: Attempt, decode: PlacedEngine
     ) -> AsyncIterator[Token]:
         request = attempt.request
         instance = await self._crashes.instance_of(decode)
@@ -433,7 +354,7 @@
                     yield token
         except EndpointFailedError as error:
             await self._crashes.observe_failure(
-                decode, instance, request.content, self._now()
+                decode, instance, request.content, loop_time()
             )
             raise EndpointFailedError(decode.name, error.error) from error
         self._crashes.observe_success(decode, request.content)
--- a/marjoramstile/requests/placement.py
+++ b/marjoramstile/requests/placement.py
@@ -1,6 +1,5 @@
 """Places a completion: picks engines by policy and reserves them at their owners."""
 
-import asyncio
 import random
 from dataclasses import dataclass, replace
 
@@ -18,6 +17,7 @@
 from marjoramstile.slots.broker import SlotBroker
 from marjoramstile.slots.hints import HintTable
 from marjoramstile.slots.reservations import Ask, Granted
+from marjoramstile.utils import loop_time
 
 DECODE_TRIES = 2
 PREFILL_TRIES = 2
@@ -49,10 +49,6 @@
         self._rng = rng
         self._policies: dict[str, Policy] = {}
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
     def _policy(self, name: str) -> Policy:
         if name not in self._policies:
             self._policies[name] = create_policy(name, self._rng)
@@ -78,7 +74,7 @@
 
         All tries together wait no longer than the ask allows.
         """
-        now = self._now()
+        now = loop_time()
         deadline = now + ask.max_wait_s
         policy = self._policy(service.policy)
         views = self._views(configuration, service.decode_pool, now)
@@ -89,7 +85,7 @@
             return Ok(_placed(configuration, ranked[0].name))
         shortest_s = float("inf")
         for view in ranked[:DECODE_TRIES]:
-            wait_s = max(0.0, deadline - self._now())
+            wait_s = max(0.0, deadline - loop_time())
             answer = await self._broker.reserve(
                 configuration, replace(ask, engine=view.name, max_wait_s=wait_s)
             )
@@ -110,7 +106,7 @@
     ) -> Result[PlacedEngine, Failure]:
         """Find a prefill engine that can start within ``max_wait_s``."""
         policy = self._policy(service.policy)
-        views = self._views(configuration, service.prefill_pool, self._now())
+        views = self._views(configuration, service.prefill_pool, loop_time())
         ranked = policy.rank_prefill(views, demand)
         if not ranked:
             return Err(_no_endpoint("prefill"))
--- a/marjoramstile/settings.py
+++ b/marjoramstile/settings.py
@@ -29,7 +29,6 @@
         "probe_period_s": 1.0,
         "probe_timeout_s": 0.5,
         "suspicion_s": 3.0,
-        "freshness_limit_s": 6.0,
         "poll_period_s": 1.0,
     },
     "log_level": "info",
@@ -111,7 +110,6 @@
     probe_period_s: Seconds
     probe_timeout_s: Seconds
     suspicion_s: Seconds
-    freshness_limit_s: Seconds
     poll_period_s: Seconds
 
 
--- a/marjoramstile/slots/broker.py
+++ b/marjoramstile/slots/broker.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 from marjoramstile.configuration.documents import Configuration, ServiceClass
-from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import Peer, View
 from marjoramstile.peers.caller import PeerCaller
 from marjoramstile.slots.directory import OwnerDirectory
@@ -13,13 +12,12 @@
 from marjoramstile.slots.reservations import Ask, Granted, Refused, Waiting
 from marjoramstile.slots.service import OwnerService
 from marjoramstile.slots.wire import SlotReply, slot_reply, slot_reply_from_wire
+from marjoramstile.utils import loop_time
 
 OWNER_ATTEMPTS = 2
 ASK_AGAIN_S = 2.0
 SHORTEST_WAIT_S = 0.001
 
-logger = get_logger(__name__)
-
 
 @dataclass(frozen=True)
 class _Held:
@@ -46,10 +44,6 @@
         self._held: dict[str, _Held] = {}
         self._awaited: dict[str, asyncio.Future] = {}
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
     async def reserve(
         self, configuration: Configuration, ask: Ask
     ) -> Granted | Refused | None:
@@ -57,7 +51,7 @@
 
         The caller releases the request's id afterwards, however this ends.
         """
-        deadline = self._now() + ask.max_wait_s
+        deadline = loop_time() + ask.max_wait_s
         data_centre = configuration.endpoints[ask.engine].data_centre
         excluded: frozenset[str] = frozenset()
         granted = asyncio.get_running_loop().create_future()
@@ -96,7 +90,7 @@
             reply.used_pieces,
             reply.queued,
             reply.hold_s,
-            self._now(),
+            loop_time(),
         )
 
     async def _conclude(
@@ -105,12 +99,12 @@
         """Wait for the grant for a while; None means to ask again."""
         if not isinstance(answer, Waiting):
             return answer
-        wait_s = min(ASK_AGAIN_S, deadline - self._now())
+        wait_s = min(ASK_AGAIN_S, deadline - loop_time())
         awaited = self._awaited[ask.request_id]
         done, _ = await asyncio.wait([awaited], timeout=max(0.0, wait_s))
         if done:
             return Granted(ask)
-        if deadline - self._now() > SHORTEST_WAIT_S:
+        if deadline - loop_time() > SHORTEST_WAIT_S:
             return None
         await self.release(ask.request_id)
         return Refused(answer.expected_s)
@@ -155,7 +149,7 @@
             places = self._service.prefill_owners.get(engine)
             if places is not None:
                 self._note_prefill(
-                    engine, places.backlog_tokens(self._now()), places.tokens_per_s
+                    engine, places.backlog_tokens(loop_time()), places.tokens_per_s
                 )
             return answer
         wire = await self._caller.ask_prefill(
@@ -169,4 +163,4 @@
     def _note_prefill(
         self, engine: str, backlog_tokens: int, tokens_per_s: float
     ) -> None:
-        self._hints.note_prefill(engine, backlog_tokens, tokens_per_s, self._now())
+        self._hints.note_prefill(engine, backlog_tokens, tokens_per_s, loop_time())
--- a/marjoramstile/slots/reports.py
+++ b/marjoramstile/slots/reports.py
@@ -6,6 +6,7 @@
 from marjoramstile.endpoints.engines import EngineClient
 from marjoramstile.routing.policies import reserves
 from marjoramstile.slots.hints import HintTable
+from marjoramstile.utils import loop_time
 
 UNKNOWN_HOLD_S = 5.0
 
@@ -43,7 +44,7 @@
         if answer.is_err():
             return
         load = answer.unwrap()
-        now = asyncio.get_running_loop().time()
+        now = loop_time()
         self._hints.note_slots(
             name, load.running, load.used_pieces, 0, UNKNOWN_HOLD_S, now
         )
--- a/marjoramstile/slots/service.py
+++ b/marjoramstile/slots/service.py
@@ -12,7 +12,7 @@
 from marjoramstile.slots.directory import OwnerDirectory
 from marjoramstile.slots.prefill_places import PrefillAnswer, PrefillOwner
 from marjoramstile.slots.reservations import Ask, Granted, Refused, SlotOwner, WorkItem
-from marjoramstile.utils import TaskGroupOwner
+from marjoramstile.utils import TaskGroupOwner, loop_time
 
 UNKNOWN_HOLDER_LIMIT_S = 30.0
 
@@ -54,10 +54,6 @@
         """Owners of prefill engines by name."""
         return self._prefill_owners
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
-
     @property
     def _configuration(self) -> Configuration:
         return self._keeper.configuration
@@ -73,7 +69,7 @@
             work = await self._engines.work(endpoint.url)
             if engine not in self._slot_owners:
                 self._slot_owners[engine] = owner
-                owner.sync(work.unwrap_or(()), self._now())
+                owner.sync(work.unwrap_or(()), loop_time())
         return self._slot_owners[engine]
 
     async def ask_slot(self, ask: Ask):
@@ -85,13 +81,13 @@
         leaving = endpoint.leaving or self._leaving.includes(endpoint.url)
         if leaving or ask.engine in self._silent:
             return Refused(owner.hold_s)
-        return owner.ask(ask, self._now())
+        return owner.ask(ask, loop_time())
 
     def release_slot(self, engine: str, request_id: str) -> None:
         """Take a slot back and pass it on."""
         owner = self._slot_owners.get(engine)
         if owner is not None:
-            self._push(owner.release(request_id, self._now()))
+            self._push(owner.release(request_id, loop_time()))
 
     def ask_prefill(
         self, engine: str, tokens: int, service_class, max_wait_s: float
@@ -101,7 +97,7 @@
         if endpoint is None or endpoint.kind != EndpointKind.PREFILL:
             return None
         owner = self._prefill_owners.setdefault(engine, PrefillOwner())
-        return owner.ask(tokens, service_class, max_wait_s, self._now())
+        return owner.ask(tokens, service_class, max_wait_s, loop_time())
 
     def _push(self, grants: Iterable[Granted]) -> None:
         for grant in grants:
@@ -146,17 +142,17 @@
         owner = await self.slot_owner(name)
         if owner is None:
             return
-        self._push(owner.sync(items, self._now()))
+        self._push(owner.sync(items, loop_time()))
         for holder in owner.holders():
             if self._view.is_dead(holder):
-                self._push(owner.drop_holder(holder, self._now()))
+                self._push(owner.drop_holder(holder, loop_time()))
 
     async def _follow_prefill(self, name: str, endpoint: Endpoint) -> None:
         load = await self._engines.load(endpoint.url)
         if load.is_ok():
             owner = self._prefill_owners.setdefault(name, PrefillOwner())
             report = load.unwrap()
-            owner.sync(report.queued_tokens, report.tokens_per_s, self._now())
+            owner.sync(report.queued_tokens, report.tokens_per_s, loop_time())
 
     async def _sweep(
         self, name: str, endpoint: Endpoint, items: tuple[WorkItem, ...]
@@ -179,5 +175,5 @@
         if self._view.knows(incarnation):
             self._unknown_since.pop(incarnation, None)
             return False
-        since = self._unknown_since.setdefault(incarnation, self._now())
-        return self._now() - since >= UNKNOWN_HOLDER_LIMIT_S
+        since = self._unknown_since.setdefault(incarnation, loop_time())
+        return loop_time() - since >= UNKNOWN_HOLDER_LIMIT_S
--- a/marjoramstile/utils.py
+++ b/marjoramstile/utils.py
@@ -14,6 +14,11 @@
 logger = get_logger(__name__)
 
 
+def loop_time() -> float:
+    """Return the running loop's time, which tests pause and advance."""
+    return asyncio.get_running_loop().time()
+
+
 def new_token() -> str:
     """Return a random identifier that no other process will produce."""
     return secrets.token_hex(TOKEN_BYTES)
--- a/tests/support.py
+++ b/tests/support.py
@@ -8,8 +8,8 @@
 from marjoramstile.endpoints.plain import PlainCall
 from marjoramstile.logs import start_logging, stop_logging
 from marjoramstile.node import Node
+from marjoramstile.requests.attempts import CompletionRequest
 from marjoramstile.requests.calls import PlainRequest
-from marjoramstile.requests.completions import CompletionRequest
 from standins.tokens import answer_text
 
 PROMPT = "Explain the missed turn of the spring circle to its members. " * 8
