Waiting answers don't starve for want of retries; tests that could not fail

Found by taking mechanisms out on scratch copies:

- Tests of freed engines passed without any cancel: their answers ended by themselves before the check.
They ask for 4,000 tokens now, and fail without the cancel and without its repetition.
- Nothing showed that repeated or missing tokens of an engine are caught.
The new test failed on the code: an engine that skips a token was tried again and again, since the failure did not name it, and 12 retries of six late requests used up the budget, which only new requests filled.
Streams are put in order where the engine is known; an attempt that no engine got costs no retry; the budget refills slowly with time.

--- a/bench/fakes/engines.py
+++ b/bench/fakes/engines.py
@@ -61,6 +61,7 @@
     up: bool = True
     stalled: bool = False
     ignore_cancels: int = 0
+    start_offset: int = 0
     checks_fencing: bool = True
     work: dict[str, WorkItem] = field(default_factory=dict)
     exports: dict[str, tuple[str, float]] = field(default_factory=dict)
@@ -303,7 +304,8 @@
     ) -> bool:
         ended = engine.ended.get(order.request_id)
         whole = True
-        for position in range(order.start, order.max_tokens):
+        first = max(0, order.start + engine.start_offset)
+        for position in range(first, order.max_tokens):
             if ended is None or ended.is_set():
                 whole = False
                 break
--- a/marjoramstile/requests/calls.py
+++ b/marjoramstile/requests/calls.py
@@ -162,7 +162,7 @@
     ) -> CallResult:
         answer = await self._send(request, targets[0])
         for target in targets[1:ENDPOINT_TRIES]:
-            if answer.is_ok() or not self._budget.spend():
+            if answer.is_ok() or not self._budget.spend(loop_time()):
                 break
             answer = await self._send(request, target)
         return answer.map_err(_failed)
--- a/marjoramstile/requests/completions.py
+++ b/marjoramstile/requests/completions.py
@@ -33,6 +33,7 @@
 from marjoramstile.requests.crashes import CrashObserver
 from marjoramstile.requests.placement import PlacedEngine, Placer, slot_wait_limit_s
 from marjoramstile.requests.running import Phase, RunningRequest, RunningRequests
+from marjoramstile.requests.streams import in_order
 from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
 from marjoramstile.routing.snapshots import Demand
 from marjoramstile.slots.reservations import Ask
@@ -113,28 +114,21 @@
             try:
                 async with aclosing(self._attempt(attempt)) as tokens:
                     async for token in tokens:
-                        if self._is_next(token, generated):
-                            generated.append(token.text)
-                            self._note_progress(attempt, len(generated))
-                            yield token
+                        generated.append(token.text)
+                        self._note_progress(attempt, len(generated))
+                        yield token
                 return
             except EndpointFailedError as error:
                 self._note_failure(attempt, error)
                 excluded = frozenset({error.endpoint})
+                sent = True
             except RequestFailedError:
                 if attempt.number == 0 or not attempt.patient:
                     raise
                 excluded = frozenset()
+                sent = False
             attempt = attempt.next(generated, excluded)
-            await self._before_retry(attempt, deadline)
-
-    @staticmethod
-    def _is_next(token: Token, generated: list[str]) -> bool:
-        """Tell whether a token continues the answer; a gap breaks the stream."""
-        if token.position > len(generated):
-            gap = EndpointError(EndpointProblem.LOST, "tokens are missing")
-            raise EndpointFailedError("", gap)
-        return token.position == len(generated)
+            await self._before_retry(attempt, deadline, sent)
 
     def _note_progress(self, attempt: Attempt, tokens: int) -> None:
         """Clear a suspect that has come past the point where an engine was lost."""
@@ -164,10 +158,13 @@
                 )
             )
 
-    async def _before_retry(self, attempt: Attempt, deadline: float) -> None:
+    async def _before_retry(
+        self, attempt: Attempt, deadline: float, sent: bool
+    ) -> None:
         """Wait before the next attempt; fail when it can't be made in time.
 
-        Answers that have begun or may be late wait for the budget; others fail.
+        Answers that have begun or may be late wait for the budget; others fail. An
+        attempt that was not ``sent`` to any engine costs none.
         """
         pause_s = min(
             RESUME_MAX_PAUSE_S, RESUME_FIRST_PAUSE_S * 2 ** (attempt.number - 1)
@@ -176,7 +173,7 @@
             await asyncio.sleep(pause_s)
             if loop_time() >= deadline:
                 break
-            if self._budget.spend():
+            if not sent or self._budget.spend(loop_time()):
                 return
             if not attempt.patient:
                 break
@@ -349,8 +346,10 @@
             priority=PRIORITIES[request.service.service_class],
         )
         try:
-            async with aclosing(self._engines.decode(decode.url, order)) as tokens:
-                async for token in tokens:
+            stream = self._engines.decode(decode.url, order)
+            stream = in_order(stream, order.start, decode.name)
+            async with aclosing(stream):
+                async for token in stream:
                     yield token
         except EndpointFailedError as error:
             await self._crashes.observe_failure(
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -25,6 +25,7 @@
 )
 from standins.serving import run
 from standins.tokens import token_text
+from standins.turns import PriorityTurns
 
 FETCH_TIMEOUT_S = 2.0
 
@@ -34,7 +35,7 @@
 
     def __init__(self, settings: EngineSettings):
         self._state = EngineState(settings)
-        self._busy = asyncio.Lock()
+        self._turns = PriorityTurns()
 
     @property
     def _settings(self) -> EngineSettings:
@@ -53,16 +54,16 @@
         work = self._state.add(
             body["request_id"], body["incarnation"], pieces_of(tokens), "prefill"
         )
-        finished = await asyncio.shield(self._compute(work, prompt, tokens))
+        finished = await asyncio.shield(self._compute(work, body, tokens))
         if not finished:
             raise web.HTTPConflict(text="cancelled")
         return web.json_response(self._export(work, tokens))
 
-    async def _compute(self, work: Work, prompt: str, tokens: int) -> bool:
+    async def _compute(self, work: Work, body: dict[str, Any], tokens: int) -> bool:
         """Wait for the engine's turn and compute, unless cancelled."""
         self._state.queued_tokens += tokens
         try:
-            async with self._busy:
+            async with self._turns.take(body["priority"]):
                 if work.ended.is_set():
                     return False
                 duration_s = tokens / self._settings.tokens_per_s
@@ -70,7 +71,7 @@
         finally:
             self._state.queued_tokens -= tokens
         self._state.prefilled_tokens += tokens
-        self._state.note_prefix(prompt, tokens)
+        self._state.note_prefix(body["prompt"], tokens)
         return not work.ended.is_set()
 
     def _export(self, work: Work, tokens: int) -> dict[str, Any]:
--- a/tests/admission/test_breakers.py
+++ b/tests/admission/test_breakers.py
@@ -5,7 +5,7 @@
     OPEN_FIRST_S,
     BreakerBoard,
 )
-from marjoramstile.admission.retries import BUDGET_MAX, RetryBudget
+from marjoramstile.admission.retries import BUDGET_MAX, REFILL_PER_S, RetryBudget
 
 
 def test_a_breaker_opens_after_several_failures_and_for_longer_each_time():
@@ -34,7 +34,15 @@
     for _ in range(1000):
         budget.earn(10.0)
     assert budget.balance == BUDGET_MAX
-    assert sum(budget.spend() for _ in range(100)) == BUDGET_MAX
+    assert sum(budget.spend(0.0) for _ in range(100)) == BUDGET_MAX
     for _ in range(100):
         budget.earn(10.0)
-    assert sum(budget.spend() for _ in range(100)) in (9, 10)
+    assert sum(budget.spend(0.0) for _ in range(100)) in (9, 10)
+
+
+def test_the_budget_refills_slowly_without_requests():
+    budget = RetryBudget()
+    while budget.spend(0.0):
+        pass
+    assert not budget.spend(1.0)
+    assert budget.spend(1.0 + 1 / REFILL_PER_S)
--- a/tests/requests/test_completions.py
+++ b/tests/requests/test_completions.py
@@ -11,6 +11,7 @@
 
 DECODE_URLS = ("http://10.0.9.1:80", "http://10.0.9.2:80")
 TTFT_TARGET_S = 0.63
+LONG_ANSWER = 4000
 PREFILL_URLS = ("http://10.0.8.1:80", "http://10.0.8.2:80")
 
 
@@ -38,7 +39,8 @@
 async def test_a_caller_who_leaves_frees_both_engines(stop_after_s):
     async with running_harness(daemons=3) as harness:
         node = harness.nodes["vm-1"]
-        running = asyncio.create_task(collect(node, completion(node)))
+        request = completion(node, max_tokens=LONG_ANSWER)
+        running = asyncio.create_task(collect(node, request))
         await asyncio.sleep(stop_after_s)
         running.cancel()
         await asyncio.sleep(1.5)
@@ -54,7 +56,8 @@
 async def test_a_caller_who_leaves_between_tokens_frees_both_engines():
     async with running_harness(daemons=3) as harness:
         node = harness.nodes["vm-1"]
-        running = node.completions.run(completion(node), node.keeper.configuration)
+        request = completion(node, max_tokens=LONG_ANSWER)
+        running = node.completions.run(request, node.keeper.configuration)
         async with aclosing(running) as tokens:
             await anext(tokens)
         await asyncio.sleep(1.5)
@@ -66,7 +69,8 @@
         for engine in harness.engines.engines.values():
             engine.ignore_cancels = 3
         node = harness.nodes["vm-1"]
-        running = asyncio.create_task(collect(node, completion(node)))
+        request = completion(node, max_tokens=LONG_ANSWER)
+        running = asyncio.create_task(collect(node, request))
         await asyncio.sleep(0.3)
         running.cancel()
         await asyncio.sleep(5)
@@ -85,6 +89,21 @@
         assert await running == expected_text(request)
 
 
+@pytest.mark.parametrize("offset", [-3, 1])
+async def test_engines_that_repeat_or_skip_tokens_spoil_no_answer(offset):
+    async with running_harness(daemons=3) as harness:
+        node = harness.nodes["vm-1"]
+        harness.engines.engines[DECODE_URLS[0]].start_offset = offset
+        requests = [completion(node, f"r{n}", "essay") for n in range(6)]
+        running = [asyncio.create_task(collect(node, r)) for r in requests]
+        await asyncio.sleep(0.5)
+        harness.engines.engines[DECODE_URLS[1]].crash()
+        await asyncio.sleep(0.2)
+        harness.engines.engines[DECODE_URLS[1]].restart()
+        answers = await asyncio.gather(*running)
+        assert answers == [expected_text(request) for request in requests]
+
+
 async def test_a_prefill_engine_lost_while_it_computes_is_replaced():
     async with running_harness(daemons=3) as harness:
         node = harness.nodes["vm-1"]
