Not run only where it is certain: completions, repeated calls, failed daemons

Read against the promise, three answers said "not run" without being sure: a completion whose engines failed before its first token, a call that may be repeated whose first try was lost and whose second found no connection, and a fault of the daemon itself.

--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -15,7 +15,7 @@
 
 from marjoramstile.logs import get_logger
 from marjoramstile.loops import listening_socket
-from marjoramstile.results import Failure, RequestFailedError, ResultCode
+from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
 from marjoramstile.settings import Address, LimitSettings
 
 BEARER = "Bearer "
@@ -47,17 +47,18 @@
 
 
 async def _answer_exception(request: Request, error: Exception) -> HTTPResponse:
-    return failure_response(_to_failure(error))
+    return failure_response(to_failure(error))
 
 
-def _to_failure(error: Exception) -> Failure:
+def to_failure(error: Exception) -> Failure:
+    """Return the answer for what a handler has raised."""
     if isinstance(error, RequestFailedError):
         return error.failure
     for kind, code, message in _SANIC_FAILURES:
         if isinstance(error, kind):
             return Failure(code, message)
     logger.error("handler_failed", error=repr(error))
-    return Failure(ResultCode.INTERNAL, "the daemon failed")
+    return Failure(ResultCode.INTERNAL, "the daemon failed", ran=Ran.UNKNOWN)
 
 
 def failure_response(failure: Failure) -> HTTPResponse:
--- a/marjoramstile/requests/attempts.py
+++ b/marjoramstile/requests/attempts.py
@@ -7,6 +7,7 @@
     LanguageService,
     ServiceClass,
 )
+from marjoramstile.results import Ran
 from marjoramstile.routing.pieces import pieces_needed
 from marjoramstile.routing.snapshots import Demand
 from marjoramstile.utils import content_fingerprint
@@ -60,6 +61,13 @@
         """Whether tokens were already sent to the caller."""
         return bool(self.generated)
 
+    @property
+    def ran(self) -> Ran:
+        """Whether the request has run, if this attempt doesn't."""
+        if self.resumed:
+            return Ran.YES
+        return Ran.UNKNOWN if self.number else Ran.NO
+
     @property
     def demand(self) -> Demand:
         """What the rest of the answer needs of engines."""
--- a/marjoramstile/requests/calls.py
+++ b/marjoramstile/requests/calls.py
@@ -160,12 +160,16 @@
     async def _run_repeatable(
         self, request: PlainRequest, targets: Sequence[tuple[str, str]]
     ) -> CallResult:
-        answer = await self._send(request, targets[0])
-        for target in targets[1:ENDPOINT_TRIES]:
-            if answer.is_ok() or not self._budget.spend(loop_time()):
+        """Send to another endpoint when one fails; tell what may have run."""
+        errors: list[EndpointError] = []
+        for target in targets[:ENDPOINT_TRIES]:
+            if errors and not self._budget.spend(loop_time()):
                 break
             answer = await self._send(request, target)
-        return answer.map_err(_failed)
+            if answer.is_ok():
+                return Ok(answer.unwrap())
+            errors.append(answer.unwrap_err())
+        return Err(_failed(errors))
 
     async def _run_once(
         self, request: PlainRequest, targets: Sequence[tuple[str, str]]
@@ -291,12 +295,12 @@
     )
 
 
-def _failed(error: EndpointError) -> Failure:
-    if error.surely_not_run:
-        return _unreachable(error.detail)
+def _failed(errors: Sequence[EndpointError]) -> Failure:
+    if all(error.surely_not_run for error in errors):
+        return _unreachable(errors[-1].detail)
     return Failure(
         ResultCode.ENDPOINT_FAILED,
-        f"the endpoint did not answer: {error.detail}",
+        f"the endpoints did not answer: {errors[-1].detail}",
         ran=Ran.UNKNOWN,
         retry_after_s=TARGET_RETRY_AFTER_S,
     )
--- a/marjoramstile/requests/completions.py
+++ b/marjoramstile/requests/completions.py
@@ -34,7 +34,7 @@
 from marjoramstile.requests.placement import PlacedEngine, Placer, slot_wait_limit_s
 from marjoramstile.requests.running import Phase, RunningRequest, RunningRequests
 from marjoramstile.requests.streams import in_order
-from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
+from marjoramstile.results import Failure, RequestFailedError, ResultCode
 from marjoramstile.routing.snapshots import Demand
 from marjoramstile.slots.reservations import Ask
 from marjoramstile.utils import TaskGroupOwner, loop_time
@@ -122,9 +122,10 @@
                 self._note_failure(attempt, error)
                 excluded = frozenset({error.endpoint})
                 sent = True
-            except RequestFailedError:
+            except RequestFailedError as error:
                 if attempt.number == 0 or not attempt.patient:
-                    raise
+                    failure = replace(error.failure, ran=attempt.ran)
+                    raise RequestFailedError(failure) from error
                 excluded = frozenset()
                 sent = False
             attempt = attempt.next(generated, excluded)
@@ -154,7 +155,7 @@
                 Failure(
                     ResultCode.QUARANTINED,
                     f"this request has crashed {limit} endpoints",
-                    ran=Ran.YES if attempt.resumed else Ran.NO,
+                    ran=attempt.ran,
                 )
             )
 
@@ -181,7 +182,7 @@
             Failure(
                 ResultCode.ENDPOINT_FAILED,
                 "the engines failed again and again",
-                ran=Ran.YES if attempt.resumed else Ran.NO,
+                ran=attempt.ran,
                 retry_after_s=RESUME_MAX_PAUSE_S,
             )
         )
--- a/tests/requests/test_completions.py
+++ b/tests/requests/test_completions.py
@@ -8,7 +8,7 @@
 from bench.harness import Harness, running_harness
 from marjoramstile.node import Node
 from marjoramstile.requests.running import Phase
-from marjoramstile.results import RequestFailedError, ResultCode
+from marjoramstile.results import Ran, RequestFailedError, ResultCode
 from tests.support import collect, completion, expected_text
 
 DECODE_URLS = ("http://10.0.9.1:80", "http://10.0.9.2:80")
@@ -185,6 +185,17 @@
         await asyncio.gather(*fillers)
 
 
+async def test_a_request_that_has_run_is_never_told_not_run():
+    async with running_harness(daemons=2) as harness:
+        node = harness.nodes["vm-1"]
+        request = completion(node, prompt="crashes all")
+        harness.engines.crash_prompts.add(request.prompt)
+        with pytest.raises(RequestFailedError) as raised:
+            await collect(node, request)
+        assert sum(engine.instance for engine in harness.engines.engines.values())
+        assert raised.value.failure.ran != Ran.NO
+
+
 async def test_the_slots_of_a_killed_daemon_are_freed():
     async with running_harness(daemons=3) as harness:
         node = harness.nodes["vm-2"]
