Read once more: one reading of a daemon's standing, prompts hashed once

- A daemon and a peer that confirms for it each read a member's row and the version in force; only the first had been mended to read both at once.
ConfigurationStore does it for both now.
Joining read the version twice in a row; once.
- A completion's fingerprint and length were computed from its whole prompt at each use, several times a request; they are kept.
- Dead: StoreError.maybe_applied, Translator, COORDINATOR; three more readings of the loop's time beside loop_time.

Behaviour stays; no test is changed.

--- a/marjoramstile/configuration/coordinator.py
+++ b/marjoramstile/configuration/coordinator.py
@@ -193,9 +193,8 @@
     async def _commit(
         self, change: _Change, members: Sequence[MemberRow]
     ) -> ChangeResult:
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + COMMIT_LIMIT_S
-        while loop.time() < deadline:
+        deadline = loop_time() + COMMIT_LIMIT_S
+        while loop_time() < deadline:
             outcome = await self._store.commit(
                 change.staged, change.current, change.snapshot_version
             )
--- a/marjoramstile/configuration/keeper.py
+++ b/marjoramstile/configuration/keeper.py
@@ -139,8 +139,7 @@
             return
         if not await self._adopt_staged():
             return
-        if not await self._refresh(started):
-            return
+        self._extend(started, Standing.CONFIRMED)
         self._row_version = row.unwrap().version
         await self._read_members(started)
         logger.info("member_joined", vm=self._vm, version=self._state.version)
@@ -151,24 +150,17 @@
     async def _adopt_staged(self) -> bool:
         """Prepare a change that was staged before this member registered."""
         staged = await self._store.read_staged()
-        if staged.is_err() or not await self._refresh(None):
+        if staged.is_err() or not await self._refresh():
             return False
         found = staged.unwrap()
         if found is not None:
             self._state, _ = prepare(self._state, found.proposal, loop_time())
         return True
 
-    async def _refresh(self, lease_from: float | None) -> bool:
-        """Read the version in force; extend the lease if this member has it."""
-        answer = await self._store.read_current()
-        if answer.is_err():
-            return False
-        current = answer.unwrap()
-        if not await self._install(current):
-            return False
-        if lease_from is not None:
-            self._extend(lease_from, Standing.CONFIRMED)
-        return True
+    async def _refresh(self) -> bool:
+        """Read the version in force and install it; whether that was possible."""
+        current = await self._store.read_current()
+        return current.is_ok() and await self._install(current.unwrap())
 
     async def _install(self, current: Current) -> bool:
         if self._state.loaded and current.version <= self._state.version:
@@ -189,18 +181,17 @@
         self._lease_until = started + LEASE_S
 
     async def _confirm(self) -> None:
-        """Read both rows at once; a slow store must not outlast the lease."""
+        """Extend the lease by the store, or else by what the peers know."""
         started = loop_time()
-        row, current = await asyncio.gather(
-            self._store.read_member(self._vm), self._store.read_current()
-        )
-        if row.is_err() or current.is_err():
+        read = await self._store.read_standing(self._vm)
+        if read.is_err():
             await self._ask_peers(started)
             return
-        if not self._owns(row.unwrap().value):
+        row, current = read.unwrap()
+        if not self._owns(row.value):
             self._rejoin()
             return
-        if not await self._install(current.unwrap()):
+        if not await self._install(current):
             await self._ask_peers(started)
             return
         self._extend(started, Standing.CONFIRMED)
@@ -251,7 +242,7 @@
         """Learn the outcome of the prepared change, or withdraw an old one."""
         prepared = self._state.prepared
         staged = await self._store.read_staged()
-        if staged.is_err() or not await self._refresh(None):
+        if staged.is_err() or not await self._refresh():
             await self._ask_peers(loop_time())
             return
         found = staged.unwrap()
@@ -273,7 +264,7 @@
         if self._state.prepared is not None:
             await self._settle()
         else:
-            await self._refresh(None)
+            await self._refresh()
 
     def on_finish(self, change_id: str, committed: bool) -> None:
         """Take the outcome of a change from its coordinator."""
@@ -289,13 +280,12 @@
         in_force_id = self._state.change_id
         if self.standing != Standing.CONFIRMED:
             return PeerFreshness(known, in_force_id)
-        row = await self._store.read_member(vm)
-        current = await self._store.read_current()
-        if row.is_err() or current.is_err():
+        read = await self._store.read_standing(vm)
+        if read.is_err():
             return PeerFreshness(known, in_force_id)
-        value = row.unwrap().value
-        removed = value is None or value["incarnation"] != incarnation
-        version = max(known, current.unwrap().version)
+        row, current = read.unwrap()
+        removed = row.value is None or row.value["incarnation"] != incarnation
+        version = max(known, current.version)
         return PeerFreshness(version, in_force_id, removed, confirmed=not removed)
 
 
--- a/marjoramstile/configuration/store.py
+++ b/marjoramstile/configuration/store.py
@@ -6,6 +6,7 @@
 snapshots in the object store, one for every ``SNAPSHOT_EVERY`` versions.
 """
 
+import asyncio
 import json
 from dataclasses import dataclass
 from typing import Any
@@ -199,6 +200,16 @@
         """Return the raw row of one daemon."""
         return await self._tables.read(MEMBERS_TABLE, vm)
 
+    async def read_standing(self, vm: str) -> Result[tuple[Row, Current], StoreError]:
+        """Return a daemon's raw row and the version in force, read at once.
+
+        One after the other, a slow store's answers would outlast a lease.
+        """
+        row, current = await asyncio.gather(self.read_member(vm), self.read_current())
+        if row.is_err():
+            return Err(row.unwrap_err())
+        return current.map(lambda found: (row.unwrap(), found))
+
     async def put_member(
         self, vm: str, incarnation: str, peer_address: str, row_version: int
     ) -> Outcome:
--- a/marjoramstile/entry/measuring.py
+++ b/marjoramstile/entry/measuring.py
@@ -9,6 +9,7 @@
 from marjoramstile.reports.burn import BurnReport
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.requests.attempts import CompletionRequest
+from marjoramstile.utils import loop_time
 
 
 class AnswerMeter:
@@ -22,14 +23,13 @@
         self, request: CompletionRequest, tokens: AsyncIterator[Token]
     ) -> AsyncIterator[Token]:
         """Pass tokens on; record the answer when it is whole or has failed."""
-        loop = asyncio.get_running_loop()
         times: list[float] = []
         whole = False
         cancelled = False
         try:
             async with aclosing(tokens):
                 async for token in tokens:
-                    times.append(loop.time())
+                    times.append(loop_time())
                     yield token
             whole = True
         except (asyncio.CancelledError, GeneratorExit):
@@ -37,7 +37,7 @@
             raise
         finally:
             if not cancelled:
-                self._record(request, times, whole, loop.time())
+                self._record(request, times, whole, loop_time())
 
     def _record(
         self, request: CompletionRequest, times: list[float], whole: bool, now: float
--- a/marjoramstile/language/edits.py
+++ b/marjoramstile/language/edits.py
@@ -1,6 +1,6 @@
 """Translates changing statements into edits of the configuration."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from functools import singledispatch
 from typing import Any
 
@@ -29,7 +29,6 @@
 }
 
 EditResult = Result[Edit, StatementError]
-Translator = Callable[[Any, Configuration], EditResult]
 
 
 def to_edits(
--- a/marjoramstile/platform/tables.py
+++ b/marjoramstile/platform/tables.py
@@ -60,13 +60,9 @@
 
 @dataclass(frozen=True)
 class StoreError:
-    """The service gave no answer.
-
-    ``maybe_applied`` is False only where the request surely had no effect.
-    """
+    """The service gave no answer; a write may have taken effect all the same."""
 
     message: str
-    maybe_applied: bool = True
 
 
 class TableService(Protocol):
--- a/marjoramstile/requests/attempts.py
+++ b/marjoramstile/requests/attempts.py
@@ -1,6 +1,7 @@
 """A completion as asked for, and the attempts to produce it."""
 
 from dataclasses import dataclass, field, replace
+from functools import cached_property
 
 from marjoramstile.configuration.documents import (
     Configuration,
@@ -28,14 +29,14 @@
     max_tokens: int
     received_at: float
 
-    @property
+    @cached_property
     def content(self) -> str:
         """Fingerprint of what is asked, whoever asks."""
         return content_fingerprint(
             self.service.model, self.prompt, str(self.max_tokens)
         )
 
-    @property
+    @cached_property
     def prompt_tokens(self) -> int:
         """Estimated length of the prompt."""
         return max(1, len(self.prompt.encode()) // BYTES_PER_TOKEN)
--- a/marjoramstile/requests/canceller.py
+++ b/marjoramstile/requests/canceller.py
@@ -5,7 +5,7 @@
 from marjoramstile.endpoints.engines import EngineClient
 from marjoramstile.endpoints.errors import EndpointProblem
 from marjoramstile.logs import get_logger
-from marjoramstile.utils import TaskGroupOwner
+from marjoramstile.utils import TaskGroupOwner, loop_time
 
 FIRST_PAUSE_S = 0.2
 MAX_PAUSE_S = 5.0
@@ -33,11 +33,10 @@
         self._tasks.start(self._cancel(url, request_id), "cancel_work")
 
     async def _cancel(self, url: str, request_id: str) -> None:
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + GIVE_UP_AFTER_S
+        deadline = loop_time() + GIVE_UP_AFTER_S
         pause_s = FIRST_PAUSE_S
         try:
-            while loop.time() < deadline:
+            while loop_time() < deadline:
                 answer = await self._engines.cancel(url, request_id)
                 if answer.is_ok():
                     return
--- a/specifications/changes.py
+++ b/specifications/changes.py
@@ -22,7 +22,6 @@
 )
 
 MEMBERS = (0, 1, 2)
-COORDINATOR = 0
 
 NO_LEASE = 0
 LEASE = 1
