--- a/bench/fakes/tables.py
+++ b/bench/fakes/tables.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from marjoramstile.platform.tables import (
+from marjoramstile.ports.tables import (
     Committed,
     Condition,
     Conflict,
@@ -14,7 +14,7 @@
     StoreError,
     Write,
 )
-from marjoramstile.platform.vms import ListedVM
+from marjoramstile.ports.vms import ListedVM
 from standins.tables import TableState
 
 ANSWER_S = 0.002
--- a/bench/harness.py
+++ b/bench/harness.py
@@ -13,7 +13,7 @@
 from marjoramstile.configuration.documents import parse_configuration
 from marjoramstile.configuration.edits import edits_between
 from marjoramstile.node import Node, Ports
-from marjoramstile.platform.vms import ListedState, ListedVM
+from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.settings import Settings, parse_settings
 from marjoramstile.utils import hash_secret
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -34,7 +34,7 @@
 from marjoramstile.peers.frames import IDL
 from marjoramstile.peers.messages import ask_to_wire, probe_from_wire, probe_to_wire
 from marjoramstile.peers.transport import PeerConnection, PeerServer
-from marjoramstile.platform.vms import ListedState, ListedVM
+from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.routing.policies import create_policy
 from marjoramstile.routing.snapshots import Demand
 from marjoramstile.slots.directory import OwnerDirectory
--- a/marjoramstile/admission/quarantine.py
+++ b/marjoramstile/admission/quarantine.py
@@ -8,7 +8,7 @@
 
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.gossip import GossipQueue
-from marjoramstile.platform.tables import ABSENT, Condition, TableService, Write
+from marjoramstile.ports.tables import ABSENT, Condition, TableService, Write
 
 QUARANTINE_TABLE = "quarantine"
 CLEARED_KEPT = 4096
--- a/marjoramstile/configuration/coordinator.py
+++ b/marjoramstile/configuration/coordinator.py
@@ -28,7 +28,7 @@
     Staged,
 )
 from marjoramstile.logs import get_logger
-from marjoramstile.platform.tables import Committed
+from marjoramstile.ports.tables import Committed
 from marjoramstile.results import Failure, Ran, ResultCode
 from marjoramstile.utils import loop_time, new_token
 
--- a/marjoramstile/configuration/keeper.py
+++ b/marjoramstile/configuration/keeper.py
@@ -25,7 +25,7 @@
 )
 from marjoramstile.configuration.store import ConfigurationStore, Current, MemberRow
 from marjoramstile.logs import get_logger
-from marjoramstile.platform.tables import Committed
+from marjoramstile.ports.tables import Committed
 from marjoramstile.results import Failure, ResultCode
 from marjoramstile.utils import loop_time
 
--- a/marjoramstile/configuration/store.py
+++ b/marjoramstile/configuration/store.py
@@ -20,8 +20,8 @@
     edits_to_json,
 )
 from marjoramstile.configuration.member import MemberState, Proposal
-from marjoramstile.platform.objects import ObjectStore
-from marjoramstile.platform.tables import (
+from marjoramstile.ports.objects import ObjectStore
+from marjoramstile.ports.tables import (
     ABSENT,
     Committed,
     Condition,
--- a/marjoramstile/daemon.py
+++ b/marjoramstile/daemon.py
@@ -20,9 +20,9 @@
 from marjoramstile.operators.app import OperatorHandler, create_operator_app
 from marjoramstile.peers.connections import PeerConnections
 from marjoramstile.peers.transport import PeerServer
-from marjoramstile.platform.objects import HTTPObjectStore
-from marjoramstile.platform.tables import HTTPTableService
-from marjoramstile.platform.vms import HTTPVMList
+from marjoramstile.ports.objects import HTTPObjectStore
+from marjoramstile.ports.tables import HTTPTableService
+from marjoramstile.ports.vms import HTTPVMList
 from marjoramstile.results import Failure, RequestFailedError, ResultCode
 from marjoramstile.settings import Settings, load_settings
 from marjoramstile.utils import loop_time
--- a/marjoramstile/ledger/group_commit.py
+++ b/marjoramstile/ledger/group_commit.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from marjoramstile.platform.tables import (
+from marjoramstile.ports.tables import (
     Committed,
     Condition,
     Conflict,
--- a/marjoramstile/ledger/ledger.py
+++ b/marjoramstile/ledger/ledger.py
@@ -16,7 +16,7 @@
 )
 from marjoramstile.ledger.group_commit import GroupCommitter, RowWrite
 from marjoramstile.logs import get_logger
-from marjoramstile.platform.tables import (
+from marjoramstile.ports.tables import (
     ABSENT,
     Committed,
     Row,
--- a/marjoramstile/membership/leaving.py
+++ b/marjoramstile/membership/leaving.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from urllib.parse import urlsplit
 
-from marjoramstile.platform.vms import ListedState, ListedVM, VMRole
+from marjoramstile.ports.vms import ListedState, ListedVM, VMRole
 
 
 class LeavingHosts:
--- /dev/null
+++ b/marjoramstile/membership/nodes.py
@@ -0,0 +1,65 @@
+"""Rows by which daemons find each other in the platform's store."""
+
+import json
+from dataclasses import asdict, dataclass
+
+from result import Ok, Result
+
+from marjoramstile.logs import get_logger
+from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.ports.tables import StoreError
+from marjoramstile.ports.vms import ListedState, ListedVM
+
+NODES_TABLE = "marjoramstile-nodes"
+
+logger = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class NodeEntry:
+    """A daemon's row; ``front`` is the ``host:port`` that callers connect to."""
+
+    host: str
+    front: str
+    data_centre: str
+    region: str
+    incarnation: str
+
+    def to_value(self) -> dict[str, str]:
+        """Return the row's value."""
+        return asdict(self)
+
+
+def decode_node(value: bytes) -> NodeEntry | None:
+    """Return the daemon that a row describes; None if it describes none."""
+    try:
+        return NodeEntry(**json.loads(value))
+    except (ValueError, TypeError) as error:
+        logger.warning("node_row_unreadable", reason=repr(error))
+        return None
+
+
+class MirrorVMList:
+    """The daemons that have a row, as the prober's VM list."""
+
+    def __init__(self, mirror: TableMirror):
+        self._mirror = mirror
+
+    @property
+    def entries(self) -> dict[str, NodeEntry]:
+        """Daemons by VM name."""
+        decoded = {
+            vm: decode_node(row.value or b"") for vm, row in self._mirror.rows.items()
+        }
+        return {vm: entry for vm, entry in decoded.items() if entry is not None}
+
+    async def list_vms(self) -> Result[tuple[ListedVM, ...], StoreError]:
+        """Return the VMs whose daemons have a row."""
+        return Ok(
+            tuple(
+                ListedVM(
+                    vm, entry.host, entry.data_centre, entry.region, ListedState.LIVE
+                )
+                for vm, entry in self.entries.items()
+            )
+        )
--- a/marjoramstile/membership/prober.py
+++ b/marjoramstile/membership/prober.py
@@ -9,7 +9,7 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.view import Peer, PeerState, Report, View
-from marjoramstile.platform.vms import VMList, VMRole
+from marjoramstile.ports.vms import VMList, VMRole
 from marjoramstile.utils import loop_time
 
 INDIRECT_PROBES = 2
--- a/marjoramstile/membership/view.py
+++ b/marjoramstile/membership/view.py
@@ -12,7 +12,7 @@
 from enum import IntEnum
 
 from marjoramstile.membership.gossip import GossipQueue
-from marjoramstile.platform.vms import ListedState, ListedVM
+from marjoramstile.ports.vms import ListedState, ListedVM
 
 
 class PeerState(IntEnum):
--- /dev/null
+++ b/marjoramstile/mirrors/mirror.py
@@ -0,0 +1,83 @@
+"""A daemon's copy of one table of the platform's store."""
+
+from collections.abc import Callable
+
+from marjoramstile.ports.feeds import NOTHING_KNOWN, Changes, StoredRow
+
+TOMBSTONES_KEPT = 1024
+
+Listener = Callable[[StoredRow], None]
+
+
+class TableMirror:
+    """Rows by key with the version of the store that they reflect.
+
+    Versions only grow, so that changes may come from the store or from any peer in
+    any order: what is older than the copy is ignored.
+    """
+
+    def __init__(self, table: str):
+        self._table = table
+        self._rows: dict[str, StoredRow] = {}
+        self._version = NOTHING_KNOWN
+        self._listeners: list[Listener] = []
+
+    @property
+    def table(self) -> str:
+        """Name of the table."""
+        return self._table
+
+    @property
+    def version(self) -> int:
+        """Version of the store up to which the copy is current."""
+        return self._version
+
+    @property
+    def known(self) -> bool:
+        """Whether the table was ever read."""
+        return self._version != NOTHING_KNOWN
+
+    @property
+    def rows(self) -> dict[str, StoredRow]:
+        """Rows that exist, by key."""
+        return {key: row for key, row in self._rows.items() if row.value is not None}
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call ``listener`` with each row that is new, changed or deleted."""
+        self._listeners.append(listener)
+
+    def apply(self, changes: Changes) -> None:
+        """Take changes that are newer than the copy."""
+        if changes.version < self._version:
+            return
+        self._version = changes.version
+        if changes.complete:
+            self._drop_missing(changes)
+        for row in changes.rows:
+            self._take(row)
+        self._forget_tombstones()
+
+    def _drop_missing(self, changes: Changes) -> None:
+        listed = {row.key for row in changes.rows}
+        for key in self.rows.keys() - listed:
+            self._take(StoredRow(key, changes.version, None))
+
+    def _take(self, row: StoredRow) -> None:
+        known = self._rows.get(row.key)
+        if known is not None and known.version >= row.version:
+            return
+        self._rows[row.key] = row
+        for listener in self._listeners:
+            listener(row)
+
+    def _forget_tombstones(self) -> None:
+        deleted = [key for key, row in self._rows.items() if row.value is None]
+        for key in deleted[: max(0, len(deleted) - TOMBSTONES_KEPT)]:
+            del self._rows[key]
+
+    def changes_after(self, version: int) -> Changes:
+        """Return what a peer with an older copy lacks."""
+        if version == NOTHING_KNOWN:
+            return Changes(tuple(self.rows.values()), self._version, complete=True)
+        newer = tuple(row for row in self._rows.values() if row.version > version)
+        return Changes(newer, self._version, complete=False)
--- a/marjoramstile/node.py
+++ b/marjoramstile/node.py
@@ -28,9 +28,9 @@
 from marjoramstile.peers.caller import PeerCaller
 from marjoramstile.peers.connections import Connections
 from marjoramstile.peers.handler import PeerHandler
-from marjoramstile.platform.objects import ObjectStore
-from marjoramstile.platform.tables import TableService
-from marjoramstile.platform.vms import ListedState, ListedVM, VMList
+from marjoramstile.ports.objects import ObjectStore
+from marjoramstile.ports.tables import TableService
+from marjoramstile.ports.vms import ListedState, ListedVM, VMList
 from marjoramstile.reports.burn import BurnReport
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.requests.calls import CallRunner
--- a/marjoramstile/orders/desk.py
+++ b/marjoramstile/orders/desk.py
@@ -14,7 +14,7 @@
 from marjoramstile.configuration.keeper import ConfigurationKeeper
 from marjoramstile.endpoints.engines import EngineClient, EngineOrder
 from marjoramstile.logs import get_logger
-from marjoramstile.platform.tables import (
+from marjoramstile.ports.tables import (
     Committed,
     Condition,
     Row,
--- a/marjoramstile/peers/caller.py
+++ b/marjoramstile/peers/caller.py
@@ -12,11 +12,13 @@
 from marjoramstile.peers.frames import IDL
 from marjoramstile.peers.messages import (
     ask_to_wire,
+    changes_from_wire,
     freshness_from_wire,
     probe_from_wire,
     probe_to_wire,
     proposal_to_wire,
 )
+from marjoramstile.ports.feeds import Changes
 from marjoramstile.slots.reservations import Ask
 
 PREPARE_TIMEOUT_S = 0.8
@@ -134,6 +136,11 @@
         """Tell a daemon that a struck content has finished."""
         await self._call(peer, "clear", content, timeout_s=SLOT_TIMEOUT_S)
 
+    async def changes(self, peer: Peer, table: str, after: int) -> Changes | None:
+        """Ask a daemon for changes of a mirrored table."""
+        wire = await self._call(peer, "changes", table, after, timeout_s=SLOT_TIMEOUT_S)
+        return None if wire is None else changes_from_wire(wire)
+
     async def query(self, peer: Peer, request: dict[str, Any]) -> Any | None:
         """Run a query on a daemon."""
         answer = await self._call(
--- a/marjoramstile/peers/messages.py
+++ b/marjoramstile/peers/messages.py
@@ -7,6 +7,7 @@
 from marjoramstile.membership.prober import Probe
 from marjoramstile.membership.view import PeerState, Report
 from marjoramstile.peers.frames import IDL
+from marjoramstile.ports.feeds import Changes, StoredRow
 from marjoramstile.slots.reservations import Ask
 
 
@@ -83,3 +84,34 @@
 def freshness_from_wire(wire) -> PeerFreshness:
     """Return the freshness answer that ``wire`` holds."""
     return PeerFreshness(**vars(wire))
+
+
+def changes_to_wire(changes: Changes):
+    """Return the thrift form of a mirror's changes."""
+    return IDL.MirrorChanges(
+        rows=[
+            IDL.MirrorRow(
+                key=row.key,
+                version=row.version,
+                value=row.value or b"",
+                deleted=row.value is None,
+            )
+            for row in changes.rows
+        ],
+        version=changes.version,
+        complete=changes.complete,
+    )
+
+
+def changes_from_wire(wire) -> Changes:
+    """Return the mirror's changes that ``wire`` holds."""
+    rows = tuple(
+        StoredRow(row.key, row.version, None if row.deleted else _as_bytes(row.value))
+        for row in wire.rows
+    )
+    return Changes(rows, wire.version, wire.complete)
+
+
+def _as_bytes(value: str | bytes) -> bytes:
+    """Return a binary field; thriftpy2 decodes what happens to be UTF-8."""
+    return value.encode() if isinstance(value, str) else value
--- a/marjoramstile/peers/peer.thrift
+++ b/marjoramstile/peers/peer.thrift
@@ -72,7 +72,22 @@
   4: bool confirmed,
 }
 
+// A row of a mirrored table; deleted rows have no value.
+struct MirrorRow {
+  1: string key,
+  2: i64 version,
+  3: binary value,
+  4: bool deleted,
+}
+
+struct MirrorChanges {
+  1: list<MirrorRow> rows,
+  2: i64 version,
+  3: bool complete,
+}
+
 service Peer {
+  MirrorChanges changes(1: string table, 2: i64 after),
   Probe probe(1: Probe message),
   bool probe_through(1: string vm),
   SlotAnswer ask_slot(1: Ask ask),
--- a/marjoramstile/platform/__init__.py
+++ b/marjoramstile/platform/__init__.py
@@ -1,1 +1,4 @@
-"""Ports of the platform's services and their HTTP clients."""
+"""Adapter to the users' platform: translates its settings, store, and messages.
+
+Nothing outside this package knows the platform's names.
+"""
--- /dev/null
+++ b/marjoramstile/platform/daemon.py
@@ -0,0 +1,215 @@
+"""The routing daemon on the platform: puts the roles together and runs them."""
+
+import asyncio
+import random
+import signal
+import sys
+
+import typer
+from aiohttp import ClientSession, TCPConnector, web
+
+from marjoramstile.logs import get_logger, start_logging
+from marjoramstile.loops import create_loop, listening_socket
+from marjoramstile.membership.nodes import NODES_TABLE, NodeEntry
+from marjoramstile.platform.documents import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    REPLICAS_TABLE,
+    MalformedRowError,
+    decode_replica,
+    decode_routing_table,
+)
+from marjoramstile.platform.front import FrontHandler, PlatformEndpoints
+from marjoramstile.platform.replicas import HTTPReplicaClient, create_replica_session
+from marjoramstile.platform.settings import load_platform_settings, settings_path
+from marjoramstile.platform.store import PlatformStore
+from marjoramstile.ports.feeds import StoredRow
+from marjoramstile.ports.tables import Write
+from marjoramstile.routes.node import RouterNode, RouterPorts
+from marjoramstile.routes.settings import RouterSettings
+from marjoramstile.settings import Address
+from marjoramstile.utils import loop_time
+
+BAD_SETTINGS_EXIT = 78
+REGISTER_RETRY_S = 0.3
+# Idle connections are kept longer than callers reuse them.
+IDLE_MARGIN_S = 5.0
+DEFAULT_IDLE_S = 30.0
+STOP_POLL_S = 0.05
+# Part of the grace after which what still runs is cut.
+STOP_LIMIT_SHARE = 0.9
+LINGER_S = 1.0
+
+logger = get_logger(__name__)
+
+
+class PlatformDaemon:
+    """One VM's routing daemon with its listeners."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        store_session: ClientSession,
+        replica_session: ClientSession,
+    ):
+        self._settings = settings
+        self._store = PlatformStore(store_session, str(settings.store))
+        ports = RouterPorts(
+            feed=self._store, replicas=HTTPReplicaClient(replica_session)
+        )
+        self._node = RouterNode(
+            settings, ports, OPERATOR_TABLE, REPLICAS_TABLE, random.Random()
+        )
+        self._node.configuration_mirror.subscribe(self._take_configuration)
+        self._node.replicas_mirror.subscribe(self._take_replica)
+        self._stopping = asyncio.Event()
+        self._servers: list[tuple[web.Server, asyncio.Server]] = []
+
+    def _take_configuration(self, row: StoredRow) -> None:
+        if row.key != CONFIGURATION_KEY or row.value is None:
+            return
+        try:
+            self._node.put_table(decode_routing_table(row.value))
+        except MalformedRowError as error:
+            logger.error("configuration_unreadable", reason=str(error))
+
+    def _take_replica(self, row: StoredRow) -> None:
+        if row.value is None:
+            self._node.remove_replica(row.key)
+            return
+        try:
+            replica = decode_replica(row.key, row.value)
+        except MalformedRowError as error:
+            logger.warning("replica_row_unreadable", row=row.key, reason=str(error))
+            return
+        self._node.directory.put(replica)
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stopping.set()
+
+    def reload(self) -> None:
+        """Note that the settings file has changed."""
+        loaded = load_platform_settings(settings_path())
+        logger.info("settings_reloaded", valid=loaded.is_ok())
+
+    async def run(self) -> None:
+        """Serve until stopped, then end what runs."""
+        await self._start()
+        await self._stopping.wait()
+        await self._stop()
+
+    async def _start(self) -> None:
+        node = self._node
+        listeners = self._settings.listeners
+        endpoints = PlatformEndpoints(node.entry, node.addresses, node.metrics_text)
+        await node.start()
+        await self._listen(listeners.ready, endpoints.ready)
+        await self._listen(listeners.addresses, endpoints.resolve)
+        await self._listen(listeners.metrics, endpoints.metrics)
+        await self._listen(listeners.front, FrontHandler(node.entry).handle)
+        node.tasks.start(self._register(), "register")
+        logger.info(
+            "daemon_started",
+            vm=self._settings.vm,
+            incarnation=node.view.own.incarnation,
+            front=listeners.front,
+        )
+
+    async def _listen(self, address: Address, handler) -> None:
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            keepalive_timeout=DEFAULT_IDLE_S,
+            lingering_time=LINGER_S,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=16384,
+            max_field_size=16384,
+        )
+        listener = listening_socket(address.host, address.port)
+        loop = asyncio.get_running_loop()
+        self._servers.append((server, await loop.create_server(server, sock=listener)))
+
+    async def _register(self) -> None:
+        """Write this daemon's row, until the store has taken it."""
+        settings = self._settings
+        entry = NodeEntry(
+            host=settings.ip,
+            front=str(settings.listeners.front),
+            data_centre=settings.data_centre,
+            region=settings.region,
+            incarnation=self._node.view.own.incarnation,
+        )
+        write = Write(NODES_TABLE, settings.vm, entry.to_value())
+        while (answer := await self._store.transact([], [write])).is_err():
+            logger.warning("not_registered", reason=answer.unwrap_err().message)
+            await asyncio.sleep(REGISTER_RETRY_S)
+        logger.info("registered", vm=settings.vm)
+
+    async def _stop(self) -> None:
+        """Leave the addresses, serve who still comes, end within the grace."""
+        grace_s = self._settings.bounds.grace_s
+        began = loop_time()
+        self._node.entry.stop()
+        logger.info("daemon_stopping", running=self._node.entry.running)
+        await self._node.leave()
+        stay_s = min(3 * self._node.addresses.ttl_s, 0.6 * grace_s)
+        while loop_time() < began + STOP_LIMIT_SHARE * grace_s:
+            idle = self._node.entry.running == 0
+            if idle and loop_time() >= began + stay_s:
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        for _, listener in self._servers:
+            listener.close()
+        for server, _ in self._servers:
+            server.pre_shutdown()
+        await asyncio.gather(
+            *(server.shutdown(timeout=0.2) for server, _ in self._servers)
+        )
+        await self._node.close()
+        logger.info("daemon_stopped", cut=self._node.entry.running)
+
+
+async def serve(settings: RouterSettings) -> None:
+    """Run the daemon until SIGTERM or SIGINT."""
+    store_session = ClientSession(connector=TCPConnector(limit=0))
+    async with store_session, create_replica_session() as replica_session:
+        daemon = PlatformDaemon(settings, store_session, replica_session)
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, daemon.stop)
+        loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+        await daemon.run()
+
+
+def run_daemon() -> int:
+    """Load the platform's settings and run; return the exit code."""
+    path = settings_path()
+    loaded = load_platform_settings(path)
+    if loaded.is_err():
+        for error in loaded.unwrap_err():
+            print(f"marjoramstile-router: {path}: {error}", file=sys.stderr)
+        return BAD_SETTINGS_EXIT
+    settings = loaded.unwrap()
+    start_logging(settings.log_level, sys.stdout)
+    loop = create_loop()
+    asyncio.set_event_loop(loop)
+    loop.run_until_complete(serve(settings))
+    return 0
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Entry point of the routing daemon."""
+    app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+    @app.command()
+    def run() -> None:
+        """Run the routing daemon of one VM on the platform."""
+        raise typer.Exit(run_daemon())
+
+    app(args=argv)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/marjoramstile/platform/documents.py
@@ -0,0 +1,130 @@
+"""Translates rows of the platform's store: configuration and replicas."""
+
+import json
+from typing import Any
+
+from marjoramstile.routes.replicas import Replica, ReplicaState, Stage
+from marjoramstile.routes.table import (
+    EngineTraits,
+    EntryLimits,
+    Route,
+    RoutedService,
+    RouteKind,
+    RoutingTable,
+    ServiceShare,
+)
+
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+REPLICAS_TABLE = "servers"
+
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+
+
+class MalformedRowError(Exception):
+    """A row is not what its table should hold."""
+
+
+def decode_routing_table(value: bytes) -> RoutingTable:
+    """Return the configuration that a row holds."""
+    try:
+        body = json.loads(value)
+        return RoutingTable(
+            version=int(body["version"]),
+            routes=tuple(_route(item) for item in body["routes"]),
+            services={item["name"]: _service(item) for item in body["services"]},
+            limits=_limits(body["limits"]),
+        )
+    except _MALFORMED as error:
+        raise MalformedRowError(repr(error)) from error
+
+
+def _route(item: dict[str, Any]) -> Route:
+    gap_ms = item.get("gapTargetMs")
+    return Route(
+        name=item["name"],
+        host=item["host"].lower(),
+        prefix=item["prefix"],
+        kind=_kind(item["kind"]),
+        timeout_s=item["timeoutMs"] / 1000,
+        target_latency_s=item.get("targetLatencyMs", item["timeoutMs"]) / 1000,
+        priority=int(item.get("priority", 0)),
+        shares=_shares(item),
+        max_attempts=int(item.get("maxAttempts", 1)),
+        resumable=bool(item.get("resumable", False)),
+        gap_target_s=None if gap_ms is None else gap_ms / 1000,
+    )
+
+
+def _kind(text: str) -> RouteKind:
+    """Return the kind; what is not known must not be repeated."""
+    try:
+        return RouteKind(text)
+    except ValueError:
+        return RouteKind.NON_IDEMPOTENT
+
+
+def _shares(item: dict[str, Any]) -> tuple[ServiceShare, ...]:
+    if item.get("trafficSplit"):
+        return tuple(
+            ServiceShare(part["service"], float(part["weight"]))
+            for part in item["trafficSplit"]
+        )
+    return (ServiceShare(item["service"], 1.0),)
+
+
+def _service(item: dict[str, Any]) -> RoutedService:
+    engine = item.get("engine")
+    return RoutedService(
+        name=item["name"],
+        health_path=item.get("healthPath", "/healthz"),
+        engine=_engine(engine) if engine else None,
+    )
+
+
+def _engine(item: dict[str, Any]) -> EngineTraits:
+    return EngineTraits(
+        slots=int(item["slots"]),
+        kv_tokens=int(item["kvTokens"]),
+        handle_ttl_s=float(item.get("handleTtlS", 0.5)),
+        hold_max_s=item.get("holdMs", 0.0) / 1000,
+        switch_s=float(item.get("switchS", 0.0)),
+        stride=int(item.get("stride", 1)),
+    )
+
+
+def _limits(item: dict[str, Any]) -> EntryLimits:
+    return EntryLimits(
+        header_max_bytes=int(item["maxHeaderBytes"]),
+        body_max_bytes=int(item["maxBodyBytes"]),
+        header_timeout_s=item["headerTimeoutMs"] / 1000,
+        idle_timeout_s=item["idleTimeoutMs"] / 1000,
+    )
+
+
+def decode_replica(replica_id: str, value: bytes) -> Replica:
+    """Return the replica that a row describes."""
+    try:
+        body = json.loads(value)
+        host, _, port = body["address"].rpartition(":")
+        stage = body.get("stage")
+        born = body.get("born", 0)
+        if not isinstance(born, int) or not isinstance(body["service"], str):
+            raise TypeError("born or service")
+        return Replica(
+            id=replica_id,
+            service=body["service"],
+            host=host,
+            port=int(port),
+            data_centre=str(body["zone"]),
+            slots=int(body["slots"]),
+            state=ReplicaState(body["state"]),
+            born_ms=born,
+            stage=Stage(stage) if stage else None,
+            model_versions=tuple(
+                (model["name"], int(model["version"]))
+                for model in body.get("models", ())
+            ),
+        )
+    except _MALFORMED as error:
+        raise MalformedRowError(repr(error)) from error
--- /dev/null
+++ b/marjoramstile/platform/front.py
@@ -0,0 +1,213 @@
+"""The callers' side on the platform: requests in, answers and streams out."""
+
+import json
+from typing import Any
+
+from aiohttp import web
+from aiohttp.client_exceptions import ClientConnectionResetError
+from multidict import CIMultiDict
+
+from marjoramstile.logs import get_logger
+from marjoramstile.platform import headers as names
+from marjoramstile.routes.entry import Entry, IncomingRequest
+from marjoramstile.routes.requests import (
+    Headers,
+    OutcomeUnknownError,
+    Reply,
+    RequestRefusedError,
+    StreamBrokenError,
+)
+
+MILLISECONDS_PER_S = 1000
+NO_RETRY = None
+
+logger = get_logger(__name__)
+
+
+class CallerGoneError(Exception):
+    """The caller's connection ended while its answer was being sent."""
+
+
+class FrontHandler:
+    """Handles every request that callers send."""
+
+    def __init__(self, entry: Entry):
+        self._entry = entry
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        limits = self._entry.limits
+        if limits is None:
+            return self._failure(503, "no configuration is known yet", 0.5)
+        try:
+            body = await _read_body(request, limits.body_max_bytes)
+        except web.HTTPRequestEntityTooLarge:
+            return self._failure(413, "the body is too large", NO_RETRY, close=True)
+        incoming = _decode(request, body)
+        if incoming is None:
+            return self._failure(400, "X-Request-Id is missing", NO_RETRY)
+        responder = HTTPResponder(request, self._entry)
+        try:
+            reply = await self._entry.handle(incoming, responder)
+        except RequestRefusedError as refusal:
+            return self._failure(503, str(refusal), refusal.retry_after_s)
+        except OutcomeUnknownError as error:
+            status = 504 if error.timed_out else 502
+            return self._failure(status, str(error), NO_RETRY)
+        except StreamBrokenError:
+            return responder.break_off()
+        except CallerGoneError:
+            return responder.break_off()
+        if reply is not None:
+            return await responder.reply(reply)
+        return responder.response
+
+    def _failure(
+        self,
+        status: int,
+        message: str,
+        retry_after_s: float | None,
+        close: bool = False,
+    ) -> web.Response:
+        response = web.Response(
+            status=status,
+            body=json.dumps({"error": message}).encode(),
+            content_type="application/json",
+        )
+        if retry_after_s is not None:
+            response.headers[names.RETRY_AFTER] = f"{retry_after_s:.3f}"
+        if close or self._entry.stopping:
+            response.force_close()
+        return response
+
+
+class HTTPResponder:
+    """Sends a stream, or a whole answer, to one caller."""
+
+    def __init__(self, request: web.BaseRequest, entry: Entry):
+        self._request = request
+        self._entry = entry
+        self._response: web.StreamResponse | None = None
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """The answer that was begun."""
+        return self._response
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of a stream."""
+        self._response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
+        self._response.enable_chunked_encoding()
+        self._close_if_stopping()
+        try:
+            await self._response.prepare(self._request)
+        except (ClientConnectionResetError, OSError) as error:
+            raise CallerGoneError from error
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        try:
+            await self._response.write(data)
+        except (ClientConnectionResetError, OSError) as error:
+            raise CallerGoneError from error
+
+    async def finish(self) -> None:
+        """End the stream as complete."""
+        try:
+            await self._response.write_eof()
+        except (ClientConnectionResetError, OSError) as error:
+            raise CallerGoneError from error
+
+    async def reply(self, reply: Reply) -> web.StreamResponse:
+        """Send a whole answer."""
+        self._response = web.Response(
+            status=reply.status, headers=CIMultiDict(reply.headers), body=reply.body
+        )
+        self._close_if_stopping()
+        return self._response
+
+    def _close_if_stopping(self) -> None:
+        if self._entry.stopping:
+            self._response.force_close()
+
+    def break_off(self) -> web.StreamResponse:
+        """Close the connection so that the answer can't be taken for complete."""
+        if self._request.transport is not None:
+            self._request.transport.close()
+        return self._response or web.Response(status=502)
+
+
+async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes:
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    parts = []
+    size = 0
+    async for chunk in request.content.iter_any():
+        size += len(chunk)
+        if size > max_bytes:
+            raise web.HTTPRequestEntityTooLarge(max_bytes, size)
+        parts.append(chunk)
+    return b"".join(parts)
+
+
+def _decode(request: web.BaseRequest, body: bytes) -> IncomingRequest | None:
+    headers = tuple(
+        (
+            name.decode("utf-8", "surrogateescape"),
+            value.decode("utf-8", "surrogateescape"),
+        )
+        for name, value in request.raw_headers
+    )
+    request_id = names.first_value(headers, names.REQUEST_ID)
+    if not request_id:
+        return None
+    target = request.raw_path
+    return IncomingRequest(
+        id=request_id,
+        method=request.method,
+        host=_host_name(names.first_value(headers, "Host") or ""),
+        path=target.partition("?")[0],
+        target=target,
+        headers=names.forwarded_request_headers(headers),
+        body=body,
+        patience_s=_patience_s(names.first_value(headers, names.DEADLINE_MS)),
+        size=names.generation_size(headers),
+        resume_after=names.resume_after(headers),
+        subject=names.own_prefix_part(headers),
+    )
+
+
+def _host_name(host: str) -> str:
+    return host.partition(":")[0].lower()
+
+
+def _patience_s(value: str | None) -> float | None:
+    try:
+        return None if value is None else float(value) / MILLISECONDS_PER_S
+    except ValueError:
+        return None
+
+
+class PlatformEndpoints:
+    """Answers the platform's own questions: readiness and addresses."""
+
+    def __init__(self, entry: Entry, addresses: Any, metrics_text: Any):
+        self._entry = entry
+        self._addresses = addresses
+        self._metrics_text = metrics_text
+
+    async def ready(self, request: web.BaseRequest) -> web.Response:
+        """Answer GET /v1/readyz."""
+        return web.Response(status=200 if self._entry.ready else 503)
+
+    async def resolve(self, request: web.BaseRequest) -> web.Response:
+        """Answer GET /v1/resolve with the daemons to connect to."""
+        addresses = self._addresses.current()
+        if not addresses:
+            return web.Response(status=503)
+        body = {"addresses": addresses, "ttlS": self._addresses.ttl_s}
+        return web.json_response(body)
+
+    async def metrics(self, request: web.BaseRequest) -> web.Response:
+        """Answer a scrape."""
+        return web.Response(text=self._metrics_text())
--- /dev/null
+++ b/marjoramstile/platform/headers.py
@@ -0,0 +1,106 @@
+"""Header names of the platform's wire and what becomes of callers' headers."""
+
+from collections.abc import Iterable
+
+from marjoramstile.routes.requests import GenerationSize, Headers
+
+REQUEST_ID = "X-Request-Id"
+DEADLINE_MS = "X-Deadline-Ms"
+TOKEN_COUNT = "X-Token-Count"
+PREFIX = "X-Prefix-Hash"
+LENGTH_HINT = "X-Length-Hint"
+EXPECT_INSTANCE = "X-Expect-Instance"
+STAGE = "X-Stage"
+KV_SOURCE = "X-Kv-Source"
+KV_HOLD = "X-Kv-Hold"
+PRIORITY = "X-Request-Priority"
+LAST_EVENT_ID = "Last-Event-Id"
+NOT_EXECUTED = "X-Not-Executed"
+RETRY_AFTER = "Retry-After"
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+        "content-length",
+    }
+)
+# Set by the router alone; copies that a caller sends are dropped.
+_ROUTER_ONLY = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE_MS,
+        EXPECT_INSTANCE,
+        STAGE,
+        KV_SOURCE,
+        KV_HOLD,
+        PRIORITY,
+        "X-Kv-Backup",
+        "X-Pin-Ms",
+        "X-Expect-Version",
+        "Kv-Fetch",
+        "Wait-Ms",
+    )
+)
+
+
+def _connection_options(headers: Iterable[tuple[str, str]]) -> set[str]:
+    """Return the headers that the sender's Connection header names."""
+    return {
+        option.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for option in value.split(",")
+    }
+
+
+def forwarded_request_headers(headers: Headers) -> Headers:
+    """Return the caller's headers that go to a replica."""
+    dropped = _HOP_BY_HOP | _ROUTER_ONLY | _connection_options(headers)
+    return tuple(item for item in headers if item[0].lower() not in dropped)
+
+
+def forwarded_answer_headers(headers: Headers) -> Headers:
+    """Return the replica's headers that go to the caller."""
+    dropped = _HOP_BY_HOP | _connection_options(headers)
+    return tuple(item for item in headers if item[0].lower() not in dropped)
+
+
+def first_value(headers: Headers, name: str) -> str | None:
+    """Return the first value of a header."""
+    wanted = name.lower()
+    return next((value for key, value in headers if key.lower() == wanted), None)
+
+
+def generation_size(headers: Headers) -> GenerationSize | None:
+    """Return the size that a generation's headers state; None without them."""
+    counts = first_value(headers, TOKEN_COUNT)
+    if counts is None:
+        return None
+    try:
+        prompt, max_output = (int(part) for part in counts.split(","))
+        hint = int(float(first_value(headers, LENGTH_HINT) or max_output))
+    except ValueError:
+        return None
+    expected = max(1, min(hint, max_output))
+    return GenerationSize(prompt, max_output, expected)
+
+
+def own_prefix_part(headers: Headers) -> str:
+    """Return the last part of the prompt, which belongs to one session."""
+    parts = first_value(headers, PREFIX)
+    return parts.rpartition(",")[2].partition(":")[0] if parts else ""
+
+
+def resume_after(headers: Headers) -> int | None:
+    """Return the last event that the caller has received."""
+    value = first_value(headers, LAST_EVENT_ID)
+    return int(value) if value is not None and value.isdigit() else None
--- /dev/null
+++ b/marjoramstile/platform/replicas.py
@@ -0,0 +1,247 @@
+"""HTTP client of replicas; implements the routing core's ReplicaClient.
+
+Each request gets a connection of its own: a failed connect proves that the replica
+has not seen the request, and bytes left over from one answer can't be taken for
+part of another.
+"""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from aiohttp import (
+    ClientConnectorError,
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    ConnectionTimeoutError,
+)
+from multidict import CIMultiDict
+from yarl import URL
+
+from marjoramstile.platform import headers as names
+from marjoramstile.platform.connections import ReplicaConnector
+from marjoramstile.routes.ports import StreamAnswer
+from marjoramstile.routes.replicas import Replica, Stage
+from marjoramstile.routes.requests import (
+    AnswerLostError,
+    Headers,
+    Hold,
+    KVHandle,
+    MisdirectedError,
+    NotExecutedError,
+    NotSentError,
+    Reply,
+    RoutedRequest,
+    SendOptions,
+)
+
+CONNECT_TIMEOUT_S = 0.35
+# Longest time for calls that replicas answer at once: holds and handles.
+CONTROL_TIMEOUT_S = 0.35
+MISDIRECTED = 421
+OK = 200
+_AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+def create_replica_session() -> ClientSession:
+    """Return a session that changes nothing of what is sent and received."""
+    return ClientSession(
+        connector=ReplicaConnector(limit=0, force_close=True),
+        auto_decompress=False,
+        skip_auto_headers=_AUTOMATIC_HEADERS,
+    )
+
+
+class HTTPReplicaClient:
+    """Sends requests and reservations to replicas."""
+
+    def __init__(self, session: ClientSession):
+        self._session = session
+
+    async def call(
+        self, replica: Replica, request: RoutedRequest, timeout_s: float
+    ) -> Reply:
+        """Send a request and return the complete answer."""
+        async with self._exchange(
+            replica, request, timeout_s, SendOptions()
+        ) as response:
+            body = await _read_all(response)
+            return Reply(response.status, _answer_headers(response), body)
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        replica: Replica,
+        request: RoutedRequest,
+        timeout_s: float,
+        options: SendOptions,
+    ) -> AsyncIterator[StreamAnswer]:
+        """Send a request and open its stream; leaving closes the connection."""
+        async with self._exchange(replica, request, timeout_s, options) as response:
+            yield StreamAnswer(
+                response.status, _answer_headers(response), _chunks(response)
+            )
+
+    async def prefill(
+        self, replica: Replica, request: RoutedRequest, timeout_s: float
+    ) -> KVHandle:
+        """Have the prompt prefilled."""
+        options = SendOptions(extra=((names.STAGE, str(Stage.PREFILL)),))
+        async with self._exchange(replica, request, timeout_s, options) as response:
+            body = await _read_all(response)
+            if response.status != OK:
+                raise AnswerLostError(f"prefill: status {response.status}")
+            try:
+                return KVHandle(replica.address, str(json.loads(body)["kvHandle"]))
+            except (ValueError, KeyError, TypeError) as error:
+                raise AnswerLostError("prefill: no handle in the answer") from error
+
+    async def take_hold(
+        self, replica: Replica, tokens: int, ttl_s: float
+    ) -> Hold | None:
+        """Reserve a slot and memory; None if the replica has no room."""
+        body = {"tokens": tokens, "ttlMs": round(ttl_s * 1000)}
+        status, answer = await self._control(
+            "POST", replica.address, "/v1/hold-take", body, replica
+        )
+        if status == MISDIRECTED:
+            raise MisdirectedError(status)
+        if status != OK:
+            return None
+        return Hold(str(answer["hold"]), tokens)
+
+    async def drop_hold(self, replica: Replica, hold: Hold) -> None:
+        """Give a reservation back."""
+        path = f"/v1/hold-drop/{hold.id}"
+        await self._control("DELETE", replica.address, path, None, replica)
+
+    async def free_handle(self, handle: KVHandle) -> None:
+        """Free a KV cache that nobody will take."""
+        path = f"/v1/kv-handle/{handle.id}"
+        await self._control("DELETE", handle.address, path, None, None)
+
+    async def _control(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: dict[str, Any] | None,
+        replica: Replica | None,
+    ) -> tuple[int, dict[str, Any]]:
+        headers = {} if replica is None else {names.EXPECT_INSTANCE: replica.id}
+        timeout = ClientTimeout(total=CONTROL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        url = URL(f"http://{address}{path}", encoded=True)
+        try:
+            async with self._session.request(
+                method, url, json=body, headers=headers, timeout=timeout
+            ) as response:
+                data = await response.read()
+                answer = json.loads(data) if data and response.status == OK else {}
+                return response.status, answer
+        except (ClientError, OSError, TimeoutError, ValueError) as error:
+            raise NotSentError(repr(error)) from error
+
+    @asynccontextmanager
+    async def _exchange(
+        self,
+        replica: Replica,
+        request: RoutedRequest,
+        timeout_s: float,
+        options: SendOptions,
+    ) -> AsyncIterator[ClientResponse]:
+        """Send a request; the block has an answer of a replica that ran it."""
+        response = await self._send(replica, request, timeout_s, options)
+        try:
+            _check_answer(response, request)
+            yield response
+        finally:
+            response.close()
+
+    async def _send(
+        self,
+        replica: Replica,
+        request: RoutedRequest,
+        timeout_s: float,
+        options: SendOptions,
+    ) -> ClientResponse:
+        if timeout_s <= 0:
+            raise NotSentError("no time left")
+        timeout = ClientTimeout(
+            total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
+        )
+        url = URL(f"http://{replica.address}{request.target}", encoded=True)
+        try:
+            return await self._session.request(
+                request.method,
+                url,
+                headers=_request_headers(replica, request, timeout_s, options),
+                data=request.body or None,
+                timeout=timeout,
+                allow_redirects=False,
+            )
+        except (ClientConnectorError, ConnectionTimeoutError) as error:
+            raise NotSentError(repr(error)) from error
+        except (ClientError, OSError, TimeoutError, ValueError) as error:
+            raise AnswerLostError(repr(error)) from error
+
+
+def _request_headers(
+    replica: Replica, request: RoutedRequest, timeout_s: float, options: SendOptions
+) -> CIMultiDict[str]:
+    headers = CIMultiDict(request.headers)
+    headers[names.DEADLINE_MS] = str(max(1, int(timeout_s * 1000)))
+    headers[names.EXPECT_INSTANCE] = replica.id
+    if options.hold is not None:
+        headers[names.KV_HOLD] = options.hold.id
+    if options.source is not None:
+        source = options.source
+        headers[names.KV_SOURCE] = f"{source.address}/{source.id}"
+    if options.resume_after is not None:
+        headers[names.LAST_EVENT_ID] = str(options.resume_after)
+    if options.priority is not None:
+        headers[names.PRIORITY] = str(options.priority)
+    headers.extend(options.extra)
+    return headers
+
+
+def _check_answer(response: ClientResponse, request: RoutedRequest) -> None:
+    """Raise unless the answer is to this request and says that it ran."""
+    if response.status == MISDIRECTED:
+        raise MisdirectedError(response.status)
+    if names.NOT_EXECUTED in response.headers:
+        raise NotExecutedError(response.status)
+    if response.headers.get(names.REQUEST_ID) != request.id:
+        raise AnswerLostError("the answer bears another request's id")
+
+
+def _answer_headers(response: ClientResponse) -> Headers:
+    raw = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in response.raw_headers
+    )
+    return names.forwarded_answer_headers(raw)
+
+
+async def _read_all(response: ClientResponse) -> bytes:
+    return b"".join([chunk async for chunk in _chunks(response)])
+
+
+async def _chunks(response: ClientResponse) -> AsyncIterator[bytes]:
+    """Yield the body's bytes; raise AnswerLostError if it breaks off."""
+    connection = response.connection
+    protocol = connection.protocol if connection is not None else None
+    try:
+        async for chunk in response.content.iter_any():
+            yield chunk
+    except (ClientError, OSError, TimeoutError, ValueError) as error:
+        raise AnswerLostError(repr(error)) from error
+    if _ends_with_connection(response) and getattr(protocol, "was_reset", False):
+        raise AnswerLostError("an answer without a length was reset")
+
+
+def _ends_with_connection(response: ClientResponse) -> bool:
+    headers = response.headers
+    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
--- /dev/null
+++ b/marjoramstile/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Ports of the platform's services and their HTTP clients."""
--- /dev/null
+++ b/marjoramstile/ports/feeds.py
@@ -0,0 +1,48 @@
+"""Rows of the platform's store and the feed of their changes: types and port."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Result
+
+from marjoramstile.ports.tables import StoreError
+
+NOTHING_KNOWN = 0
+
+
+@dataclass(frozen=True)
+class StoredRow:
+    """A row's value as bytes; None marks a row that was deleted at ``version``."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+@dataclass(frozen=True)
+class Changes:
+    """Rows changed up to the store's ``version``.
+
+    ``complete`` means that rows which are not listed don't exist.
+    """
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    complete: bool
+
+
+@dataclass(frozen=True)
+class HistoryLostError:
+    """The store no longer has the changes asked for; read the whole table."""
+
+
+class TableFeed(Protocol):
+    """What a mirror needs of the platform's store."""
+
+    async def read_table(self, table: str) -> Result[Changes, StoreError]:
+        """Read all rows of a table."""
+
+    async def wait_for_changes(
+        self, table: str, after: int
+    ) -> Result[Changes, StoreError | HistoryLostError]:
+        """Return changes after a version; none if there were none for a while."""
--- a/marjoramstile/platform/objects.py
+++ b/marjoramstile/ports/objects.py
@@ -6,7 +6,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from result import Err, Ok, Result
 
-from marjoramstile.platform.tables import StoreError
+from marjoramstile.ports.tables import StoreError
 
 
 class ObjectStore(Protocol):
--- a/marjoramstile/platform/vms.py
+++ b/marjoramstile/ports/vms.py
@@ -7,7 +7,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from result import Err, Ok, Result
 
-from marjoramstile.platform.tables import StoreError
+from marjoramstile.ports.tables import StoreError
 
 
 class ListedState(StrEnum):
--- a/marjoramstile/requests/calls.py
+++ b/marjoramstile/requests/calls.py
@@ -24,7 +24,7 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.view import View
-from marjoramstile.platform.objects import ObjectStore
+from marjoramstile.ports.objects import ObjectStore
 from marjoramstile.results import Failure, Ran, ResultCode
 from marjoramstile.utils import (
     TaskGroupOwner,
--- /dev/null
+++ b/marjoramstile/routes/balancing.py
@@ -0,0 +1,103 @@
+"""Choice among replicas by outstanding work, latency and recent failures."""
+
+import math
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from marjoramstile.routes.replicas import Replica
+
+# Weight of the newest answer in a replica's mean latency.
+LATENCY_WEIGHT = 0.2
+INITIAL_LATENCY_S = 0.05
+# Time in which the weight of a failure falls to a half.
+FAILURE_HALF_LIFE_S = 2.0
+FAILURE_COST = 3.0
+# Cost of a data centre boundary, in outstanding requests.
+REMOTE_COST = 0.3
+
+
+@dataclass
+class ReplicaStats:
+    """What this daemon has seen of one incarnation of a replica."""
+
+    outstanding: int = 0
+    outstanding_tokens: int = 0
+    latency_s: float = INITIAL_LATENCY_S
+    failures: float = 0.0
+    failures_at: float = 0.0
+
+    def recent_failures(self, now: float) -> float:
+        """Return the number of failures, older ones weighing less."""
+        age = now - self.failures_at
+        return self.failures * math.exp2(-age / FAILURE_HALF_LIFE_S)
+
+    def note_failure(self, now: float, weight: float = 1.0) -> None:
+        """Count a failure."""
+        self.failures = self.recent_failures(now) + weight
+        self.failures_at = now
+
+    def note_latency(self, latency_s: float) -> None:
+        """Take the time that an answer took."""
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+
+
+class Balancer:
+    """Statistics by incarnation and the cheapest replica by them."""
+
+    def __init__(self, data_centre: str, rng: random.Random):
+        self._data_centre = data_centre
+        self._rng = rng
+        self._stats: dict[tuple[str, int], ReplicaStats] = {}
+
+    def stats(self, replica: Replica) -> ReplicaStats:
+        """Return the statistics of a replica's incarnation."""
+        return self._stats.setdefault((replica.id, replica.born_ms), ReplicaStats())
+
+    def forget_missing(self, known: Iterable[Replica]) -> None:
+        """Drop statistics of incarnations that are gone and have no request left."""
+        kept = {(replica.id, replica.born_ms) for replica in known}
+        for key in self._stats.keys() - kept:
+            if self._stats[key].outstanding == 0:
+                del self._stats[key]
+
+    def choose(self, replicas: Iterable[Replica], now: float) -> Replica | None:
+        """Return the replica with the least expected time to answer."""
+        return min(
+            replicas,
+            key=lambda replica: (self._cost(replica, now), self._rng.random()),
+            default=None,
+        )
+
+    def order_by_failures(
+        self, replicas: Iterable[Replica], now: float
+    ) -> list[Replica]:
+        """Return replicas in random order, those with recent failures last."""
+        return sorted(
+            replicas,
+            key=lambda replica: (
+                self.stats(replica).recent_failures(now) > 0.5,
+                self._rng.random(),
+            ),
+        )
+
+    def choose_by_tokens(
+        self, replicas: Iterable[Replica], now: float
+    ) -> Replica | None:
+        """Return the replica with the fewest outstanding prompt tokens."""
+        return min(
+            replicas,
+            key=lambda replica: (
+                self.stats(replica).recent_failures(now) > 0.5,
+                self.stats(replica).outstanding_tokens,
+                replica.data_centre != self._data_centre,
+                self._rng.random(),
+            ),
+            default=None,
+        )
+
+    def _cost(self, replica: Replica, now: float) -> float:
+        stats = self.stats(replica)
+        remote = REMOTE_COST if replica.data_centre != self._data_centre else 0.0
+        queue = 1 + stats.outstanding + remote
+        return queue * stats.latency_s * (1 + FAILURE_COST * stats.recent_failures(now))
--- /dev/null
+++ b/marjoramstile/routes/calls.py
@@ -0,0 +1,151 @@
+"""Runs requests to plain services."""
+
+from marjoramstile.logs import get_logger
+from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.budget import WindowBudget
+from marjoramstile.routes.ports import ReplicaClient
+from marjoramstile.routes.replicas import Replica, ReplicaDirectory
+from marjoramstile.routes.requests import (
+    AnswerLostError,
+    MisdirectedError,
+    NotSentError,
+    OutcomeUnknownError,
+    RefusalReason,
+    ReplicaError,
+    Reply,
+    RequestRefusedError,
+    RoutedRequest,
+)
+from marjoramstile.utils import loop_time
+
+# When a place is likely free: a few mean service times of a plain call.
+RETRY_AFTER_S = 0.25
+# Least time in which sending once more can still help.
+MIN_ATTEMPT_S = 0.02
+SERVER_ERROR = 500
+
+logger = get_logger(__name__)
+
+
+class PlainCallRunner:
+    """Sends a request to replicas until one answers, as far as it may be repeated."""
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        client: ReplicaClient,
+        balancer: Balancer,
+        budget: WindowBudget,
+    ):
+        self._directory = directory
+        self._client = client
+        self._balancer = balancer
+        self._budget = budget
+
+    async def run(self, request: RoutedRequest) -> Reply:
+        """Return a replica's answer.
+
+        Raises RequestRefusedError if the request has not run and OutcomeUnknownError
+        if it may have.
+        """
+        attempt = _CallAttempts(request)
+        while True:
+            replica = self._next_replica(attempt)
+            if replica is None:
+                return attempt.give_up(RefusalReason.NO_REPLICA)
+            try:
+                reply = await self._send(replica, request)
+            except ReplicaError as error:
+                attempt.note_failure(replica, error)
+            else:
+                attempt.note_reply(replica, reply)
+                if reply.status < SERVER_ERROR:
+                    return reply
+            if not self._may_repeat(attempt):
+                return attempt.give_up(RefusalReason.SHED)
+
+    def _next_replica(self, attempt: "_CallAttempts") -> Replica | None:
+        usable = self._directory.usable(attempt.request.service)
+        untried = [replica for replica in usable if replica.id not in attempt.tried]
+        return self._balancer.choose(untried, loop_time())
+
+    async def _send(self, replica: Replica, request: RoutedRequest) -> Reply:
+        stats = self._balancer.stats(replica)
+        started = loop_time()
+        stats.outstanding += 1
+        try:
+            reply = await self._client.call(
+                replica, request, request.deadline - started
+            )
+        except MisdirectedError:
+            self._directory.note_misdirected(replica)
+            raise
+        except ReplicaError as error:
+            stats.note_failure(loop_time())
+            logger.info(
+                "replica_failed",
+                request=request.id,
+                replica=replica.id,
+                reason=f"{type(error).__name__}: {error}",
+            )
+            raise
+        finally:
+            stats.outstanding -= 1
+        stats.note_latency(loop_time() - started)
+        if reply.status >= SERVER_ERROR:
+            stats.note_failure(loop_time(), weight=0.2)
+        return reply
+
+    def _may_repeat(self, attempt: "_CallAttempts") -> bool:
+        now = loop_time()
+        if now > attempt.request.deadline - MIN_ATTEMPT_S:
+            return False
+        if not attempt.repeatable:
+            return False
+        if attempt.last_was_unsent:
+            return True
+        return self._budget.spend(attempt.request.service, now)
+
+
+class _CallAttempts:
+    """What has become of one request's sends so far."""
+
+    def __init__(self, request: RoutedRequest):
+        self.request = request
+        self.tried: set[str] = set()
+        self.last_was_unsent = False
+        self._runs = 0
+        self._lost = False
+        self._reply: Reply | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the request may be sent to one more replica."""
+        if self._runs == 0:
+            return True
+        route = self.request.route
+        return route.repeatable and self._runs < route.max_attempts
+
+    def note_failure(self, replica: Replica, error: ReplicaError) -> None:
+        """Count a send without an answer."""
+        self.tried.add(replica.id)
+        self.last_was_unsent = isinstance(error, NotSentError)
+        if isinstance(error, AnswerLostError):
+            self._runs += 1
+            self._lost = True
+
+    def note_reply(self, replica: Replica, reply: Reply) -> None:
+        """Count an answer."""
+        self.tried.add(replica.id)
+        self.last_was_unsent = False
+        self._runs += 1
+        self._reply = reply
+
+    def give_up(self, reason: RefusalReason) -> Reply:
+        """Return the replica's own failure, or raise what the sends amount to."""
+        if self._reply is not None:
+            return self._reply
+        if self._lost:
+            timed_out = loop_time() >= self.request.deadline - MIN_ATTEMPT_S
+            raise OutcomeUnknownError("a replica's answer was lost", timed_out)
+        raise RequestRefusedError(reason, RETRY_AFTER_S)
--- /dev/null
+++ b/marjoramstile/routes/entry.py
@@ -0,0 +1,207 @@
+"""Where callers' requests enter the routing core."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from marjoramstile.logs import get_logger
+from marjoramstile.reports.metrics import Metrics
+from marjoramstile.routes.budget import WindowBudget
+from marjoramstile.routes.calls import PlainCallRunner
+from marjoramstile.routes.generations import GenerationRunner
+from marjoramstile.routes.ports import Responder
+from marjoramstile.routes.requests import (
+    GenerationSize,
+    Headers,
+    OutcomeUnknownError,
+    RefusalReason,
+    Reply,
+    RequestRefusedError,
+    RoutedRequest,
+    StreamBrokenError,
+)
+from marjoramstile.routes.table import EntryLimits, Route, RoutingTable
+from marjoramstile.utils import loop_time
+
+NOT_FOUND = 404
+RETRY_AFTER_START_S = 0.5
+RETRY_AFTER_STOP_S = 0.05
+# A generation that comes later than this in a planned stop could be cut by its end.
+STOP_ACCEPT_SHARE = 0.3
+
+logger = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class IncomingRequest:
+    """A caller's request before its route is known; it waits ``patience_s``."""
+
+    id: str
+    method: str
+    host: str
+    path: str
+    target: str
+    headers: Headers
+    body: bytes
+    patience_s: float | None
+    size: GenerationSize | None
+    resume_after: int | None
+    subject: str
+
+
+class Entry:
+    """Matches requests to routes, runs them, and counts how they end."""
+
+    def __init__(
+        self,
+        table: Callable[[], RoutingTable | None],
+        replicas_known: Callable[[], bool],
+        calls: PlainCallRunner,
+        generations: GenerationRunner,
+        budget: WindowBudget,
+        metrics: Metrics,
+        grace_s: float,
+        rng: random.Random,
+    ):
+        self._table = table
+        self._replicas_known = replicas_known
+        self._calls = calls
+        self._generations = generations
+        self._budget = budget
+        self._metrics = metrics
+        self._grace_s = grace_s
+        self._rng = rng
+        self._stopping_since: float | None = None
+        self._running = 0
+
+    @property
+    def limits(self) -> EntryLimits | None:
+        """Limits of the configuration in force; None if none is known."""
+        table = self._table()
+        return table.limits if table else None
+
+    @property
+    def ready(self) -> bool:
+        """Whether new callers may be sent here."""
+        known = self._table() is not None and self._replicas_known()
+        return known and not self.stopping
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._stopping_since is not None
+
+    @property
+    def running(self) -> int:
+        """Requests that have no answer yet."""
+        return self._running
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stopping_since = loop_time()
+
+    async def handle(
+        self, incoming: IncomingRequest, responder: Responder
+    ) -> Reply | None:
+        """Run a request; return its answer, or None if it was streamed."""
+        table = self._table()
+        if table is None or not self._replicas_known():
+            raise RequestRefusedError(RefusalReason.NOT_CONFIGURED, RETRY_AFTER_START_S)
+        route = table.match(incoming.host, incoming.path)
+        if route is None:
+            logger.info(
+                "no_route",
+                request=incoming.id,
+                host=incoming.host,
+                path=incoming.path,
+                configuration=table.version,
+            )
+            return Reply(NOT_FOUND, (), b"")
+        self._running += 1
+        try:
+            return await self._run(incoming, table, route, responder)
+        finally:
+            self._running -= 1
+
+    async def _run(
+        self,
+        incoming: IncomingRequest,
+        table: RoutingTable,
+        route: Route,
+        responder: Responder,
+    ) -> Reply | None:
+        request = self._routed(incoming, route)
+        outcome = "caller_gone"
+        reason = ""
+        try:
+            reply = await self._dispatch(request, table, responder)
+            outcome = "answered" if reply is None else str(reply.status)
+            return reply
+        except (RequestRefusedError, OutcomeUnknownError, StreamBrokenError) as error:
+            outcome = _OUTCOMES[type(error)]
+            reason = str(error)
+            raise
+        finally:
+            self._note_end(request, table, outcome, reason)
+
+    def _routed(self, incoming: IncomingRequest, route: Route) -> RoutedRequest:
+        now = loop_time()
+        patience_s = route.timeout_s
+        if incoming.patience_s is not None:
+            patience_s = min(patience_s, incoming.patience_s)
+        return RoutedRequest(
+            id=incoming.id,
+            method=incoming.method,
+            target=incoming.target,
+            headers=incoming.headers,
+            body=incoming.body,
+            route=route,
+            service=route.pick_service(self._rng),
+            arrived=now,
+            deadline=now + patience_s,
+            size=incoming.size,
+            resume_after=incoming.resume_after,
+            subject=incoming.subject,
+        )
+
+    async def _dispatch(
+        self, request: RoutedRequest, table: RoutingTable, responder: Responder
+    ) -> Reply | None:
+        self._budget.note_request(request.service, request.arrived)
+        service = table.services.get(request.service)
+        engine = service.engine if service else None
+        if engine is None or request.size is None:
+            return await self._calls.run(request)
+        if self._too_late_to_start(request.arrived):
+            raise RequestRefusedError(RefusalReason.STOPPING, RETRY_AFTER_STOP_S)
+        return await self._generations.run(request, engine, responder)
+
+    def _too_late_to_start(self, now: float) -> bool:
+        if self._stopping_since is None:
+            return False
+        return now > self._stopping_since + STOP_ACCEPT_SHARE * self._grace_s
+
+    def _note_end(
+        self, request: RoutedRequest, table: RoutingTable, outcome: str, reason: str
+    ) -> None:
+        took_s = loop_time() - request.arrived
+        route = request.route
+        self._metrics.count(f"requests_{outcome}", route.name)
+        self._metrics.observe("request_duration", route.name, took_s)
+        logger.info(
+            "request_ended",
+            request=request.id,
+            route=route.name,
+            service=request.service,
+            configuration=table.version,
+            outcome=outcome,
+            reason=reason,
+            took_s=round(took_s, 4),
+        )
+
+
+_OUTCOMES = {
+    RequestRefusedError: "refused",
+    OutcomeUnknownError: "outcome_unknown",
+    StreamBrokenError: "broken_off",
+}
--- /dev/null
+++ b/marjoramstile/routes/events.py
@@ -0,0 +1,42 @@
+"""Server-sent events: whole events of a byte stream and their ids."""
+
+import re
+from dataclasses import dataclass
+
+_END_OF_EVENT = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?(\d+)")
+
+
+@dataclass(frozen=True)
+class Event:
+    """A whole event as received; ``id`` is None if it has none."""
+
+    id: int | None
+    data: bytes
+
+
+class EventSplitter:
+    """Cuts a stream into whole events; a broken-off event is never returned."""
+
+    def __init__(self):
+        self._rest = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the last whole event."""
+        return self._rest
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take bytes and return the events that they complete."""
+        self._rest += data
+        events = []
+        while found := _END_OF_EVENT.search(self._rest):
+            raw = self._rest[: found.end()]
+            self._rest = self._rest[found.end() :]
+            events.append(Event(_event_id(raw), raw))
+        return events
+
+
+def _event_id(raw: bytes) -> int | None:
+    found = _ID_LINE.search(raw)
+    return int(found.group(1)) if found else None
--- /dev/null
+++ b/marjoramstile/routes/generations.py
@@ -0,0 +1,303 @@
+"""Runs generations: a place to decode, a prefill, then the stream.
+
+A stream that breaks off goes on at another replica after the last whole event that
+the caller has, if its route may be resumed.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from marjoramstile.logs import get_logger
+from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.budget import WindowBudget
+from marjoramstile.routes.events import EventSplitter
+from marjoramstile.routes.placement import QUEUE_SHARE, DecodePlacer, Place
+from marjoramstile.routes.ports import ReplicaClient, Responder, StreamAnswer
+from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
+from marjoramstile.routes.requests import (
+    AnswerLostError,
+    KVHandle,
+    MisdirectedError,
+    NotExecutedError,
+    OutcomeUnknownError,
+    RefusalReason,
+    ReplicaError,
+    Reply,
+    RequestRefusedError,
+    RoutedRequest,
+    SendOptions,
+    StreamBrokenError,
+)
+from marjoramstile.routes.table import EngineTraits
+from marjoramstile.utils import TaskGroupOwner, loop_time
+
+RETRY_AFTER_S = 1.0
+# Callers abandon a stream after two seconds of silence or more; a resumed stream
+# must have its place before that.
+RESUME_WAIT_S = 1.5
+# Silence after which a replica is taken for lost, in longest timely pauses.
+STALL_GAPS = 5
+MIN_STALL_S = 1.5
+MIN_ATTEMPT_S = 0.05
+OK = 200
+
+logger = get_logger(__name__)
+
+
+@dataclass
+class Progress:
+    """What the caller of one stream has received."""
+
+    last_event: int | None
+    started: bool = False
+    events: int = 0
+    runs: int = 0
+
+
+class GenerationRunner:
+    """Runs streams over prefill and decode replicas."""
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        client: ReplicaClient,
+        balancer: Balancer,
+        budget: WindowBudget,
+        placer: DecodePlacer,
+        tasks: TaskGroupOwner,
+    ):
+        self._directory = directory
+        self._client = client
+        self._balancer = balancer
+        self._budget = budget
+        self._placer = placer
+        self._tasks = tasks
+
+    async def run(
+        self, request: RoutedRequest, engine: EngineTraits, responder: Responder
+    ) -> Reply | None:
+        """Stream the answer to ``responder``, or return a replica's plain answer.
+
+        Raises RequestRefusedError if the request has not run, OutcomeUnknownError if
+        it may have, and StreamBrokenError if the caller has a part of the answer.
+        """
+        progress = Progress(request.resume_after)
+        failed: set[str] = set()
+        while True:
+            try:
+                return await self._attempt(
+                    request, engine, responder, progress, frozenset(failed)
+                )
+            except _SendFailedError as failure:
+                failed.add(failure.replica.id)
+                self._note_failure(request, failure)
+                if not self._may_go_on(request, progress, failure):
+                    raise self._give_up(request, progress, failure) from failure
+            except RequestRefusedError as refusal:
+                if progress.runs == 0:
+                    raise
+                raise self._unfinished(progress, str(refusal)) from refusal
+
+    async def _attempt(
+        self,
+        request: RoutedRequest,
+        engine: EngineTraits,
+        responder: Responder,
+        progress: Progress,
+        failed: frozenset[str],
+    ) -> Reply | None:
+        resumed = progress.runs > 0
+        place = await self._placer.place(
+            request, engine, self._wait_until(request, resumed), resumed, failed
+        )
+        used = False
+        handle = None
+        try:
+            handle = await self._prefill(request, failed)
+            used = True
+            return await self._decode(request, place, handle, responder, progress)
+        except BaseException as error:
+            self._clean_up(place, handle, used, error)
+            raise
+
+    @staticmethod
+    def _wait_until(request: RoutedRequest, resumed: bool) -> float:
+        if resumed:
+            return min(request.deadline, loop_time() + RESUME_WAIT_S)
+        wait_s = QUEUE_SHARE * request.route.target_latency_s
+        return min(request.deadline, request.arrived + wait_s)
+
+    def _clean_up(
+        self,
+        place: Place,
+        handle: KVHandle | None,
+        used: bool,
+        error: BaseException,
+    ) -> None:
+        """Free in the background what a failed attempt holds at replicas."""
+        if not used:
+            self._tasks.start(self._placer.give_back(place), "drop_hold")
+        elif handle is not None:
+            self._tasks.start(self._free_handle(handle), "free_handle")
+
+    async def _free_handle(self, handle: KVHandle) -> None:
+        try:
+            await self._client.free_handle(handle)
+        except ReplicaError as error:
+            logger.debug("handle_not_freed", handle=handle.id, reason=repr(error))
+
+    async def _prefill(
+        self, request: RoutedRequest, failed: frozenset[str]
+    ) -> KVHandle | None:
+        """Return the prefilled KV cache; None to let the decode replica prefill."""
+        tried: set[str] = set(failed)
+        while True:
+            replicas = self._directory.usable(request.service, Stage.PREFILL)
+            untried = [replica for replica in replicas if replica.id not in tried]
+            replica = self._balancer.choose_by_tokens(untried, loop_time())
+            if replica is None:
+                return None
+            tried.add(replica.id)
+            try:
+                return await self._prefill_at(replica, request)
+            except ReplicaError as error:
+                self._note_replica_failure(replica, request, error)
+            if not self._budget.spend(request.service, loop_time()):
+                raise RequestRefusedError(RefusalReason.BUDGET, RETRY_AFTER_S)
+
+    async def _prefill_at(self, replica: Replica, request: RoutedRequest) -> KVHandle:
+        stats = self._balancer.stats(replica)
+        stats.outstanding_tokens += request.size.prompt
+        try:
+            left_s = request.deadline - loop_time()
+            return await self._client.prefill(replica, request, left_s)
+        finally:
+            stats.outstanding_tokens -= request.size.prompt
+
+    async def _decode(
+        self,
+        request: RoutedRequest,
+        place: Place,
+        handle: KVHandle | None,
+        responder: Responder,
+        progress: Progress,
+    ) -> Reply | None:
+        options = SendOptions(
+            hold=place.hold, source=handle, resume_after=progress.last_event
+        )
+        left_s = request.deadline - loop_time()
+        try:
+            async with self._client.stream(
+                place.replica, request, left_s, options
+            ) as answer:
+                if answer.status != OK:
+                    return await self._other_answer(answer, progress)
+                progress.runs += 1
+                await self._relay(request, answer, responder, progress)
+                return None
+        except NotExecutedError as error:
+            raise _SendFailedError(place.replica, error, ran=False) from error
+        except ReplicaError as error:
+            ran = isinstance(error, AnswerLostError)
+            if ran and progress.runs == 0:
+                progress.runs = 1
+            raise _SendFailedError(place.replica, error, ran) from error
+
+    async def _other_answer(self, answer: StreamAnswer, progress: Progress) -> Reply:
+        progress.runs += 1
+        if progress.started:
+            raise AnswerLostError(f"status {answer.status} for a resumed stream")
+        body = b"".join([chunk async for chunk in answer.chunks])
+        return Reply(answer.status, answer.headers, body)
+
+    async def _relay(
+        self,
+        request: RoutedRequest,
+        answer: StreamAnswer,
+        responder: Responder,
+        progress: Progress,
+    ) -> None:
+        splitter = EventSplitter()
+        chunks = aiter(answer.chunks)
+        while True:
+            chunk = await self._next_chunk(request, chunks)
+            if chunk is None:
+                break
+            for event in splitter.feed(chunk):
+                if not progress.started:
+                    progress.started = True
+                    await responder.start(answer.status, answer.headers)
+                await responder.write(event.data)
+                progress.events += 1
+                progress.last_event = event.id
+        if splitter.rest or not progress.started:
+            raise AnswerLostError("the stream ended within an event")
+        await responder.finish()
+
+    @staticmethod
+    async def _next_chunk(request: RoutedRequest, chunks) -> bytes | None:
+        """Return the next bytes, None at the end; silence counts as a loss."""
+        gap_s = request.route.gap_target_s or 0.0
+        stall_s = max(MIN_STALL_S, STALL_GAPS * gap_s)
+        limit = request.deadline
+        if request.route.resumable:
+            limit = min(limit, loop_time() + stall_s)
+        try:
+            async with asyncio.timeout_at(limit):
+                return await anext(chunks, None)
+        except TimeoutError:
+            raise AnswerLostError("the stream went silent") from None
+
+    def _note_failure(self, request: RoutedRequest, failure: "_SendFailedError"):
+        self._note_replica_failure(failure.replica, request, failure.error)
+
+    def _note_replica_failure(
+        self, replica: Replica, request: RoutedRequest, error: ReplicaError
+    ) -> None:
+        if isinstance(error, MisdirectedError):
+            self._directory.note_misdirected(replica)
+        else:
+            self._balancer.stats(replica).note_failure(loop_time())
+        logger.info(
+            "replica_failed",
+            request=request.id,
+            replica=replica.id,
+            reason=f"{type(error).__name__}: {error}",
+        )
+
+    def _may_go_on(
+        self, request: RoutedRequest, progress: Progress, failure: "_SendFailedError"
+    ) -> bool:
+        now = loop_time()
+        if now > request.deadline - MIN_ATTEMPT_S:
+            return False
+        if progress.started and progress.last_event is None:
+            return False
+        if progress.runs > 0:
+            route = request.route
+            if not route.resumable or progress.runs >= route.max_attempts:
+                return False
+        return self._budget.spend(request.service, now)
+
+    def _give_up(
+        self, request: RoutedRequest, progress: Progress, failure: "_SendFailedError"
+    ) -> Exception:
+        if progress.runs == 0:
+            return RequestRefusedError(RefusalReason.SHED, RETRY_AFTER_S)
+        return self._unfinished(progress, str(failure.error))
+
+    @staticmethod
+    def _unfinished(progress: Progress, message: str) -> Exception:
+        if progress.started:
+            return StreamBrokenError(message)
+        return OutcomeUnknownError(message)
+
+
+class _SendFailedError(Exception):
+    """A decode replica failed; ``ran`` tells whether it may have run the request."""
+
+    def __init__(self, replica: Replica, error: ReplicaError, ran: bool):
+        super().__init__(str(error))
+        self.replica = replica
+        self.error = error
+        self.ran = ran
--- /dev/null
+++ b/marjoramstile/routes/node.py
@@ -0,0 +1,207 @@
+"""All roles of one routing daemon, put together over its ports."""
+
+import random
+from dataclasses import dataclass
+
+from marjoramstile.logs import get_logger
+from marjoramstile.membership.leaving import LeavingHosts
+from marjoramstile.membership.nodes import NODES_TABLE, MirrorVMList
+from marjoramstile.membership.prober import Prober
+from marjoramstile.membership.view import View
+from marjoramstile.mirrors.follower import MirrorFollower
+from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.peers.caller import PeerCaller
+from marjoramstile.peers.connections import PeerConnections
+from marjoramstile.peers.router_handler import RouterPeerHandler
+from marjoramstile.peers.transport import PeerServer
+from marjoramstile.ports.feeds import Changes, TableFeed
+from marjoramstile.ports.vms import ListedState, ListedVM
+from marjoramstile.reports.exposition import exposition_text
+from marjoramstile.reports.metrics import Metrics
+from marjoramstile.routes.addresses import FrontAddresses
+from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.budget import WindowBudget
+from marjoramstile.routes.calls import PlainCallRunner
+from marjoramstile.routes.entry import Entry
+from marjoramstile.routes.generations import GenerationRunner
+from marjoramstile.routes.placement import DecodePlacer
+from marjoramstile.routes.ports import ReplicaClient
+from marjoramstile.routes.replicas import RETURN_WAIT_S, ReplicaDirectory
+from marjoramstile.routes.settings import RouterSettings
+from marjoramstile.routes.table import RoutingTable
+from marjoramstile.utils import TaskGroupOwner, loop_time, new_token, run_every
+
+FRAME_MAX_BYTES = 4_194_304
+PROBE_PERIOD_S = 0.4
+PROBE_TIMEOUT_S = 0.3
+SUSPICION_S = 2.0
+LIST_PERIOD_S = 0.5
+EXPIRY_PERIOD_S = 0.25
+ADDRESS_TTL_S = 1.5
+
+logger = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class RouterPorts:
+    """What a routing daemon uses of the outside."""
+
+    feed: TableFeed
+    replicas: ReplicaClient
+
+
+class RouterNode:
+    """The roles of one routing daemon without its listeners for callers."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        ports: RouterPorts,
+        configuration_table: str,
+        replicas_table: str,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.tasks = TaskGroupOwner()
+        self.metrics = Metrics()
+        self.directory = ReplicaDirectory()
+        self._ports = ports
+        self._rng = rng
+        self._table: RoutingTable | None = None
+        self.configuration_mirror = TableMirror(configuration_table)
+        self.replicas_mirror = TableMirror(replicas_table)
+        self.nodes_mirror = TableMirror(NODES_TABLE)
+        self._build_membership()
+        self._build_requests()
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """The configuration in force; None until one is known."""
+        return self._table
+
+    def put_table(self, table: RoutingTable) -> None:
+        """Take a configuration; an older one than that in force is ignored."""
+        if self._table is not None and table.version < self._table.version:
+            logger.warning(
+                "older_configuration_ignored",
+                version=table.version,
+                in_force=self._table.version,
+            )
+            return
+        self._table = table
+        logger.info(
+            "configuration_in_force", version=table.version, routes=len(table.routes)
+        )
+
+    def remove_replica(self, replica_id: str) -> None:
+        """Drop a replica whose row is gone; rows may lapse while the store is away."""
+        follower = self._followers[self.replicas_mirror.table]
+        keep_until = follower.regained_at + RETURN_WAIT_S
+        if not follower.reachable:
+            keep_until = loop_time() + RETURN_WAIT_S
+        self.directory.remove(replica_id, keep_until, loop_time())
+
+    def metrics_text(self) -> str:
+        """Return all measurements for a scrape."""
+        return exposition_text(self.metrics.snapshot())
+
+    def _build_membership(self) -> None:
+        settings = self.settings
+        own = ListedVM(
+            settings.vm,
+            settings.ip,
+            settings.data_centre,
+            settings.region,
+            ListedState.LIVE,
+        )
+        self.view = View(own, new_token())
+        self._connections = PeerConnections(FRAME_MAX_BYTES)
+        self.caller = PeerCaller(
+            self._connections, settings.listeners.peers.port, PROBE_TIMEOUT_S
+        )
+        self._vm_list = MirrorVMList(self.nodes_mirror)
+        self.prober = Prober(
+            self.view,
+            self.caller,
+            self._vm_list,
+            LeavingHosts(),
+            SUSPICION_S,
+            self._rng,
+        )
+        mirrors = (self.configuration_mirror, self.replicas_mirror, self.nodes_mirror)
+        self._followers = {
+            mirror.table: MirrorFollower(self._ports.feed, mirror, self._ask_peer)
+            for mirror in mirrors
+        }
+        handler = RouterPeerHandler(
+            self.prober, {mirror.table: mirror for mirror in mirrors}
+        )
+        self._peer_server = PeerServer(handler, FRAME_MAX_BYTES)
+
+    async def _ask_peer(self, table: str, after: int) -> Changes | None:
+        peers = [peer for peer in self.view.others if peer.serving]
+        if not peers:
+            return None
+        return await self.caller.changes(self._rng.choice(peers), table, after)
+
+    def _build_requests(self) -> None:
+        settings = self.settings
+        client = self._ports.replicas
+        self.balancer = Balancer(settings.data_centre, self._rng)
+        self.budget = WindowBudget(
+            settings.bounds.retries, lambda: len(self.view.peers)
+        )
+        calls = PlainCallRunner(self.directory, client, self.balancer, self.budget)
+        generations = GenerationRunner(
+            self.directory,
+            client,
+            self.balancer,
+            self.budget,
+            DecodePlacer(self.directory, client, self.balancer),
+            self.tasks,
+        )
+        self.entry = Entry(
+            lambda: self._table,
+            lambda: self.replicas_mirror.known,
+            calls,
+            generations,
+            self.budget,
+            self.metrics,
+            settings.bounds.grace_s,
+            self._rng,
+        )
+        self.addresses = FrontAddresses(
+            self.view,
+            lambda: self._vm_list.entries,
+            str(settings.listeners.front),
+            lambda: self.entry.ready,
+            min(ADDRESS_TTL_S, settings.bounds.address_ttl_max_s),
+        )
+
+    async def start(self) -> None:
+        """Listen for peers and begin to follow the store."""
+        peers = self.settings.listeners.peers
+        await self._peer_server.start(peers.host, peers.port)
+        for table, follower in self._followers.items():
+            self.tasks.start(follower.run(), f"follow {table}")
+        self._every(LIST_PERIOD_S, self.prober.refresh_list, "list")
+        self._every(PROBE_PERIOD_S, self.prober.step, "probe")
+        self._every(EXPIRY_PERIOD_S, self._expire, "expire")
+
+    def _every(self, period_s: float, action, name: str) -> None:
+        self.tasks.start(run_every(period_s, action, name), name)
+
+    async def _expire(self) -> None:
+        self.directory.expire(loop_time())
+        self.balancer.forget_missing(self.directory.all)
+
+    async def leave(self) -> None:
+        """Tell all daemons that this one takes no new callers."""
+        self.view.leave(loop_time())
+        await self.prober.announce()
+
+    async def close(self) -> None:
+        """End all tasks and connections."""
+        await self._peer_server.close()
+        await self.tasks.close()
+        self._connections.close()
--- /dev/null
+++ b/marjoramstile/routes/ports.py
@@ -0,0 +1,75 @@
+"""Ports of the routing core: replicas on one side, callers on the other."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from typing import Protocol
+
+from marjoramstile.routes.replicas import Replica
+from marjoramstile.routes.requests import (
+    Headers,
+    Hold,
+    KVHandle,
+    Reply,
+    RoutedRequest,
+    SendOptions,
+)
+
+
+@dataclass(frozen=True)
+class StreamAnswer:
+    """The head of a replica's stream and its bytes as they arrive.
+
+    ``chunks`` raises AnswerLostError where the stream breaks off.
+    """
+
+    status: int
+    headers: Headers
+    chunks: AsyncIterator[bytes]
+
+
+class ReplicaClient(Protocol):
+    """Calls to replicas; all methods raise ReplicaError for what fails."""
+
+    async def call(
+        self, replica: Replica, request: RoutedRequest, timeout_s: float
+    ) -> Reply:
+        """Send a request and return the complete answer."""
+
+    def stream(
+        self,
+        replica: Replica,
+        request: RoutedRequest,
+        timeout_s: float,
+        options: SendOptions,
+    ) -> AbstractAsyncContextManager[StreamAnswer]:
+        """Send a request and open its stream; leaving closes the connection."""
+
+    async def prefill(
+        self, replica: Replica, request: RoutedRequest, timeout_s: float
+    ) -> KVHandle:
+        """Have the prompt prefilled."""
+
+    async def take_hold(
+        self, replica: Replica, tokens: int, ttl_s: float
+    ) -> Hold | None:
+        """Reserve a slot and memory; None if the replica has no room."""
+
+    async def drop_hold(self, replica: Replica, hold: Hold) -> None:
+        """Give a reservation back."""
+
+    async def free_handle(self, handle: KVHandle) -> None:
+        """Free a KV cache that nobody will take."""
+
+
+class Responder(Protocol):
+    """The caller's side of a stream."""
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    async def finish(self) -> None:
+        """End the answer as complete."""
--- /dev/null
+++ b/marjoramstile/routes/requests.py
@@ -0,0 +1,133 @@
+"""Types of routed requests, their answers, and what goes wrong with them."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from marjoramstile.routes.table import Route
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True)
+class GenerationSize:
+    """Tokens of a generation; ``expected_output`` is the caller's estimate."""
+
+    prompt: int
+    max_output: int
+    expected_output: int
+
+
+@dataclass(frozen=True)
+class RoutedRequest:
+    """One attempt of a caller: opaque bytes and where they go.
+
+    ``deadline`` is the loop time at which the caller or the route gives up.
+    ``target`` is the raw path with its query. ``size`` is None if the request is
+    not a generation. ``resume_after`` is the last event that the caller has.
+    """
+
+    id: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    route: Route
+    service: str
+    arrived: float
+    deadline: float
+    size: GenerationSize | None = None
+    resume_after: int | None = None
+    subject: str = ""
+
+
+@dataclass(frozen=True)
+class Reply:
+    """A replica's complete answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class RefusalReason(StrEnum):
+    """Why a request was not run."""
+
+    NOT_CONFIGURED = "not_configured"
+    NO_REPLICA = "no_replica"
+    NO_MEMORY = "no_memory"
+    SHED = "shed"
+    BUDGET = "retry_budget_spent"
+    QUARANTINED = "crashes_replicas"
+    STOPPING = "stopping"
+
+
+class RequestRefusedError(Exception):
+    """The request has not run and will not; the caller may come back."""
+
+    def __init__(self, reason: RefusalReason, retry_after_s: float):
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class OutcomeUnknownError(Exception):
+    """The request was sent and may have run; nothing is promised."""
+
+    def __init__(self, message: str, timed_out: bool = False):
+        super().__init__(message)
+        self.timed_out = timed_out
+
+
+class StreamBrokenError(Exception):
+    """A stream that the caller has begun to receive can't be completed."""
+
+
+class ReplicaError(Exception):
+    """A replica gave no usable answer."""
+
+
+class NotSentError(ReplicaError):
+    """No connection to the replica: it has not seen the request."""
+
+
+class NotExecutedError(ReplicaError):
+    """The replica says that it did not run the request."""
+
+    def __init__(self, status: int):
+        super().__init__(f"status {status}")
+        self.status = status
+
+
+class MisdirectedError(NotExecutedError):
+    """Another replica, or one of another stage, answered at the address."""
+
+
+class AnswerLostError(ReplicaError):
+    """The request was sent and no complete answer came: it may have run."""
+
+
+@dataclass(frozen=True)
+class Hold:
+    """A slot and memory reserved at a decode replica."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class KVHandle:
+    """A prefilled KV cache kept by a replica for a short time."""
+
+    address: str
+    id: str
+
+
+@dataclass(frozen=True)
+class SendOptions:
+    """What the router adds to a request that it sends to a replica."""
+
+    hold: Hold | None = None
+    source: KVHandle | None = None
+    resume_after: int | None = None
+    priority: int | None = None
+    extra: Headers = field(default=())
--- /dev/null
+++ b/marjoramstile/routes/settings.py
@@ -0,0 +1,44 @@
+"""Settings of a routing daemon, whatever file they come from."""
+
+from dataclasses import dataclass
+
+from marjoramstile.routes.budget import BudgetLimits
+from marjoramstile.settings import Address
+
+
+@dataclass(frozen=True)
+class RouterListeners:
+    """Addresses that a routing daemon listens on."""
+
+    front: Address
+    ready: Address
+    addresses: Address
+    peers: Address
+    metrics: Address
+
+
+@dataclass(frozen=True)
+class RouterBounds:
+    """Limits that the operators of the site have set.
+
+    ``grace_s`` is the time from a stop's signal to the kill.
+    """
+
+    grace_s: float
+    address_ttl_max_s: float
+    heartbeat_s: float
+    retries: BudgetLimits
+
+
+@dataclass(frozen=True)
+class RouterSettings:
+    """One VM's routing daemon."""
+
+    vm: str
+    ip: str
+    data_centre: str
+    region: str
+    listeners: RouterListeners
+    store: Address
+    bounds: RouterBounds
+    log_level: str = "info"
--- /dev/null
+++ b/marjoramstile/routes/table.py
@@ -0,0 +1,108 @@
+"""The routing table: routes by host and prefix, and the services they lead to."""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True)
+class ServiceShare:
+    """A service and its weight among the services of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Requests of ``host`` whose path begins with ``prefix``.
+
+    ``max_attempts`` bounds the replicas that may run one request. ``gap_target_s``
+    is the longest pause between events of a timely stream; None for other kinds.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_latency_s: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int
+    resumable: bool
+    gap_target_s: float | None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request that may have run can be run again."""
+        return self.kind == RouteKind.IDEMPOTENT or self.resumable
+
+    def pick_service(self, rng: random.Random) -> str:
+        """Return one of the route's services by weight."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [share.weight for share in self.shares]
+        return rng.choices(self.shares, weights)[0].service
+
+
+@dataclass(frozen=True)
+class EngineTraits:
+    """What all engines of a language service have in common.
+
+    ``hold_max_s`` is the longest reservation, ``handle_ttl_s`` the life of a
+    prefilled KV cache, ``switch_s`` the pause of a change of stage.
+    """
+
+    slots: int
+    kv_tokens: int
+    handle_ttl_s: float
+    hold_max_s: float
+    switch_s: float
+    stride: int
+
+
+@dataclass(frozen=True)
+class RoutedService:
+    """A service; ``engine`` is None for plain services."""
+
+    name: str
+    health_path: str
+    engine: EngineTraits | None
+
+
+@dataclass(frozen=True)
+class EntryLimits:
+    """What callers may send and how long they may stay idle."""
+
+    header_max_bytes: int
+    body_max_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True)
+class RoutingTable:
+    """One version of the operator's configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, RoutedService]
+    limits: EntryLimits
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins ``path``."""
+        candidates = [
+            route
+            for route in self.routes
+            if route.host == host and path.startswith(route.prefix)
+        ]
+        return max(candidates, key=lambda route: len(route.prefix), default=None)
--- a/tests/membership/test_leaving.py
+++ b/tests/membership/test_leaving.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from bench.harness import listed_vm, running_harness
-from marjoramstile.platform.vms import ListedState, VMRole
+from marjoramstile.ports.vms import ListedState, VMRole
 from tests.support import booking, collect, completion, expected_text, run_call
 
 A_FEW_SECONDS = 3
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -6,7 +6,7 @@
 from bench.harness import Harness, listed_vm, running_harness, serving_names
 from marjoramstile.entry.addresses import choose_addresses
 from marjoramstile.membership.view import PeerState, Report, View
-from marjoramstile.platform.vms import ListedState
+from marjoramstile.ports.vms import ListedState
 
 
 def all_names(count: int) -> set[str]:
