Set up the paused answer in the test of a pending socket error

The test of the commit before failed: without read_until_eof the parser gives an answer without length an empty body. It passes now and fails without eof_received.

--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -199,7 +199,7 @@
     transport = Mock()
     transport.get_extra_info.return_value.getsockopt.return_value = errno.ECONNRESET
     connection.connection_made(transport)
-    connection.set_response_params()
+    connection.set_response_params(read_until_eof=True)
     connection.data_received(UNFRAMED_HEAD + b"par")
     (_, payload), _ = connection._buffer[0]
     connection.eof_received()
