Late returners queue behind timely requests; Retry-After is a generation's length

Cause: refused requests came back within the same burst and were refused again. Fewer feed calls: changes of replicas are gathered for 0.3 s.

--- a/marjoramstile/mirrors/follower.py
+++ b/marjoramstile/mirrors/follower.py
@@ -26,10 +26,15 @@
         feed: TableFeed,
         mirror: TableMirror,
         ask_peer: AskPeer,
+        wait_s: float,
+        pause_s: float,
     ):
+        """Feed calls wait ``wait_s``; ``pause_s`` after each gathers changes."""
         self._feed = feed
         self._mirror = mirror
         self._ask_peer = ask_peer
+        self._wait_s = wait_s
+        self._pause_s = pause_s
         self._reload = False
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
@@ -56,6 +61,7 @@
             if answer.is_ok():
                 self._store_answered()
                 self._apply(answer.unwrap())
+                await asyncio.sleep(self._pause_s)
                 continue
             error = answer.unwrap_err()
             if isinstance(error, HistoryLostError):
@@ -75,7 +81,7 @@
                 self._reload = False
             return answer
         return await self._feed.wait_for_changes(
-            self._mirror.table, self._mirror.version
+            self._mirror.table, self._mirror.version, self._wait_s
         )
 
     def _apply(self, changes: Changes) -> None:
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -12,9 +12,6 @@
 from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
 from marjoramstile.ports.tables import Committed, Condition, StoreError, Write
 
-# How long the store may hold a feed call that has nothing to tell. Shorter than
-# the bounds on configuration and leaving, so that a silent connection is noticed.
-FEED_WAIT_S = 1.0
 # Longest time from a call to its answer, beside the wait of a feed.
 CALL_TIMEOUT_S = 0.8
 ROWS_PER_READ = 500
@@ -51,13 +48,13 @@
             start = rows[-1].key + "\0"
 
     async def wait_for_changes(
-        self, table: str, after: int
+        self, table: str, after: int, wait_s: float
     ) -> Result[Changes, StoreError | HistoryLostError]:
-        """Return changes after a version; none if there were none for a while."""
-        wait_ms = round(FEED_WAIT_S * 1000)
+        """Return changes after a version; none if there were none for ``wait_s``."""
+        wait_ms = round(wait_s * 1000)
         query = {"table": table, "after": str(after), "waitMs": str(wait_ms)}
         answer = await self._call(
-            "GET", "/rows-feed", query, timeout_s=FEED_WAIT_S + CALL_TIMEOUT_S
+            "GET", "/rows-feed", query, timeout_s=wait_s + CALL_TIMEOUT_S
         )
         if answer.is_err():
             error = answer.unwrap_err()
--- a/marjoramstile/ports/feeds.py
+++ b/marjoramstile/ports/feeds.py
@@ -43,6 +43,6 @@
         """Read all rows of a table."""
 
     async def wait_for_changes(
-        self, table: str, after: int
+        self, table: str, after: int, wait_s: float
     ) -> Result[Changes, StoreError | HistoryLostError]:
-        """Return changes after a version; none if there were none for a while."""
+        """Return changes after a version; none if there were none for ``wait_s``."""
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -147,8 +147,10 @@
     def _routed(self, incoming: IncomingRequest, route: Route) -> RoutedRequest:
         now = loop_time()
         patience_s = route.timeout_s
+        age_s = 0.0
         if incoming.patience_s is not None:
             patience_s = min(patience_s, incoming.patience_s)
+            age_s = route.timeout_s - patience_s
         return RoutedRequest(
             id=incoming.id,
             method=incoming.method,
@@ -162,6 +164,7 @@
             size=incoming.size,
             resume_after=incoming.resume_after,
             subject=incoming.subject,
+            age_s=age_s,
         )
 
     async def _dispatch(
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -11,7 +11,13 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowBudget
 from marjoramstile.routes.events import EventSplitter
-from marjoramstile.routes.placement import QUEUE_SHARE, DecodePlacer, Place
+from marjoramstile.routes.placement import (
+    DecodePlacer,
+    Place,
+    Urgency,
+    queue_limit_s,
+    urgency_of,
+)
 from marjoramstile.routes.ports import ReplicaClient, Responder, StreamAnswer
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
 from marjoramstile.routes.requests import (
@@ -106,9 +112,9 @@
         progress: Progress,
         failed: frozenset[str],
     ) -> Reply | None:
-        resumed = progress.runs > 0
+        urgency = Urgency.RESUMED if progress.runs else urgency_of(request)
         place = await self._placer.place(
-            request, engine, self._wait_until(request, resumed), resumed, failed
+            request, engine, self._wait_until(request, urgency), urgency, failed
         )
         used = False
         handle = None
@@ -121,11 +127,11 @@
             raise
 
     @staticmethod
-    def _wait_until(request: RoutedRequest, resumed: bool) -> float:
-        if resumed:
+    def _wait_until(request: RoutedRequest, urgency: Urgency) -> float:
+        if urgency == Urgency.RESUMED:
             return min(request.deadline, loop_time() + RESUME_WAIT_S)
-        wait_s = QUEUE_SHARE * request.route.target_latency_s
-        return min(request.deadline, request.arrived + wait_s)
+        limit = request.arrived + queue_limit_s(request, urgency)
+        return min(request.deadline, limit)
 
     def _clean_up(
         self,
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -32,6 +32,12 @@
 from marjoramstile.utils import TaskGroupOwner, loop_time, new_token, run_every
 
 FRAME_MAX_BYTES = 4_194_304
+# A connection to the store that went silent is noticed within this and a call's
+# timeout, sooner than the bounds on configuration and leaving.
+FEED_WAIT_S = 1.2
+NODES_FEED_WAIT_S = 8.0
+# Replicas write often; their changes are gathered for this long.
+REPLICAS_PAUSE_S = 0.3
 PROBE_PERIOD_S = 0.4
 PROBE_TIMEOUT_S = 0.3
 SUSPICION_S = 2.0
@@ -130,8 +136,14 @@
         )
         mirrors = (self.configuration_mirror, self.replicas_mirror, self.nodes_mirror)
         self._followers = {
-            mirror.table: MirrorFollower(self._ports.feed, mirror, self._ask_peer)
-            for mirror in mirrors
+            mirror.table: MirrorFollower(
+                self._ports.feed, mirror, self._ask_peer, wait_s, pause_s
+            )
+            for mirror, wait_s, pause_s in (
+                (self.configuration_mirror, FEED_WAIT_S, 0.0),
+                (self.replicas_mirror, FEED_WAIT_S, REPLICAS_PAUSE_S),
+                (self.nodes_mirror, NODES_FEED_WAIT_S, 0.0),
+            )
         }
         handler = RouterPeerHandler(
             self.prober, {mirror.table: mirror for mirror in mirrors}
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -1,9 +1,10 @@
 """Finds a decode replica with room for a whole generation before it is prefilled.
 
 The replicas themselves decide: a reservation of a slot and memory is taken at one
-of them. Requests that find no room wait in one queue a service, resumed streams
-first, then in order of arrival; only the first of the queue asks, so that large
-requests are not passed by small ones.
+of them. Requests that find no room wait in one queue a service: resumed streams
+first, then requests that can still be on time, then those that come back late; each
+in order of arrival. Only the first of the queue asks, so that large requests are not
+passed by small ones.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 import itertools
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.balancing import Balancer
@@ -29,18 +31,43 @@
 
 # Tokens reserved for the answer, as a multiple of the caller's estimate, which is
 # right at the median only.
-OUTPUT_MARGIN = 1.3
+OUTPUT_MARGIN = 1.0
 # Pause between two rounds over the replicas while none has room.
 ASK_PERIOD_S = 0.03
-# Share of the target latency that a request may wait for room.
+# Share of the target latency that a request which can be on time may wait for room.
 QUEUE_SHARE = 0.6
-# When a place is likely free: about half the length of a generation.
-RETRY_AFTER_S = 1.5
+# Wait of a late request, which comes back after a refusal when room is likely.
+LATE_QUEUE_SHARE = 0.3
+# When room is likely: about the length of a generation, in which those that run
+# now have ended.
+RETRY_AFTER_S = 4.0
 HOLD_TTL_S = 2.0
 
 logger = get_logger(__name__)
 
 
+class Urgency(IntEnum):
+    """Classes of waiting requests, the first to be placed first."""
+
+    RESUMED = 0
+    ON_TIME = 1
+    LATE = 2
+
+
+def urgency_of(request: RoutedRequest) -> Urgency:
+    """Tell whether a request that arrives can still be answered on time."""
+    late = request.age_s > request.route.target_latency_s * QUEUE_SHARE
+    return Urgency.LATE if late else Urgency.ON_TIME
+
+
+def queue_limit_s(request: RoutedRequest, urgency: Urgency) -> float:
+    """Return for how long a request may wait for room, in seconds."""
+    target_s = request.route.target_latency_s
+    if urgency == Urgency.LATE:
+        return LATE_QUEUE_SHARE * target_s
+    return QUEUE_SHARE * target_s - request.age_s
+
+
 @dataclass(frozen=True)
 class Place:
     """A decode replica with a reservation for one generation."""
@@ -68,9 +95,9 @@
         return len(self._waiting)
 
     @asynccontextmanager
-    async def entry(self, resumed: bool, priority: int, arrived: float):
+    async def entry(self, urgency: Urgency, priority: int, arrived: float):
         """Wait in the queue for as long as the block runs."""
-        rank = (0 if resumed else 1, priority, arrived, next(self._numbers))
+        rank = (urgency, priority, arrived, next(self._numbers))
         waiting = _Waiting(rank)
         heapq.heappush(self._waiting, waiting)
         self._wake_first()
@@ -108,7 +135,7 @@
         request: RoutedRequest,
         engine: EngineTraits,
         wait_until: float,
-        resumed: bool,
+        urgency: Urgency,
         avoid: frozenset[str],
     ) -> Place:
         """Return a place or raise RequestRefusedError when time is up."""
@@ -117,7 +144,7 @@
         try:
             async with (
                 asyncio.timeout_at(wait_until),
-                queue.entry(resumed, request.route.priority, request.arrived) as entry,
+                queue.entry(urgency, request.route.priority, request.arrived) as entry,
             ):
                 return await self._ask_in_turn(request, engine, tokens, entry, avoid)
         except TimeoutError:
@@ -126,6 +153,7 @@
                 request=request.id,
                 service=request.service,
                 tokens=tokens,
+                urgency=urgency.name,
                 waited_s=round(loop_time() - request.arrived, 3),
                 queued=queue.length,
             )
