Split of the stages follows the load by fenced orders

Cause: a third of the replicas prefill, though a prompt takes 0.1 s and its decoding 3.5 s; decode memory binds. The split that keeps decode memory full is a pure function; orders take their fencing token from a conditional write of the service's row. Ruled out: reserving 1.3 of the expected output (the same within noise, more refused).

--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -54,8 +54,9 @@
     ):
         self._settings = settings
         self._store = PlatformStore(store_session, str(settings.store))
+        replicas = HTTPReplicaClient(replica_session)
         ports = RouterPorts(
-            feed=self._store, replicas=HTTPReplicaClient(replica_session)
+            feed=self._store, replicas=replicas, orders=self._store, stages=replicas
         )
         self._node = RouterNode(
             settings, ports, OPERATOR_TABLE, REPLICAS_TABLE, random.Random()
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -23,6 +23,7 @@
 
 from marjoramstile.platform import headers as names
 from marjoramstile.platform.connections import ReplicaConnector
+from marjoramstile.routes.orders import StageOrder, StageReport
 from marjoramstile.routes.ports import StreamAnswer
 from marjoramstile.routes.replicas import Replica, Stage
 from marjoramstile.routes.requests import (
@@ -123,6 +124,36 @@
         path = f"/v1/kv-handle/{handle.id}"
         await self._control("DELETE", handle.address, path, None, None)
 
+    async def stage_report(self, replica: Replica) -> StageReport:
+        """Ask a replica for its stage."""
+        status, answer = await self._control(
+            "GET", replica.address, "/v1/report", None, replica
+        )
+        if status != OK:
+            raise NotExecutedError(status)
+        try:
+            return StageReport(
+                stage=Stage(answer["stage"]),
+                busy=bool(answer["busy"]),
+                orders=int(answer["sequence"]),
+            )
+        except (KeyError, ValueError, TypeError) as error:
+            raise AnswerLostError("the report can't be read") from error
+
+    async def order_stage(self, replica: Replica, order: StageOrder) -> int:
+        """Give an order; return the status of the answer."""
+        body = {
+            "op": "stage",
+            "stage": str(order.stage),
+            "holder": order.holder,
+            "fencingToken": order.fencing_token,
+            "expectedRevision": order.expected_orders,
+        }
+        status, _ = await self._control(
+            "POST", replica.address, "/v1/order", body, replica
+        )
+        return status
+
     async def _control(
         self,
         method: str,
--- a/marjoramstile/platform/settings.py
+++ b/marjoramstile/platform/settings.py
@@ -16,6 +16,9 @@
 )
 from marjoramstile.settings import Address, SettingsError
 
+DEFAULT_LEASE_MS = 3000
+DEFAULT_HEARTBEAT_MS = 1000
+MILLISECONDS_PER_S = 1000
 SETTINGS_VARIABLE = "MARJORAMSTILE_CONFIG"
 _SETTINGS_TYPE = TypeAdapter(RouterSettings)
 
@@ -68,7 +71,9 @@
         bounds=RouterBounds(
             grace_s=float(bounds["graceS"]),
             address_ttl_max_s=float(bounds.get("ttl_max_s", 1.0)),
-            heartbeat_s=document.get("heartbeatMs", 1000) / 1000,
+            lease_s=bounds.get("leaseMs", DEFAULT_LEASE_MS) / MILLISECONDS_PER_S,
+            heartbeat_s=document.get("heartbeatMs", DEFAULT_HEARTBEAT_MS)
+            / MILLISECONDS_PER_S,
             retries=BudgetLimits(
                 ratio=float(bounds["retryBudgetRatio"]),
                 window_s=float(bounds["budgetWindowS"]),
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -11,10 +11,12 @@
 
 from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
 from marjoramstile.ports.tables import Committed, Condition, StoreError, Write
+from marjoramstile.routes.orders import DatedRow
 
 # Longest time from a call to its answer, beside the wait of a feed.
 CALL_TIMEOUT_S = 0.8
 ROWS_PER_READ = 500
+MILLISECONDS_PER_S = 1000
 GONE = 410
 CONFLICT = 412
 OK = 200
@@ -51,7 +53,7 @@
         self, table: str, after: int, wait_s: float
     ) -> Result[Changes, StoreError | HistoryLostError]:
         """Return changes after a version; none if there were none for ``wait_s``."""
-        wait_ms = round(wait_s * 1000)
+        wait_ms = round(wait_s * MILLISECONDS_PER_S)
         query = {"table": table, "after": str(after), "waitMs": str(wait_ms)}
         answer = await self._call(
             "GET", "/rows-feed", query, timeout_s=wait_s + CALL_TIMEOUT_S
@@ -65,6 +67,17 @@
         version = max(after, body["rowVersion"])
         return Ok(Changes(tuple(_decode_rows(body)), version, complete=False))
 
+    async def read_row(self, table: str, key: str) -> Result[DatedRow, StoreError]:
+        """Read one row."""
+        query = {"table": table, "part": "", "from": key, "limit": "1"}
+        answer = await self._call("GET", "/rows-get", query)
+        if answer.is_err():
+            return answer
+        body = answer.unwrap()
+        rows = [row for row in _decode_rows(body) if row.key == key]
+        now_s = body.get("nowMs", 0) / MILLISECONDS_PER_S
+        return Ok(DatedRow(rows[0] if rows else None, now_s))
+
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> Result[Committed | None, StoreError]:
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from marjoramstile.logs import get_logger
@@ -71,7 +72,10 @@
         budget: WindowBudget,
         placer: DecodePlacer,
         tasks: TaskGroupOwner,
+        note_generation: Callable[[str, int, int, float], None],
     ):
+        """``note_generation`` takes service, prompt, output tokens and seconds."""
+        self._note_generation = note_generation
         self._directory = directory
         self._client = client
         self._balancer = balancer
@@ -121,7 +125,9 @@
         try:
             handle = await self._prefill(request, failed)
             used = True
-            return await self._decode(request, place, handle, responder, progress)
+            return await self._decode(
+                request, engine, place, handle, responder, progress
+            )
         except BaseException as error:
             self._clean_up(place, handle, used, error)
             raise
@@ -183,6 +189,7 @@
     async def _decode(
         self,
         request: RoutedRequest,
+        engine: EngineTraits,
         place: Place,
         handle: KVHandle | None,
         responder: Responder,
@@ -199,7 +206,15 @@
                 if answer.status != OK:
                     return await self._other_answer(answer, progress)
                 progress.runs += 1
+                began = loop_time()
+                first = progress.events
                 await self._relay(request, answer, responder, progress)
+                self._note_generation(
+                    request.service,
+                    request.size.prompt,
+                    (progress.events - first) * engine.stride,
+                    loop_time() - began,
+                )
                 return None
         except NotExecutedError as error:
             raise _SendFailedError(place.replica, error, ran=False) from error
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -24,6 +24,7 @@
 from marjoramstile.routes.calls import PlainCallRunner
 from marjoramstile.routes.entry import Entry
 from marjoramstile.routes.generations import GenerationRunner
+from marjoramstile.routes.orders import OrderStore, StageClient, StageKeeper
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replicas import RETURN_WAIT_S, ReplicaDirectory
@@ -43,6 +44,7 @@
 SUSPICION_S = 2.0
 LIST_PERIOD_S = 0.5
 EXPIRY_PERIOD_S = 0.25
+STAGES_PERIOD_S = 1.0
 ADDRESS_TTL_S = 1.5
 
 logger = get_logger(__name__)
@@ -54,6 +56,8 @@
 
     feed: TableFeed
     replicas: ReplicaClient
+    orders: OrderStore
+    stages: StageClient
 
 
 class RouterNode:
@@ -163,6 +167,13 @@
         self.budget = WindowBudget(
             settings.bounds.retries, lambda: len(self.view.peers)
         )
+        self.stages = StageKeeper(
+            self.view,
+            self.directory,
+            self._ports.orders,
+            self._ports.stages,
+            settings.bounds.lease_s,
+        )
         calls = PlainCallRunner(self.directory, client, self.balancer, self.budget)
         generations = GenerationRunner(
             self.directory,
@@ -171,6 +182,7 @@
             self.budget,
             DecodePlacer(self.directory, client, self.balancer),
             self.tasks,
+            self.stages.note_generation,
         )
         self.entry = Entry(
             lambda: self._table,
@@ -199,10 +211,15 @@
         self._every(LIST_PERIOD_S, self.prober.refresh_list, "list")
         self._every(PROBE_PERIOD_S, self.prober.step, "probe")
         self._every(EXPIRY_PERIOD_S, self._expire, "expire")
+        self._every(STAGES_PERIOD_S, self._keep_stages, "stages")
 
     def _every(self, period_s: float, action, name: str) -> None:
         self.tasks.start(run_every(period_s, action, name), name)
 
+    async def _keep_stages(self) -> None:
+        if self.entry.ready:
+            await self.stages.step(self._table)
+
     async def _expire(self) -> None:
         self.directory.expire(loop_time())
         self.balancer.forget_missing(self.directory.all)
--- /dev/null
+++ b/marjoramstile/routes/orders.py
@@ -0,0 +1,262 @@
+"""Moves replicas between stages by orders that only one daemon gives at a time.
+
+Each order first takes the service's row in the platform's store by a conditional
+write; the version that the store gives this write is the order's fencing token, so
+that tokens only grow and no two daemons share one. A daemon whose clock shows that
+it stood still between the write and the order does not give it. Another daemon may
+write the row only when the last write is older than two leases, so that holders
+never take turns within one.
+"""
+
+import json
+import time
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Result
+
+from marjoramstile.logs import get_logger
+from marjoramstile.membership.view import View
+from marjoramstile.ports.feeds import StoredRow
+from marjoramstile.ports.tables import (
+    ABSENT,
+    Committed,
+    Condition,
+    StoreError,
+    Write,
+)
+from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
+from marjoramstile.routes.requests import ReplicaError
+from marjoramstile.routes.stages import GenerationProfile, wanted_prefill_count
+from marjoramstile.routes.table import EngineTraits, RoutingTable
+from marjoramstile.utils import loop_time
+
+ORDERS_TABLE = "marjoramstile-orders"
+# Longest time from reading the row to giving the order.
+ORDER_WITHIN_S = 1.0
+# Time for which a split must have been wanted before an order is given.
+STEADY_S = 4.0
+# Pause after an order beyond the replica's own switch, for reports to arrive.
+SETTLE_S = 6.0
+MILLISECONDS_PER_S = 1000
+
+logger = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class DatedRow:
+    """A row, None if there is none, and the store's steady clock at the reading."""
+
+    row: StoredRow | None
+    now_s: float
+
+
+@dataclass(frozen=True)
+class StageOrder:
+    """An order to a replica, carried out only after ``expected_orders`` others."""
+
+    stage: Stage
+    holder: str
+    fencing_token: int
+    expected_orders: int
+
+
+@dataclass(frozen=True)
+class StageReport:
+    """What a replica says of its stage: whether an order runs, how many it took."""
+
+    stage: Stage
+    busy: bool
+    orders: int
+
+
+class OrderStore(Protocol):
+    """What numbering orders needs of the platform's store."""
+
+    async def read_row(self, table: str, key: str) -> Result[DatedRow, StoreError]:
+        """Read one row."""
+
+    async def transact(
+        self, conditions: list[Condition], writes: list[Write]
+    ) -> Result[Committed | None, StoreError]:
+        """Commit ``writes`` if all ``conditions`` hold; None if one doesn't."""
+
+
+class StageClient(Protocol):
+    """What giving orders needs of replicas; raises ReplicaError."""
+
+    async def stage_report(self, replica: Replica) -> StageReport:
+        """Ask a replica for its stage."""
+
+    async def order_stage(self, replica: Replica, order: StageOrder) -> int:
+        """Give an order; return the status of the answer."""
+
+
+def boot_time() -> float:
+    """Return a clock that also counts while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class StageKeeper:
+    """Keeps the split of each language service as its load wants it."""
+
+    def __init__(
+        self,
+        view: View,
+        directory: ReplicaDirectory,
+        store: OrderStore,
+        client: StageClient,
+        lease_s: float,
+    ):
+        self._view = view
+        self._directory = directory
+        self._store = store
+        self._client = client
+        self._lease_s = lease_s
+        self._profiles: dict[str, GenerationProfile] = {}
+        self._wanted_since: dict[str, tuple[int, float]] = {}
+        self._quiet_until: dict[str, float] = {}
+
+    def note_generation(
+        self, service: str, prompt: int, output: int, decode_s: float
+    ) -> None:
+        """Take a finished generation into the service's profile."""
+        profile = self._profiles.get(service, GenerationProfile())
+        self._profiles[service] = profile.with_decode(prompt, output, decode_s)
+
+    async def step(self, table: RoutingTable | None) -> None:
+        """Give the orders that each service's split wants; run periodically."""
+        if table is None or not self._leads():
+            return
+        for service in table.services.values():
+            if service.engine is not None:
+                await self._keep(service.name, service.engine)
+
+    def _leads(self) -> bool:
+        """Spare the store calls: usually only one daemon tries."""
+        own = self._view.own
+        serving = [peer.vm.name for peer in self._view.others if peer.serving]
+        return all(own.vm.name < name for name in serving)
+
+    async def _keep(self, service: str, engine: EngineTraits) -> None:
+        now = loop_time()
+        if now < self._quiet_until.get(service, float("-inf")):
+            return
+        prefill = self._directory.usable(service, Stage.PREFILL)
+        decode = self._directory.usable(service, Stage.DECODE)
+        profile = self._profiles.get(service, GenerationProfile())
+        wanted = wanted_prefill_count(
+            profile, len(prefill), len(decode), engine.kv_tokens
+        )
+        change = wanted - len(prefill)
+        if change == 0 or not self._steady(service, change, now):
+            return
+        candidates, stage = (
+            (prefill, Stage.DECODE) if change < 0 else (decode, Stage.PREFILL)
+        )
+        if len(candidates) < 2:
+            return
+        logger.info(
+            "split_wanted", service=service, prefill=len(prefill), wanted=wanted
+        )
+        self._quiet_until[service] = now + self._lease_s
+        for _ in range(abs(change)):
+            replica = _most_crowded(candidates)
+            candidates.remove(replica)
+            await self._order(service, engine, replica, stage)
+
+    def _steady(self, service: str, change: int, now: float) -> bool:
+        direction = 1 if change > 0 else -1
+        known = self._wanted_since.get(service)
+        if known is None or known[0] != direction:
+            self._wanted_since[service] = (direction, now)
+            return False
+        return now - known[1] >= STEADY_S
+
+    async def _order(
+        self, service: str, engine: EngineTraits, replica: Replica, stage: Stage
+    ) -> None:
+        try:
+            report = await self._client.stage_report(replica)
+        except ReplicaError as error:
+            logger.info("no_stage_report", replica=replica.id, reason=repr(error))
+            return
+        if report.busy or report.stage == stage:
+            return
+        began = boot_time()
+        token = await self._take_token(service, engine, replica, stage)
+        if token is None:
+            return
+        if boot_time() - began > ORDER_WITHIN_S:
+            logger.warning("order_withheld", service=service, reason="too late")
+            return
+        pause_s = engine.switch_s + SETTLE_S
+        self._quiet_until[service] = loop_time() + pause_s
+        self._wanted_since.pop(service, None)
+        order = StageOrder(stage, self._view.own.vm.name, token, report.orders)
+        await self._give(replica, order)
+
+    async def _give(self, replica: Replica, order: StageOrder) -> None:
+        try:
+            status = await self._client.order_stage(replica, order)
+        except ReplicaError as error:
+            status = repr(error)
+        logger.info(
+            "order_given",
+            replica=replica.id,
+            stage=order.stage,
+            fencing_token=order.fencing_token,
+            answer=status,
+        )
+
+    async def _take_token(
+        self, service: str, engine: EngineTraits, replica: Replica, stage: Stage
+    ) -> int | None:
+        """Return the next order's fencing token; None if it is another daemon's turn."""
+        read = await self._store.read_row(ORDERS_TABLE, service)
+        if read.is_err():
+            logger.info(
+                "no_fencing_token", service=service, reason=read.unwrap_err().message
+            )
+            return None
+        dated = read.unwrap()
+        if not self._may_write(dated, engine):
+            return None
+        value = {
+            "holder": self._view.own.incarnation,
+            "at_s": dated.now_s,
+            "replica": replica.id,
+            "stage": str(stage),
+        }
+        version = dated.row.version if dated.row is not None else ABSENT
+        written = await self._store.transact(
+            [Condition(ORDERS_TABLE, service, version)],
+            [Write(ORDERS_TABLE, service, value)],
+        )
+        if written.is_err() or written.unwrap() is None:
+            logger.info("no_fencing_token", service=service, reason="row not written")
+            return None
+        return written.unwrap().version
+
+    def _may_write(self, dated: DatedRow, engine: EngineTraits) -> bool:
+        """Tell whether the last order is old enough for the next one."""
+        if dated.row is None or dated.row.value is None:
+            return True
+        try:
+            last = json.loads(dated.row.value)
+            last_s = float(last["at_s"])
+            if last["holder"] == self._view.own.incarnation:
+                return True
+        except (ValueError, KeyError, TypeError) as error:
+            logger.warning("orders_row_unreadable", reason=repr(error))
+            return True
+        pause_s = max(2 * self._lease_s, engine.switch_s + SETTLE_S)
+        return dated.now_s - last_s >= pause_s
+
+
+def _most_crowded(replicas: list[Replica]) -> Replica:
+    """Return a replica of the data centre that has the most of them."""
+    counts: dict[str, int] = {}
+    for replica in replicas:
+        counts[replica.data_centre] = counts.get(replica.data_centre, 0) + 1
+    return max(replicas, key=lambda item: (counts[item.data_centre], item.id))
--- a/marjoramstile/routes/settings.py
+++ b/marjoramstile/routes/settings.py
@@ -21,12 +21,14 @@
 class RouterBounds:
     """Limits that the operators of the site have set.
 
-    ``grace_s`` is the time from a stop's signal to the kill.
+    ``grace_s`` is the time from a stop's signal to the kill; ``lease_s`` the time
+    within which only one daemon may give orders.
     """
 
     grace_s: float
     address_ttl_max_s: float
     heartbeat_s: float
+    lease_s: float
     retries: BudgetLimits
 
 
