--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -212,7 +212,7 @@
     async def _take_token(
         self, service: str, engine: EngineTraits, replica: Replica, stage: Stage
     ) -> int | None:
-        """Return the next order's fencing token; None if it is another daemon's turn."""
+        """Return the next order's fencing token; None if another daemon orders now."""
         read = await self._store.read_row(ORDERS_TABLE, service)
         if read.is_err():
             logger.info(
