--- a/marjoramstile/peers/caller.py
+++ b/marjoramstile/peers/caller.py
@@ -6,58 +6,23 @@
 from marjoramstile.configuration.freshness import PeerFreshness
 from marjoramstile.configuration.member import PrepareAnswer, Proposal
 from marjoramstile.configuration.store import MemberRow
-from marjoramstile.membership.prober import Probe
 from marjoramstile.membership.view import Peer
-from marjoramstile.peers.connections import Connections
 from marjoramstile.peers.frames import IDL
+from marjoramstile.peers.membership_caller import SLOT_TIMEOUT_S, MembershipCaller
 from marjoramstile.peers.messages import (
     ask_to_wire,
-    changes_from_wire,
     freshness_from_wire,
-    probe_from_wire,
-    probe_to_wire,
     proposal_to_wire,
 )
-from marjoramstile.ports.feeds import Changes
 from marjoramstile.slots.reservations import Ask
 
 PREPARE_TIMEOUT_S = 0.8
-SLOT_TIMEOUT_S = 0.5
 QUERY_TIMEOUT_S = 2.0
 
 
-class PeerCaller:
+class PeerCaller(MembershipCaller):
     """Sends the messages of all roles; None stands for no answer."""
 
-    def __init__(
-        self, connections: Connections, peers_port: int, probe_timeout_s: float
-    ):
-        self._connections = connections
-        self._peers_port = peers_port
-        self._probe_timeout_s = probe_timeout_s
-
-    async def _call(
-        self, peer: Peer, method: str, *arguments: Any, timeout_s: float
-    ) -> Any | None:
-        address = f"{peer.vm.host}:{self._peers_port}"
-        return await self._connections.call(
-            address, method, *arguments, timeout_s=timeout_s
-        )
-
-    async def probe(self, peer: Peer, probe: Probe) -> Probe | None:
-        """Probe a daemon."""
-        wire = await self._call(
-            peer, "probe", probe_to_wire(probe), timeout_s=self._probe_timeout_s
-        )
-        return None if wire is None else probe_from_wire(wire)
-
-    async def probe_through(self, peer: Peer, target: str) -> bool:
-        """Ask a daemon to probe ``target``."""
-        answer = await self._call(
-            peer, "probe_through", target, timeout_s=2 * self._probe_timeout_s
-        )
-        return bool(answer)
-
     async def prepare(
         self, member: MemberRow, proposal: Proposal
     ) -> PrepareAnswer | None:
@@ -136,11 +101,6 @@
         """Tell a daemon that a struck content has finished."""
         await self._call(peer, "clear", content, timeout_s=SLOT_TIMEOUT_S)
 
-    async def changes(self, peer: Peer, table: str, after: int) -> Changes | None:
-        """Ask a daemon for changes of a mirrored table."""
-        wire = await self._call(peer, "changes", table, after, timeout_s=SLOT_TIMEOUT_S)
-        return None if wire is None else changes_from_wire(wire)
-
     async def query(self, peer: Peer, request: dict[str, Any]) -> Any | None:
         """Run a query on a daemon."""
         answer = await self._call(
--- a/marjoramstile/peers/handler.py
+++ b/marjoramstile/peers/handler.py
@@ -9,11 +9,10 @@
 from marjoramstile.configuration.keeper import ConfigurationKeeper
 from marjoramstile.membership.prober import Prober
 from marjoramstile.peers.frames import IDL
+from marjoramstile.peers.membership_messages import probe_from_wire, probe_to_wire
 from marjoramstile.peers.messages import (
     ask_from_wire,
     freshness_to_wire,
-    probe_from_wire,
-    probe_to_wire,
     proposal_from_wire,
 )
 from marjoramstile.slots.broker import SlotBroker
--- /dev/null
+++ b/marjoramstile/peers/membership_caller.py
@@ -0,0 +1,53 @@
+"""Calls that every daemon makes: probes, and changes of mirrored tables."""
+
+from typing import Any
+
+from marjoramstile.membership.prober import Probe
+from marjoramstile.membership.view import Peer
+from marjoramstile.peers.connections import Connections
+from marjoramstile.peers.membership_messages import (
+    changes_from_wire,
+    probe_from_wire,
+    probe_to_wire,
+)
+from marjoramstile.ports.feeds import Changes
+
+SLOT_TIMEOUT_S = 0.5
+
+
+class MembershipCaller:
+    """Sends messages to the daemons of a view; None stands for no answer."""
+
+    def __init__(
+        self, connections: Connections, peers_port: int, probe_timeout_s: float
+    ):
+        self._connections = connections
+        self._peers_port = peers_port
+        self._probe_timeout_s = probe_timeout_s
+
+    async def _call(
+        self, peer: Peer, method: str, *arguments: Any, timeout_s: float
+    ) -> Any | None:
+        address = f"{peer.vm.host}:{self._peers_port}"
+        return await self._connections.call(
+            address, method, *arguments, timeout_s=timeout_s
+        )
+
+    async def probe(self, peer: Peer, probe: Probe) -> Probe | None:
+        """Probe a daemon."""
+        wire = await self._call(
+            peer, "probe", probe_to_wire(probe), timeout_s=self._probe_timeout_s
+        )
+        return None if wire is None else probe_from_wire(wire)
+
+    async def probe_through(self, peer: Peer, target: str) -> bool:
+        """Ask a daemon to probe ``target``."""
+        answer = await self._call(
+            peer, "probe_through", target, timeout_s=2 * self._probe_timeout_s
+        )
+        return bool(answer)
+
+    async def changes(self, peer: Peer, table: str, after: int) -> Changes | None:
+        """Ask a daemon for changes of a mirrored table."""
+        wire = await self._call(peer, "changes", table, after, timeout_s=SLOT_TIMEOUT_S)
+        return None if wire is None else changes_from_wire(wire)
--- /dev/null
+++ b/marjoramstile/peers/membership_messages.py
@@ -0,0 +1,71 @@
+"""Translates probes and mirrors' changes to thrift structures and back."""
+
+from marjoramstile.membership.prober import Probe
+from marjoramstile.membership.view import PeerState, Report
+from marjoramstile.peers.frames import IDL
+from marjoramstile.ports.feeds import Changes, StoredRow
+
+
+def probe_to_wire(probe: Probe):
+    """Return the thrift form of a probe."""
+    return IDL.Probe(
+        vm=probe.vm,
+        incarnation=probe.incarnation,
+        reports=[
+            IDL.Report(
+                vm=report.vm,
+                incarnation=report.incarnation,
+                counter=report.counter,
+                state=int(report.state),
+            )
+            for report in probe.reports
+        ],
+        strikes=[
+            IDL.Strike(content=content, endpoint=endpoint)
+            for content, endpoint in probe.strikes
+        ],
+    )
+
+
+def probe_from_wire(wire) -> Probe:
+    """Return the probe that ``wire`` holds."""
+    return Probe(
+        vm=wire.vm,
+        incarnation=wire.incarnation,
+        reports=tuple(
+            Report(item.vm, item.incarnation, item.counter, PeerState(item.state))
+            for item in wire.reports
+        ),
+        strikes=tuple((item.content, item.endpoint) for item in wire.strikes),
+    )
+
+
+def changes_to_wire(changes: Changes):
+    """Return the thrift form of a mirror's changes."""
+    return IDL.MirrorChanges(
+        rows=[
+            IDL.MirrorRow(
+                key=row.key,
+                version=row.version,
+                value=row.value or b"",
+                deleted=row.value is None,
+            )
+            for row in changes.rows
+        ],
+        version=changes.version,
+        complete=changes.complete,
+    )
+
+
+def changes_from_wire(wire) -> Changes:
+    """Return the mirror's changes that ``wire`` holds."""
+    rows = tuple(
+        StoredRow(row.key, row.version, None if row.deleted else _as_bytes(row.value))
+        for row in wire.rows
+    )
+    return Changes(rows, wire.version, wire.complete)
+
+
+def _as_bytes(value: str | bytes) -> bytes:
+    """Return a binary field; thriftpy2 decodes what happens to be UTF-8."""
+    return value.encode() if isinstance(value, str) else value
--- a/marjoramstile/peers/router_handler.py
+++ b/marjoramstile/peers/router_handler.py
@@ -4,7 +4,7 @@
 
 from marjoramstile.membership.prober import Prober
 from marjoramstile.mirrors.mirror import TableMirror
-from marjoramstile.peers.messages import (
+from marjoramstile.peers.membership_messages import (
     changes_to_wire,
     probe_from_wire,
     probe_to_wire,
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -26,8 +26,7 @@
 from marjoramstile.ports.feeds import StoredRow
 from marjoramstile.ports.tables import Write
 from marjoramstile.routes.node import RouterNode, RouterPorts
-from marjoramstile.routes.settings import RouterSettings
-from marjoramstile.settings import Address
+from marjoramstile.routes.settings import Address, RouterSettings
 from marjoramstile.utils import loop_time
 
 BAD_SETTINGS_EXIT = 78
@@ -189,8 +188,8 @@
     path = settings_path()
     loaded = load_platform_settings(path)
     if loaded.is_err():
-        for error in loaded.unwrap_err():
-            print(f"marjoramstile-router: {path}: {error}", file=sys.stderr)
+        message = f"marjoramstile-router: {path}: {loaded.unwrap_err()}"
+        print(message, file=sys.stderr)
         return BAD_SETTINGS_EXIT
     settings = loaded.unwrap()
     start_logging(settings.log_level, sys.stdout)
--- a/marjoramstile/platform/settings.py
+++ b/marjoramstile/platform/settings.py
@@ -1,26 +1,38 @@
 """Translates the platform's settings file into the routing daemon's settings."""
 
 import os
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import yaml
-from pydantic import TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
 from marjoramstile.routes.budget import BudgetLimits
 from marjoramstile.routes.settings import (
+    Address,
     RouterBounds,
     RouterListeners,
     RouterSettings,
 )
-from marjoramstile.settings import Address, SettingsError
 
+SETTINGS_VARIABLE = "MARJORAMSTILE_CONFIG"
+MILLISECONDS_PER_S = 1000
 DEFAULT_LEASE_MS = 3000
 DEFAULT_HEARTBEAT_MS = 1000
-MILLISECONDS_PER_S = 1000
-SETTINGS_VARIABLE = "MARJORAMSTILE_CONFIG"
-_SETTINGS_TYPE = TypeAdapter(RouterSettings)
+DEFAULT_ADDRESS_TTL_S = 1.0
+
+
+@dataclass(frozen=True)
+class FieldError(Exception):
+    """A field of the settings file that is missing or not what it should be."""
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.message}"
 
 
 def settings_path() -> str:
@@ -30,59 +42,87 @@
 
 def load_platform_settings(
     filename: str | Path,
-) -> Result[RouterSettings, list[SettingsError]]:
-    """Load and check the platform's settings file."""
+) -> Result[RouterSettings, FieldError]:
+    """Load and check the platform's settings file; unknown fields are ignored."""
     try:
         document = yaml.safe_load(Path(filename).read_text())
-        settings = _translate(document)
-        return Ok(_SETTINGS_TYPE.validate_python(settings))
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        return Err([SettingsError(str(filename), 0, str(error))])
-    except ValidationError as error:
-        return Err(
-            [
-                SettingsError(".".join(map(str, fault["loc"])), 0, fault["msg"])
-                for fault in error.errors()
-            ]
-        )
-    except (KeyError, TypeError, ValueError, IndexError) as error:
-        message = f"missing or malformed field: {error!r}"
-        return Err([SettingsError("(file)", 0, message)])
-
-
-def _translate(document: dict[str, Any]) -> RouterSettings:
-    listen = document["listen"]
-    bounds = document["bounds"]
-    first_port, last_port = document["internalPorts"][:2]
-    ip = document["ip"]
+        return Err(FieldError("(file)", str(error)))
+    try:
+        return Ok(_translate(_Section("", document)))
+    except FieldError as error:
+        return Err(error)
+
+
+class _Section:
+    """A mapping of the file that names the full path of a bad field."""
+
+    def __init__(self, path: str, values: Any):
+        if not isinstance(values, Mapping):
+            raise FieldError(path or "(file)", "must be a mapping")
+        self._path = path
+        self._values = values
+
+    def get(self, name: str, convert: Callable[[Any], Any], default: Any = None) -> Any:
+        """Return a field converted; one without default must be there."""
+        path = f"{self._path}.{name}" if self._path else name
+        value = self._values.get(name, default)
+        if value is None:
+            raise FieldError(path, "is missing")
+        try:
+            return convert(value)
+        except (TypeError, ValueError, IndexError) as error:
+            raise FieldError(path, str(error)) from error
+
+    def section(self, name: str) -> "_Section":
+        """Return a mapping within this one."""
+        path = f"{self._path}.{name}" if self._path else name
+        return _Section(path, self._values.get(name))
+
+
+def _translate(document: _Section) -> RouterSettings:
+    ip = document.get("ip", str)
     return RouterSettings(
-        vm=document["nodeName"],
+        vm=document.get("nodeName", str),
         ip=ip,
-        data_centre=document["zone"],
-        region=document["region"],
-        listeners=RouterListeners(
-            front=_address(listen["front"]),
-            ready=_address(listen["readyAddress"]),
-            addresses=_address(listen["directory"]),
-            peers=Address(ip, int(first_port)),
-            metrics=Address(ip, int(last_port)),
-        ),
-        store=_address(document["platform"]["address"]),
-        bounds=RouterBounds(
-            grace_s=float(bounds["graceS"]),
-            address_ttl_max_s=float(bounds.get("ttl_max_s", 1.0)),
-            lease_s=bounds.get("leaseMs", DEFAULT_LEASE_MS) / MILLISECONDS_PER_S,
-            heartbeat_s=document.get("heartbeatMs", DEFAULT_HEARTBEAT_MS)
-            / MILLISECONDS_PER_S,
-            retries=BudgetLimits(
-                ratio=float(bounds["retryBudgetRatio"]),
-                window_s=float(bounds["budgetWindowS"]),
-                slack=float(bounds["budgetSlack"]),
-            ),
+        data_centre=document.get("zone", str),
+        region=document.get("region", str),
+        listeners=_listeners(document, ip),
+        store=document.section("platform").get("address", _address),
+        bounds=_bounds(document),
+    )
+
+
+def _listeners(document: _Section, ip: str) -> RouterListeners:
+    listen = document.section("listen")
+    return RouterListeners(
+        front=listen.get("front", _address),
+        ready=listen.get("readyAddress", _address),
+        addresses=listen.get("directory", _address),
+        peers=document.get("internalPorts", lambda ports: Address(ip, int(ports[0]))),
+        metrics=document.get("internalPorts", lambda ports: Address(ip, int(ports[1]))),
+    )
+
+
+def _bounds(document: _Section) -> RouterBounds:
+    bounds = document.section("bounds")
+    return RouterBounds(
+        grace_s=bounds.get("graceS", float),
+        address_ttl_max_s=bounds.get("ttl_max_s", float, DEFAULT_ADDRESS_TTL_S),
+        lease_s=bounds.get("leaseMs", _seconds, DEFAULT_LEASE_MS),
+        heartbeat_s=document.get("heartbeatMs", _seconds, DEFAULT_HEARTBEAT_MS),
+        retries=BudgetLimits(
+            ratio=bounds.get("retryBudgetRatio", float),
+            window_s=bounds.get("budgetWindowS", float),
+            slack=bounds.get("budgetSlack", float),
         ),
     )
 
 
-def _address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
+def _seconds(milliseconds: Any) -> float:
+    return float(milliseconds) / MILLISECONDS_PER_S
+
+
+def _address(text: Any) -> Address:
+    host, _, port = str(text).rpartition(":")
     return Address(host, int(port))
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -10,8 +10,8 @@
 from marjoramstile.membership.view import View
 from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.mirrors.mirror import TableMirror
-from marjoramstile.peers.caller import PeerCaller
 from marjoramstile.peers.connections import PeerConnections
+from marjoramstile.peers.membership_caller import MembershipCaller
 from marjoramstile.peers.router_handler import RouterPeerHandler
 from marjoramstile.peers.transport import PeerServer
 from marjoramstile.ports.feeds import Changes, TableFeed
@@ -126,7 +126,7 @@
         )
         self.view = View(own, new_token())
         self._connections = PeerConnections(FRAME_MAX_BYTES)
-        self.caller = PeerCaller(
+        self.caller = MembershipCaller(
             self._connections, settings.listeners.peers.port, PROBE_TIMEOUT_S
         )
         self._vm_list = MirrorVMList(self.nodes_mirror)
--- a/marjoramstile/routes/settings.py
+++ b/marjoramstile/routes/settings.py
@@ -1,9 +1,27 @@
 """Settings of a routing daemon, whatever file they come from."""
 
+import ipaddress
 from dataclasses import dataclass
 
 from marjoramstile.routes.budget import BudgetLimits
-from marjoramstile.settings import Address
+
+PORT_MAX = 65535
+
+
+@dataclass(frozen=True)
+class Address:
+    """An IP number and a TCP port; raises ValueError for anything else."""
+
+    host: str
+    port: int
+
+    def __post_init__(self):
+        ipaddress.ip_address(self.host)
+        if not 0 < self.port <= PORT_MAX:
+            raise ValueError(f"port {self.port} is not in 1..{PORT_MAX}")
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
 
 
 @dataclass(frozen=True)
