--- a/marjoramstile/routes/balancing.py
+++ b/marjoramstile/routes/balancing.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from marjoramstile.routes.loads import FleetLoads
 from marjoramstile.routes.replicas import Replica
 
 # Weight of the newest answer in a replica's mean latency.
@@ -22,7 +23,6 @@
     """What this daemon has seen of one incarnation of a replica."""
 
     outstanding: int = 0
-    outstanding_tokens: int = 0
     latency_s: float = INITIAL_LATENCY_S
     failures: float = 0.0
     failures_at: float = 0.0
@@ -69,27 +69,15 @@
             default=None,
         )
 
-    def order_by_failures(
-        self, replicas: Iterable[Replica], now: float
-    ) -> list[Replica]:
-        """Return replicas in random order, those with recent failures last."""
-        return sorted(
-            replicas,
-            key=lambda replica: (
-                self.stats(replica).recent_failures(now) > 0.5,
-                self._rng.random(),
-            ),
-        )
-
     def choose_by_tokens(
-        self, replicas: Iterable[Replica], now: float
+        self, replicas: Iterable[Replica], loads: FleetLoads, now: float
     ) -> Replica | None:
-        """Return the replica with the fewest outstanding prompt tokens."""
+        """Return the replica with the fewest prompt tokens to prefill."""
         return min(
             replicas,
             key=lambda replica: (
                 self.stats(replica).recent_failures(now) > 0.5,
-                self.stats(replica).outstanding_tokens,
+                loads.load_of(replica.id, now).prefill_tokens,
                 replica.data_centre != self._data_centre,
                 self._rng.random(),
             ),
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -9,6 +9,7 @@
 from marjoramstile.routes.budget import WindowBudget
 from marjoramstile.routes.calls import PlainCallRunner
 from marjoramstile.routes.generations import GenerationRunner
+from marjoramstile.routes.patience import PatienceBook
 from marjoramstile.routes.ports import Responder
 from marjoramstile.routes.requests import (
     GenerationSize,
@@ -71,6 +72,7 @@
         self._metrics = metrics
         self._grace_s = grace_s
         self._rng = rng
+        self._patience = PatienceBook()
         self._stopping_since: float | None = None
         self._running = 0
 
@@ -150,7 +152,7 @@
         age_s = 0.0
         if incoming.patience_s is not None:
             patience_s = min(patience_s, incoming.patience_s)
-            age_s = route.timeout_s - patience_s
+            age_s = self._patience.age_s(route.name, incoming.patience_s)
         return RoutedRequest(
             id=incoming.id,
             method=incoming.method,
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -9,13 +9,14 @@
 from dataclasses import dataclass
 
 from marjoramstile.logs import get_logger
+from marjoramstile.routes.admission import Urgency
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowBudget
 from marjoramstile.routes.events import EventSplitter
+from marjoramstile.routes.loads import FleetLoads, ReplicaLoad
 from marjoramstile.routes.placement import (
     DecodePlacer,
     Place,
-    Urgency,
     queue_limit_s,
     urgency_of,
 )
@@ -71,6 +72,7 @@
         balancer: Balancer,
         budget: WindowBudget,
         placer: DecodePlacer,
+        loads: FleetLoads,
         tasks: TaskGroupOwner,
         note_generation: Callable[[str, int, int, float], None],
     ):
@@ -81,6 +83,7 @@
         self._balancer = balancer
         self._budget = budget
         self._placer = placer
+        self._loads = loads
         self._tasks = tasks
 
     async def run(
@@ -128,9 +131,11 @@
             return await self._decode(
                 request, engine, place, handle, responder, progress
             )
-        except BaseException as error:
-            self._clean_up(place, handle, used, error)
+        except BaseException:
+            self._clean_up(place, handle, used)
             raise
+        finally:
+            self._placer.release(place)
 
     @staticmethod
     def _wait_until(request: RoutedRequest, urgency: Urgency) -> float:
@@ -144,7 +149,6 @@
         place: Place,
         handle: KVHandle | None,
         used: bool,
-        error: BaseException,
     ) -> None:
         """Free in the background what a failed attempt holds at replicas."""
         if not used:
@@ -166,7 +170,7 @@
         while True:
             replicas = self._directory.usable(request.service, Stage.PREFILL)
             untried = [replica for replica in replicas if replica.id not in tried]
-            replica = self._balancer.choose_by_tokens(untried, loop_time())
+            replica = self._balancer.choose_by_tokens(untried, self._loads, loop_time())
             if replica is None:
                 return None
             tried.add(replica.id)
@@ -178,13 +182,10 @@
                 raise RequestRefusedError(RefusalReason.BUDGET, RETRY_AFTER_S)
 
     async def _prefill_at(self, replica: Replica, request: RoutedRequest) -> KVHandle:
-        stats = self._balancer.stats(replica)
-        stats.outstanding_tokens += request.size.prompt
-        try:
+        load = ReplicaLoad(prefill_tokens=request.size.prompt)
+        with self._loads.counted(replica.id, load):
             left_s = request.deadline - loop_time()
             return await self._client.prefill(replica, request, left_s)
-        finally:
-            stats.outstanding_tokens -= request.size.prompt
 
     async def _decode(
         self,
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -1,5 +1,6 @@
 """All roles of one routing daemon, put together over its ports."""
 
+import asyncio
 import random
 from dataclasses import dataclass
 
@@ -11,6 +12,7 @@
 from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.mirrors.mirror import TableMirror
 from marjoramstile.peers.connections import PeerConnections
+from marjoramstile.peers.datagrams import DigestProtocol, DigestSender
 from marjoramstile.peers.membership_caller import MembershipCaller
 from marjoramstile.peers.router_handler import RouterPeerHandler
 from marjoramstile.peers.transport import PeerServer
@@ -24,11 +26,12 @@
 from marjoramstile.routes.calls import PlainCallRunner
 from marjoramstile.routes.entry import Entry
 from marjoramstile.routes.generations import GenerationRunner
+from marjoramstile.routes.loads import FleetLoads
 from marjoramstile.routes.orders import OrderStore, StageClient, StageKeeper
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replicas import RETURN_WAIT_S, ReplicaDirectory
-from marjoramstile.routes.settings import RouterSettings
+from marjoramstile.routes.settings import Address, RouterSettings
 from marjoramstile.routes.table import RoutingTable
 from marjoramstile.utils import TaskGroupOwner, loop_time, new_token, run_every
 
@@ -164,6 +167,7 @@
         settings = self.settings
         client = self._ports.replicas
         self.balancer = Balancer(settings.data_centre, self._rng)
+        self.loads = FleetLoads(settings.vm, self.view.own.incarnation)
         self.budget = WindowBudget(
             settings.bounds.retries, lambda: len(self.view.peers)
         )
@@ -180,7 +184,8 @@
             client,
             self.balancer,
             self.budget,
-            DecodePlacer(self.directory, client, self.balancer),
+            DecodePlacer(self.directory, client, self.balancer, self.loads),
+            self.loads,
             self.tasks,
             self.stages.note_generation,
         )
@@ -206,6 +211,7 @@
         """Listen for peers and begin to follow the store."""
         peers = self.settings.listeners.peers
         await self._peer_server.start(peers.host, peers.port)
+        await self._start_digests(peers)
         for table, follower in self._followers.items():
             self.tasks.start(follower.run(), f"follow {table}")
         self._every(LIST_PERIOD_S, self.prober.refresh_list, "list")
@@ -213,6 +219,15 @@
         self._every(EXPIRY_PERIOD_S, self._expire, "expire")
         self._every(STAGES_PERIOD_S, self._keep_stages, "stages")
 
+    async def _start_digests(self, address: Address) -> None:
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: DigestProtocol(self.loads.hear),
+            local_addr=(address.host, address.port),
+        )
+        sender = DigestSender(self.loads, self.view, transport, address.port, self._rng)
+        self.tasks.start(sender.run(), "digests")
+
     def _every(self, period_s: float, action, name: str) -> None:
         self.tasks.start(run_every(period_s, action, name), name)
 
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -13,10 +13,11 @@
 import itertools
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from enum import IntEnum
 
 from marjoramstile.logs import get_logger
+from marjoramstile.routes.admission import ReplicaRoom, Urgency, replicas_to_ask
 from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.loads import FleetLoads, ReplicaLoad
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
 from marjoramstile.routes.requests import (
@@ -31,29 +32,24 @@
 
 # Tokens reserved for the answer, as a multiple of the caller's estimate, which is
 # right at the median only.
-OUTPUT_MARGIN = 1.0
+OUTPUT_MARGIN = 0.65
 # Pause between two rounds over the replicas while none has room.
 ASK_PERIOD_S = 0.03
 # Share of the target latency that a request which can be on time may wait for room.
-QUEUE_SHARE = 0.6
+QUEUE_SHARE = 0.65
 # Wait of a late request, which comes back after a refusal when room is likely.
 LATE_QUEUE_SHARE = 0.3
 # When room is likely: about the length of a generation, in which those that run
 # now have ended.
 RETRY_AFTER_S = 4.0
 HOLD_TTL_S = 2.0
+# A replica that had no room is not asked again for this long.
+FULL_PAUSE_S = 0.06
+DOUBTFUL_FAILURES = 0.5
 
 logger = get_logger(__name__)
 
 
-class Urgency(IntEnum):
-    """Classes of waiting requests, the first to be placed first."""
-
-    RESUMED = 0
-    ON_TIME = 1
-    LATE = 2
-
-
 def urgency_of(request: RoutedRequest) -> Urgency:
     """Tell whether a request that arrives can still be answered on time."""
     late = request.age_s > request.route.target_latency_s * QUEUE_SHARE
@@ -70,10 +66,11 @@
 
 @dataclass(frozen=True)
 class Place:
-    """A decode replica with a reservation for one generation."""
+    """A decode replica with a reservation for one generation and its expected load."""
 
     replica: Replica
     hold: Hold
+    load: ReplicaLoad
 
 
 @dataclass(order=True)
@@ -124,11 +121,14 @@
         directory: ReplicaDirectory,
         client: ReplicaClient,
         balancer: Balancer,
+        loads: FleetLoads,
     ):
         self._directory = directory
         self._client = client
         self._balancer = balancer
+        self._loads = loads
         self._queues: dict[str, PlaceQueue] = {}
+        self._full_until: dict[str, float] = {}
 
     async def place(
         self,
@@ -140,68 +140,122 @@
     ) -> Place:
         """Return a place or raise RequestRefusedError when time is up."""
         queue = self._queues.setdefault(request.service, PlaceQueue())
-        tokens = reserved_tokens(request, engine)
+        ask = _Ask(
+            request, engine, reserved_tokens(request, engine), urgency, frozenset(avoid)
+        )
         try:
             async with (
                 asyncio.timeout_at(wait_until),
                 queue.entry(urgency, request.route.priority, request.arrived) as entry,
             ):
-                return await self._ask_in_turn(request, engine, tokens, entry, avoid)
+                return await self._ask_in_turn(ask, entry)
         except TimeoutError:
             logger.info(
                 "no_place",
                 request=request.id,
                 service=request.service,
-                tokens=tokens,
+                tokens=ask.tokens,
                 urgency=urgency.name,
                 waited_s=round(loop_time() - request.arrived, 3),
                 queued=queue.length,
+                waiting=self._loads.waiting_for(request.service, loop_time()),
+                free=self._free_tokens(ask),
             )
             raise RequestRefusedError(RefusalReason.NO_MEMORY, RETRY_AFTER_S) from None
 
-    async def _ask_in_turn(
-        self,
-        request: RoutedRequest,
-        engine: EngineTraits,
-        tokens: int,
-        entry: _Waiting,
-        avoid: frozenset[str],
-    ) -> Place:
-        while True:
-            await entry.turn.wait()
-            place = await self._ask_all(request, engine, tokens, avoid)
+    async def _ask_in_turn(self, ask: "_Ask", entry: _Waiting) -> Place:
+        place = await self._ask_round(ask) if entry.turn.is_set() else None
+        if place is not None:
+            return place
+        with self._counted_as_waiting(ask):
+            while True:
+                await entry.turn.wait()
+                place = await self._ask_round(ask)
+                if place is not None:
+                    return place
+                await asyncio.sleep(ASK_PERIOD_S)
+
+    def _counted_as_waiting(self, ask: "_Ask"):
+        if ask.urgency == Urgency.LATE:
+            return contextlib.nullcontext()
+        return self._loads.waiting(ask.request.service)
+
+    async def _ask_round(self, ask: "_Ask") -> Place | None:
+        now = loop_time()
+        service = ask.request.service
+        replicas = {
+            replica.id: replica
+            for replica in self._directory.usable(service, Stage.DECODE)
+            if replica.id not in ask.avoid
+        }
+        rooms = [self._room(replica, ask.engine, now) for replica in replicas.values()]
+        waiting = self._loads.waiting_for(service, now)
+        for replica_id in replicas_to_ask(rooms, ask.tokens, ask.urgency, waiting):
+            if now < self._full_until.get(replica_id, 0.0):
+                continue
+            place = await self._ask(replicas[replica_id], ask)
             if place is not None:
                 return place
-            await asyncio.sleep(ASK_PERIOD_S)
-
-    async def _ask_all(
-        self,
-        request: RoutedRequest,
-        engine: EngineTraits,
-        tokens: int,
-        avoid: frozenset[str],
-    ) -> Place | None:
-        replicas = self._directory.usable(request.service, Stage.DECODE)
-        wanted = [replica for replica in replicas if replica.id not in avoid]
-        ttl_s = min(HOLD_TTL_S, engine.hold_max_s)
-        for replica in self._balancer.order_by_failures(wanted, loop_time()):
-            hold = await self._ask(replica, tokens, ttl_s)
-            if hold is not None:
-                return Place(replica, hold)
         return None
 
-    async def _ask(self, replica: Replica, tokens: int, ttl_s: float) -> Hold | None:
+    def _free_tokens(self, ask: "_Ask") -> str:
+        """Return the expected free memory of each replica, for the log."""
+        now = loop_time()
+        replicas = self._directory.usable(ask.request.service, Stage.DECODE)
+        rooms = [self._room(replica, ask.engine, now) for replica in replicas]
+        return ",".join(f"{room.requests}:{room.free_tokens}" for room in rooms)
+
+    def _room(self, replica: Replica, engine: EngineTraits, now: float) -> ReplicaRoom:
+        load = self._loads.load_of(replica.id, now)
+        failures = self._balancer.stats(replica).recent_failures(now)
+        return ReplicaRoom(
+            replica_id=replica.id,
+            kv_tokens=engine.kv_tokens,
+            used_tokens=load.kv_tokens,
+            requests=load.requests,
+            slots=engine.slots,
+            doubtful=failures > DOUBTFUL_FAILURES,
+        )
+
+    async def _ask(self, replica: Replica, ask: "_Ask") -> Place | None:
+        load = ReplicaLoad(requests=1, kv_tokens=ask.tokens)
+        ttl_s = min(HOLD_TTL_S, ask.engine.hold_max_s)
+        self._loads.add(replica.id, load)
+        hold = None
         try:
-            return await self._client.take_hold(replica, tokens, ttl_s)
+            hold = await self._client.take_hold(replica, ask.tokens, ttl_s)
         except ReplicaError as error:
             self._balancer.stats(replica).note_failure(loop_time())
             logger.info("hold_failed", replica=replica.id, reason=repr(error))
+        finally:
+            if hold is None:
+                self._loads.remove(replica.id, load)
+        if hold is None:
+            self._full_until[replica.id] = loop_time() + FULL_PAUSE_S
             return None
+        return Place(replica, hold, load)
+
+    def release(self, place: Place) -> None:
+        """Stop counting a place whose generation has ended."""
+        self._loads.remove(place.replica.id, place.load)
 
     async def give_back(self, place: Place) -> None:
         """Give a reservation back that was not used."""
-        with contextlib.suppress(ReplicaError):
+        try:
             await self._client.drop_hold(place.replica, place.hold)
+        except ReplicaError as error:
+            logger.info("hold_not_dropped", hold=place.hold.id, reason=repr(error))
+
+
+@dataclass(frozen=True)
+class _Ask:
+    """What one request asks of decode replicas."""
+
+    request: RoutedRequest
+    engine: EngineTraits
+    tokens: int
+    urgency: Urgency
+    avoid: frozenset[str]
 
 
 def reserved_tokens(request: RoutedRequest, engine: EngineTraits) -> int:
