A lost prefill replica: decode replicas prefill, orders count what is under way

Now the expected prefill wait is part of admission, one prompt at a time is prefilled by a decode replica, and an order no longer blocks the next for 12 s.

--- a/marjoramstile/routes/admission.py
+++ b/marjoramstile/routes/admission.py
@@ -27,7 +27,8 @@
 class ReplicaRoom:
     """Expected memory, in tokens, and requests of one decode replica.
 
-    ``doubtful`` replicas have failed lately and are asked last.
+    ``doubtful`` replicas have failed lately and are asked last. ``prefilling`` ones
+    prefill a prompt themselves, which slows what they decode.
     """
 
     replica_id: str
@@ -36,6 +37,7 @@
     requests: int
     slots: int
     doubtful: bool
+    prefilling: bool = False
 
     @property
     def free_tokens(self) -> int:
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass
 
 from marjoramstile.logs import get_logger
@@ -21,6 +22,7 @@
     urgency_of,
 )
 from marjoramstile.routes.ports import ReplicaClient, Responder, StreamAnswer
+from marjoramstile.routes.prefills import PrefillMeter
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
 from marjoramstile.routes.requests import (
     AnswerLostError,
@@ -73,6 +75,7 @@
         budget: WindowBudget,
         placer: DecodePlacer,
         loads: FleetLoads,
+        prefills: PrefillMeter,
         tasks: TaskGroupOwner,
         note_generation: Callable[[str, int, int, float], None],
     ):
@@ -84,6 +87,7 @@
         self._budget = budget
         self._placer = placer
         self._loads = loads
+        self._prefills = prefills
         self._tasks = tasks
 
     async def run(
@@ -126,7 +130,8 @@
         used = False
         handle = None
         try:
-            handle = await self._prefill(request, failed)
+            if not place.prefills:
+                handle = await self._prefill(request, failed)
             used = True
             return await self._decode(
                 request, engine, place, handle, responder, progress
@@ -182,8 +187,7 @@
                 raise RequestRefusedError(RefusalReason.BUDGET, RETRY_AFTER_S)
 
     async def _prefill_at(self, replica: Replica, request: RoutedRequest) -> KVHandle:
-        load = ReplicaLoad(prefill_tokens=request.size.prompt)
-        with self._loads.counted(replica.id, load):
+        with self._prefills.prefilling(replica, request.size.prompt):
             left_s = request.deadline - loop_time()
             return await self._client.prefill(replica, request, left_s)
 
@@ -200,6 +204,10 @@
             hold=place.hold, source=handle, resume_after=progress.last_event
         )
         left_s = request.deadline - loop_time()
+        own_prefill = ExitStack()
+        if handle is None:
+            load = ReplicaLoad(prefill_tokens=request.size.prompt)
+            own_prefill.enter_context(self._loads.counted(place.replica.id, load))
         try:
             async with self._client.stream(
                 place.replica, request, left_s, options
@@ -209,7 +217,9 @@
                 progress.runs += 1
                 began = loop_time()
                 first = progress.events
-                await self._relay(request, answer, responder, progress)
+                await self._relay(
+                    request, answer, responder, progress, own_prefill.close
+                )
                 self._note_generation(
                     request.service,
                     request.size.prompt,
@@ -224,6 +234,8 @@
             if ran and progress.runs == 0:
                 progress.runs = 1
             raise _SendFailedError(place.replica, error, ran) from error
+        finally:
+            own_prefill.close()
 
     async def _other_answer(self, answer: StreamAnswer, progress: Progress) -> Reply:
         progress.runs += 1
@@ -238,7 +250,9 @@
         answer: StreamAnswer,
         responder: Responder,
         progress: Progress,
+        on_event: Callable[[], None],
     ) -> None:
+        """Send whole events on; ``on_event`` is called with each."""
         splitter = EventSplitter()
         chunks = aiter(answer.chunks)
         while True:
@@ -246,6 +260,7 @@
             if chunk is None:
                 break
             for event in splitter.feed(chunk):
+                on_event()
                 if not progress.started:
                     progress.started = True
                     await responder.start(answer.status, answer.headers)
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -30,6 +30,7 @@
 from marjoramstile.routes.orders import OrderStore, StageClient, StageKeeper
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.ports import ReplicaClient
+from marjoramstile.routes.prefills import PrefillMeter
 from marjoramstile.routes.replicas import RETURN_WAIT_S, ReplicaDirectory
 from marjoramstile.routes.settings import Address, RouterSettings
 from marjoramstile.routes.table import RoutingTable
@@ -171,9 +172,11 @@
         self.budget = WindowBudget(
             settings.bounds.retries, lambda: len(self.view.peers)
         )
+        prefills = PrefillMeter(self.directory, self.loads)
         self.stages = StageKeeper(
             self.view,
             self.directory,
+            self.loads,
             self._ports.orders,
             self._ports.stages,
             settings.bounds.lease_s,
@@ -184,8 +187,9 @@
             client,
             self.balancer,
             self.budget,
-            DecodePlacer(self.directory, client, self.balancer, self.loads),
+            DecodePlacer(self.directory, client, self.balancer, self.loads, prefills),
             self.loads,
+            prefills,
             self.tasks,
             self.stages.note_generation,
         )
--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -25,6 +25,7 @@
     StoreError,
     Write,
 )
+from marjoramstile.routes.loads import FleetLoads
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
 from marjoramstile.routes.requests import ReplicaError
 from marjoramstile.routes.stages import GenerationProfile, wanted_prefill_count
@@ -34,11 +35,12 @@
 ORDERS_TABLE = "marjoramstile-orders"
 # Longest time from reading the row to giving the order.
 ORDER_WITHIN_S = 1.0
-# Time for which a split must have been wanted before an order is given.
-STEADY_S = 4.0
-# Pause after an order beyond the replica's own switch, for reports to arrive.
-SETTLE_S = 6.0
-MILLISECONDS_PER_S = 1000
+# Time for which a replica must have been too few or too many to be moved.
+STEADY_S = 1.5
+# Time after an order, beyond the replica's own switch, in which its row must follow.
+SETTLE_S = 8.0
+# Pause after an order that could not be given.
+RETRY_S = 1.0
 
 logger = get_logger(__name__)
 
@@ -70,6 +72,14 @@
     orders: int
 
 
+@dataclass(frozen=True)
+class PendingOrder:
+    """The stage that a replica was ordered into; not believed after ``until``."""
+
+    stage: Stage
+    until: float
+
+
 class OrderStore(Protocol):
     """What numbering orders needs of the platform's store."""
 
@@ -104,18 +114,21 @@
         self,
         view: View,
         directory: ReplicaDirectory,
+        loads: FleetLoads,
         store: OrderStore,
         client: StageClient,
         lease_s: float,
     ):
         self._view = view
         self._directory = directory
+        self._loads = loads
         self._store = store
         self._client = client
         self._lease_s = lease_s
         self._profiles: dict[str, GenerationProfile] = {}
         self._wanted_since: dict[str, tuple[int, float]] = {}
         self._quiet_until: dict[str, float] = {}
+        self._pending: dict[str, PendingOrder] = {}
 
     def note_generation(
         self, service: str, prompt: int, output: int, decode_s: float
@@ -142,30 +155,59 @@
         now = loop_time()
         if now < self._quiet_until.get(service, float("-inf")):
             return
-        prefill = self._directory.usable(service, Stage.PREFILL)
-        decode = self._directory.usable(service, Stage.DECODE)
+        stages = self._expected_stages(service, now)
+        prefill = [replica for replica, stage in stages if stage == Stage.PREFILL]
+        decode = [replica for replica, stage in stages if stage == Stage.DECODE]
         profile = self._profiles.get(service, GenerationProfile())
         wanted = wanted_prefill_count(
             profile, len(prefill), len(decode), engine.kv_tokens
         )
         change = wanted - len(prefill)
-        if change == 0 or not self._steady(service, change, now):
-            return
-        candidates, stage = (
-            (prefill, Stage.DECODE) if change < 0 else (decode, Stage.PREFILL)
-        )
-        if len(candidates) < 2:
+        if not self._steady(service, change, now):
             return
         logger.info(
             "split_wanted", service=service, prefill=len(prefill), wanted=wanted
         )
-        self._quiet_until[service] = now + self._lease_s
-        for _ in range(abs(change)):
-            replica = _most_crowded(candidates)
-            candidates.remove(replica)
+        self._quiet_until[service] = now + RETRY_S
+        stage = Stage.DECODE if change < 0 else Stage.PREFILL
+        candidates = self._movable(prefill if change < 0 else decode, now)
+        for replica in candidates[: abs(change)]:
             await self._order(service, engine, replica, stage)
 
+    def _expected_stages(self, service: str, now: float) -> list[tuple[Replica, Stage]]:
+        """Return usable replicas with the stage that orders under way will give."""
+        replicas = self._directory.usable(service, Stage.PREFILL)
+        replicas += self._directory.usable(service, Stage.DECODE)
+        for replica_id, pending in list(self._pending.items()):
+            replica = self._directory.get(replica_id)
+            arrived = replica is None or replica.stage == pending.stage
+            if arrived or now > pending.until:
+                del self._pending[replica_id]
+        return [
+            (
+                replica,
+                self._pending[replica.id].stage
+                if replica.id in self._pending
+                else replica.stage,
+            )
+            for replica in replicas
+        ]
+
+    def _movable(self, replicas: list[Replica], now: float) -> list[Replica]:
+        """Return replicas without an order under way, the least busy first."""
+        free = [replica for replica in replicas if replica.id not in self._pending]
+        return sorted(
+            free,
+            key=lambda replica: (
+                self._loads.load_of(replica.id, now).kv_tokens,
+                replica.id,
+            ),
+        )
+
     def _steady(self, service: str, change: int, now: float) -> bool:
+        if change == 0:
+            self._wanted_since.pop(service, None)
+            return False
         direction = 1 if change > 0 else -1
         known = self._wanted_since.get(service)
         if known is None or known[0] != direction:
@@ -190,9 +232,8 @@
         if boot_time() - began > ORDER_WITHIN_S:
             logger.warning("order_withheld", service=service, reason="too late")
             return
-        pause_s = engine.switch_s + SETTLE_S
-        self._quiet_until[service] = loop_time() + pause_s
-        self._wanted_since.pop(service, None)
+        until = loop_time() + engine.switch_s + SETTLE_S
+        self._pending[replica.id] = PendingOrder(stage, until)
         order = StageOrder(stage, self._view.own.vm.name, token, report.orders)
         await self._give(replica, order)
 
@@ -252,11 +293,3 @@
             return True
         pause_s = max(2 * self._lease_s, engine.switch_s + SETTLE_S)
         return dated.now_s - last_s >= pause_s
-
-
-def _most_crowded(replicas: list[Replica]) -> Replica:
-    """Return a replica of the data centre that has the most of them."""
-    counts: dict[str, int] = {}
-    for replica in replicas:
-        counts[replica.data_centre] = counts.get(replica.data_centre, 0) + 1
-    return max(replicas, key=lambda item: (counts[item.data_centre], item.id))
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -19,6 +19,7 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.loads import FleetLoads, ReplicaLoad
 from marjoramstile.routes.ports import ReplicaClient
+from marjoramstile.routes.prefills import PrefillMeter
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
 from marjoramstile.routes.requests import (
     Hold,
@@ -66,11 +67,15 @@
 
 @dataclass(frozen=True)
 class Place:
-    """A decode replica with a reservation for one generation and its expected load."""
+    """A decode replica with a reservation for one generation and its expected load.
+
+    ``prefills`` means that the replica is to prefill the prompt itself.
+    """
 
     replica: Replica
     hold: Hold
     load: ReplicaLoad
+    prefills: bool
 
 
 @dataclass(order=True)
@@ -122,11 +127,13 @@
         client: ReplicaClient,
         balancer: Balancer,
         loads: FleetLoads,
+        prefills: PrefillMeter,
     ):
         self._directory = directory
         self._client = client
         self._balancer = balancer
         self._loads = loads
+        self._prefills = prefills
         self._queues: dict[str, PlaceQueue] = {}
         self._full_until: dict[str, float] = {}
 
@@ -188,12 +195,17 @@
             for replica in self._directory.usable(service, Stage.DECODE)
             if replica.id not in ask.avoid
         }
+        crowded = self._prefills.is_crowded(service)
+        if crowded and ask.urgency == Urgency.LATE:
+            return None
         rooms = [self._room(replica, ask.engine, now) for replica in replicas.values()]
+        if crowded:
+            rooms = [room for room in rooms if not room.prefilling]
         waiting = self._loads.waiting_for(service, now)
         for replica_id in replicas_to_ask(rooms, ask.tokens, ask.urgency, waiting):
             if now < self._full_until.get(replica_id, 0.0):
                 continue
-            place = await self._ask(replicas[replica_id], ask)
+            place = await self._ask(replicas[replica_id], ask, crowded)
             if place is not None:
                 return place
         return None
@@ -215,9 +227,10 @@
             requests=load.requests,
             slots=engine.slots,
             doubtful=failures > DOUBTFUL_FAILURES,
+            prefilling=load.prefill_tokens > 0,
         )
 
-    async def _ask(self, replica: Replica, ask: "_Ask") -> Place | None:
+    async def _ask(self, replica: Replica, ask: "_Ask", prefills: bool) -> Place | None:
         load = ReplicaLoad(requests=1, kv_tokens=ask.tokens)
         ttl_s = min(HOLD_TTL_S, ask.engine.hold_max_s)
         self._loads.add(replica.id, load)
@@ -233,7 +246,7 @@
         if hold is None:
             self._full_until[replica.id] = loop_time() + FULL_PAUSE_S
             return None
-        return Place(replica, hold, load)
+        return Place(replica, hold, load, prefills)
 
     def release(self, place: Place) -> None:
         """Stop counting a place whose generation has ended."""
