--- a/marjoramstile/routes/stages.py
+++ b/marjoramstile/routes/stages.py
@@ -1,16 +1,17 @@
 """How many replicas of a language service should prefill.
 
-A pure decision: enough prefill replicas to keep all decode memory busy, no more.
+A pure decision: the split that serves the most generations, as long as the gain over
+the present one is worth the move.
 """
 
 from dataclasses import dataclass
 
 # Weight of the newest generation in the means.
 MEAN_WEIGHT = 0.05
-# Prefill capacity wanted, as a share of what decode memory can take in: below the
-# least a replica is moved to prefill, above the most one is moved to decode.
-PREFILL_SHARE_MIN = 0.85
-PREFILL_SHARE_MAX = 1.05
+# Part of the prefill speed that a decode replica adds by prefilling some prompts.
+DECODE_PREFILL_SHARE = 0.02
+# Gain in throughput for which a replica is moved: a move costs some seconds of it.
+GAIN_MIN = 1.12
 
 
 @dataclass(frozen=True)
@@ -40,7 +41,7 @@
         """Return the generations a second that fill the memory of the replicas."""
         return replicas * kv_tokens / (self.kv_tokens * self.decode_s)
 
-    def prefill_rate(self, replicas: int) -> float:
+    def prefill_rate(self, replicas: float) -> float:
         """Return the prompts a second that the replicas can prefill."""
         return replicas * self.prefill_tokens_per_s / self.prompt_tokens
 
@@ -59,17 +60,17 @@
     total = prefill + decode
     if total < 2:
         return prefill
-    least = _least_count(profile, total, kv_tokens, PREFILL_SHARE_MIN)
-    most = _least_count(profile, total, kv_tokens, PREFILL_SHARE_MAX)
-    return min(max(prefill, least), most)
+    rates = {
+        count: _throughput(profile, count, total - count, kv_tokens)
+        for count in range(1, total)
+    }
+    best = max(rates, key=rates.get)
+    return best if rates[best] >= GAIN_MIN * rates.get(prefill, 0.0) else prefill
 
 
-def _least_count(
-    profile: GenerationProfile, total: int, kv_tokens: int, share: float
-) -> int:
-    """Return the least number of prefill replicas with ``share`` of what is needed."""
-    for count in range(1, total - 1):
-        needed = share * profile.decode_rate(total - count, kv_tokens)
-        if profile.prefill_rate(count) >= needed:
-            return count
-    return total - 1
+def _throughput(
+    profile: GenerationProfile, prefill: int, decode: int, kv_tokens: int
+) -> float:
+    """Return the generations a second that a split can serve."""
+    helped = prefill + DECODE_PREFILL_SHARE * decode
+    return min(profile.prefill_rate(helped), profile.decode_rate(decode, kv_tokens))
