--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -193,6 +193,7 @@
         return BAD_SETTINGS_EXIT
     settings = loaded.unwrap()
     start_logging(settings.log_level, sys.stdout)
+    logger.info("daemon_starting", vm=settings.vm, store=settings.store)
     loop = create_loop()
     asyncio.set_event_loop(loop)
     loop.run_until_complete(serve(settings))
--- a/marjoramstile/routes/patience.py
+++ b/marjoramstile/routes/patience.py
@@ -22,7 +22,7 @@
         """Note a stated patience and return how long the caller has waited before.
 
         The least usual value above it is taken for what the caller first stated;
-        without one the caller counts as new.
+        without one, the greatest value seen so far.
         """
         value = round(patience_s * MILLISECONDS_PER_S)
         counts = self._counts[route]
@@ -33,7 +33,8 @@
             for known, count in counts.items()
             if count >= USUAL_COUNT and known >= value
         ]
-        return (min(usual) - value) / MILLISECONDS_PER_S if usual else 0.0
+        stated = min(usual) if usual else max(counts)
+        return (stated - value) / MILLISECONDS_PER_S
 
     def _forget(self, route: str) -> None:
         """Keep the values stated most often."""
--- a/tests/routes/test_patience.py
+++ b/tests/routes/test_patience.py
@@ -1,5 +1,7 @@
 """Callers that come back are told from those that come for the first time."""
 
+import pytest
+
 from marjoramstile.routes.patience import VALUES_KEPT, PatienceBook
 
 
@@ -23,6 +25,13 @@
     assert ages == [9.0, 9.0, 0.0, 0.0]
 
 
+def test_before_any_value_is_usual_the_greatest_counts():
+    """After a restart of all daemons the first to come are those who come back."""
+    book = PatienceBook()
+    assert book.age_s("r", 14.0) == 0.0
+    assert book.age_s("r", 11.8) == pytest.approx(2.2)
+
+
 def test_a_timeout_of_the_route_plays_no_part():
     """A route whose timeout is above the callers' patience made all of them late."""
     book = PatienceBook()
