--- a/marjoramstile/admission/quarantine.py
+++ b/marjoramstile/admission/quarantine.py
@@ -12,6 +12,7 @@
 
 QUARANTINE_TABLE = "quarantine"
 CLEARED_KEPT = 4096
+STRIKES_KEPT = 4096
 
 logger = get_logger(__name__)
 
@@ -30,12 +31,19 @@
         """Endpoints lost by content."""
         return dict(self._strikes)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no content has a strike."""
+        return not self._strikes and not self._blocked
+
     def strike(self, content: str, endpoint: str) -> bool:
         """Note an endpoint lost under ``content``; return whether it is new."""
         known = self._strikes.get(content, frozenset())
         if endpoint in known or (content, endpoint) in self._cleared:
             return False
         self._strikes[content] = known | {endpoint}
+        while len(self._strikes) > STRIKES_KEPT:
+            del self._strikes[next(iter(self._strikes))]
         self._news.put((content, endpoint), (content, endpoint))
         logger.warning("request_struck", content=content[:16], endpoint=endpoint)
         return True
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -5,6 +5,7 @@
 part of another.
 """
 
+import asyncio
 import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -21,6 +22,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from marjoramstile.loops import connect
 from marjoramstile.platform import headers as names
 from marjoramstile.platform.connections import ReplicaConnector
 from marjoramstile.routes.orders import StageOrder, StageReport
@@ -100,6 +102,16 @@
             except (ValueError, KeyError, TypeError) as error:
                 raise AnswerLostError("prefill: no handle in the answer") from error
 
+    async def takes_connections(self, replica: Replica) -> bool:
+        """Tell whether the replica accepts a connection; raises nothing."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await connect(replica.host, replica.port)
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     async def take_hold(
         self, replica: Replica, tokens: int, ttl_s: float
     ) -> Hold | None:
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -3,6 +3,7 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowBudget
+from marjoramstile.routes.crashes import CrashWatch
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory
 from marjoramstile.routes.requests import (
@@ -36,11 +37,13 @@
         client: ReplicaClient,
         balancer: Balancer,
         budget: WindowBudget,
+        crashes: CrashWatch,
     ):
         self._directory = directory
         self._client = client
         self._balancer = balancer
         self._budget = budget
+        self._crashes = crashes
 
     async def run(self, request: RoutedRequest) -> Reply:
         """Return a replica's answer.
@@ -57,8 +60,11 @@
                 reply = await self._send(replica, request)
             except ReplicaError as error:
                 attempt.note_failure(replica, error)
+                if isinstance(error, AnswerLostError):
+                    self._crashes.note_lost(request, replica)
             else:
                 attempt.note_reply(replica, reply)
+                self._crashes.note_finished(request)
                 if reply.status < SERVER_ERROR:
                     return reply
             if not self._may_repeat(attempt):
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -8,6 +8,10 @@
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.budget import WindowBudget
 from marjoramstile.routes.calls import PlainCallRunner
+from marjoramstile.routes.crashes import (
+    RETRY_AFTER_S as CRASH_RETRY_AFTER_S,
+    CrashWatch,
+)
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.patience import PatienceBook
 from marjoramstile.routes.ports import Responder
@@ -59,6 +63,7 @@
         replicas_known: Callable[[], bool],
         calls: PlainCallRunner,
         generations: GenerationRunner,
+        crashes: CrashWatch,
         budget: WindowBudget,
         metrics: Metrics,
         grace_s: float,
@@ -68,6 +73,7 @@
         self._replicas_known = replicas_known
         self._calls = calls
         self._generations = generations
+        self._crashes = crashes
         self._budget = budget
         self._metrics = metrics
         self._grace_s = grace_s
@@ -173,6 +179,8 @@
         self, request: RoutedRequest, table: RoutingTable, responder: Responder
     ) -> Reply | None:
         self._budget.note_request(request.service, request.arrived)
+        if self._crashes.is_blocked(request):
+            raise RequestRefusedError(RefusalReason.QUARANTINED, CRASH_RETRY_AFTER_S)
         service = table.services.get(request.service)
         engine = service.engine if service else None
         if engine is None or request.size is None:
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -13,6 +13,7 @@
 from marjoramstile.routes.admission import Urgency
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowBudget
+from marjoramstile.routes.crashes import CrashWatch
 from marjoramstile.routes.events import EventSplitter
 from marjoramstile.routes.loads import FleetLoads, ReplicaLoad
 from marjoramstile.routes.placement import (
@@ -76,6 +77,7 @@
         placer: DecodePlacer,
         loads: FleetLoads,
         prefills: PrefillMeter,
+        crashes: CrashWatch,
         tasks: TaskGroupOwner,
         note_generation: Callable[[str, int, int, float], None],
     ):
@@ -88,6 +90,7 @@
         self._placer = placer
         self._loads = loads
         self._prefills = prefills
+        self._crashes = crashes
         self._tasks = tasks
 
     async def run(
@@ -108,6 +111,8 @@
             except _SendFailedError as failure:
                 failed.add(failure.replica.id)
                 self._note_failure(request, failure)
+                if failure.ran:
+                    self._crashes.note_lost(request, failure.replica)
                 if not self._may_go_on(request, progress, failure):
                     raise self._give_up(request, progress, failure) from failure
             except RequestRefusedError as refusal:
@@ -220,6 +225,7 @@
                 await self._relay(
                     request, answer, responder, progress, own_prefill.close
                 )
+                self._crashes.note_finished(request)
                 self._note_generation(
                     request.service,
                     request.size.prompt,
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass
 
+from marjoramstile.admission.quarantine import Quarantine
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.nodes import NODES_TABLE, MirrorVMList
@@ -24,6 +25,7 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowBudget
 from marjoramstile.routes.calls import PlainCallRunner
+from marjoramstile.routes.crashes import CrashWatch
 from marjoramstile.routes.entry import Entry
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.loads import FleetLoads
@@ -142,6 +144,11 @@
             SUSPICION_S,
             self._rng,
         )
+        self.quarantine = Quarantine()
+        self.prober.carry_strikes(
+            lambda limit: self.quarantine.take_news(limit, len(self.view.peers)),
+            self.quarantine.strike,
+        )
         mirrors = (self.configuration_mirror, self.replicas_mirror, self.nodes_mirror)
         self._followers = {
             mirror.table: MirrorFollower(
@@ -181,7 +188,10 @@
             self._ports.stages,
             settings.bounds.lease_s,
         )
-        calls = PlainCallRunner(self.directory, client, self.balancer, self.budget)
+        crashes = CrashWatch(self.quarantine, client, self.tasks)
+        calls = PlainCallRunner(
+            self.directory, client, self.balancer, self.budget, crashes
+        )
         generations = GenerationRunner(
             self.directory,
             client,
@@ -190,6 +200,7 @@
             DecodePlacer(self.directory, client, self.balancer, self.loads, prefills),
             self.loads,
             prefills,
+            crashes,
             self.tasks,
             self.stages.note_generation,
         )
@@ -198,6 +209,7 @@
             lambda: self.replicas_mirror.known,
             calls,
             generations,
+            crashes,
             self.budget,
             self.metrics,
             settings.bounds.grace_s,
--- a/marjoramstile/routes/ports.py
+++ b/marjoramstile/routes/ports.py
@@ -50,6 +50,9 @@
     ) -> KVHandle:
         """Have the prompt prefilled."""
 
+    async def takes_connections(self, replica: Replica) -> bool:
+        """Tell whether the replica accepts a connection; raises nothing."""
+
     async def take_hold(
         self, replica: Replica, tokens: int, ttl_s: float
     ) -> Hold | None:
