--- /dev/null
+++ b/bench/fakes/replicas.py
@@ -0,0 +1,254 @@
+"""Replicas with the published physics on the loop's clock, for the routing core.
+
+A prefill replica prefills its prompts in turns of equal speed; a decode replica gives
+each running generation a token a step, as long as memory and slots last. Reservations
+and handles expire. Faults are set on a replica and act on what it does next.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+from marjoramstile.routes.ports import StreamAnswer
+from marjoramstile.routes.replicas import Replica, ReplicaState, Stage
+from marjoramstile.routes.requests import (
+    AnswerLostError,
+    Hold,
+    KVHandle,
+    NotExecutedError,
+    NotSentError,
+    Reply,
+    RoutedRequest,
+    SendOptions,
+)
+from marjoramstile.utils import loop_time
+
+OK = 200
+STAMP = (("X-Server-Stamp", "s"),)
+
+
+@dataclass(frozen=True)
+class ReplicaModel:
+    """Speed and size of a replica; times in seconds, memory in tokens."""
+
+    slots: int = 24
+    kv_tokens: int = 33_466
+    step_s: float = 0.00423
+    stride: int = 11
+    prefill_tokens_per_s: float = 33_333.0
+    handle_ttl_s: float = 0.5
+    work_s: float = 0.03
+
+
+@dataclass
+class Faults:
+    """What goes wrong at a replica; counts are used up one by one."""
+
+    refuse: bool = False
+    full: bool = False
+    lose_answers: int = 0
+    errors: int = 0
+    break_after_events: int | None = None
+    lose_handles: int = 0
+    hang: bool = False
+
+
+@dataclass(eq=False)
+class FakeReplica:
+    """State of one replica's process."""
+
+    replica: Replica
+    model: ReplicaModel
+    faults: Faults = field(default_factory=Faults)
+    running: dict[str, int] = field(default_factory=dict)
+    holds: dict[str, tuple[int, float]] = field(default_factory=dict)
+    handles: dict[str, float] = field(default_factory=dict)
+    prefill_free_at: float = 0.0
+    orders: list = field(default_factory=list)
+
+    @property
+    def used_tokens(self) -> int:
+        """Memory of running generations and live reservations."""
+        now = loop_time()
+        self.holds = {key: hold for key, hold in self.holds.items() if hold[1] > now}
+        held = sum(tokens for tokens, _ in self.holds.values())
+        return held + sum(self.running.values())
+
+    def has_room(self, tokens: int) -> bool:
+        """Tell whether a generation fits now."""
+        busy = len(self.running) + len(self.holds)
+        fits = self.used_tokens + tokens <= self.model.kv_tokens
+        return not self.faults.full and busy < self.model.slots and fits
+
+
+class FakePool:
+    """All replicas; implements the routing core's ReplicaClient."""
+
+    def __init__(self):
+        self.replicas: dict[str, FakeReplica] = {}
+        self.runs: Counter[str] = Counter()
+        self.arrivals: Counter[str] = Counter()
+        self.prefilled_tokens = 0
+        self.decoded_prompt_tokens = 0
+        self._numbers = 0
+
+    def add(
+        self,
+        replica_id: str,
+        service: str,
+        stage: Stage | None = None,
+        model: ReplicaModel | None = None,
+    ) -> FakeReplica:
+        """Add a replica."""
+        model = model or ReplicaModel()
+        replica = Replica(
+            replica_id,
+            service,
+            "10.0.0.1",
+            8000 + len(self.replicas),
+            "a",
+            model.slots,
+            ReplicaState.READY,
+            born_ms=1,
+            stage=stage,
+        )
+        self.replicas[replica_id] = FakeReplica(replica, model)
+        return self.replicas[replica_id]
+
+    def restart(self, replica_id: str) -> Replica:
+        """Start a replica anew under its id, without anything it held."""
+        old = self.replicas[replica_id]
+        born = replace(old.replica, born_ms=old.replica.born_ms + 1)
+        self.replicas[replica_id] = FakeReplica(born, old.model)
+        return born
+
+    def _fake(self, replica: Replica) -> FakeReplica:
+        fake = self.replicas[replica.id]
+        if fake.faults.refuse:
+            raise NotSentError("connection refused")
+        return fake
+
+    async def call(
+        self, replica: Replica, request: RoutedRequest, timeout_s: float
+    ) -> Reply:
+        """Run a plain request."""
+        fake = self._fake(replica)
+        self.arrivals[request.id] += 1
+        if fake.faults.full:
+            raise NotExecutedError(503)
+        self.runs[request.id] += 1
+        if fake.faults.hang or fake.model.work_s > timeout_s:
+            await asyncio.sleep(timeout_s)
+            raise AnswerLostError("timeout")
+        await asyncio.sleep(fake.model.work_s)
+        if fake.faults.lose_answers:
+            fake.faults.lose_answers -= 1
+            raise AnswerLostError("reset")
+        if fake.faults.errors:
+            fake.faults.errors -= 1
+            return Reply(500, STAMP, b"error")
+        return Reply(OK, STAMP, request.id.encode())
+
+    async def takes_connections(self, replica: Replica) -> bool:
+        """Tell whether the replica accepts a connection."""
+        return not self.replicas[replica.id].faults.refuse
+
+    async def prefill(
+        self, replica: Replica, request: RoutedRequest, timeout_s: float
+    ) -> KVHandle:
+        """Prefill a prompt after those that came before."""
+        fake = self._fake(replica)
+        self.arrivals[request.id] += 1
+        if fake.faults.full:
+            raise NotExecutedError(503)
+        now = loop_time()
+        took_s = request.size.prompt / fake.model.prefill_tokens_per_s
+        fake.prefill_free_at = max(now, fake.prefill_free_at) + took_s
+        self.prefilled_tokens += request.size.prompt
+        await asyncio.sleep(fake.prefill_free_at - now)
+        self._numbers += 1
+        handle = f"h{self._numbers}"
+        fake.handles[handle] = loop_time() + fake.model.handle_ttl_s
+        return KVHandle(replica.address, handle)
+
+    async def take_hold(
+        self, replica: Replica, tokens: int, ttl_s: float
+    ) -> Hold | None:
+        """Reserve a slot and memory."""
+        fake = self._fake(replica)
+        await asyncio.sleep(0.001)
+        if not fake.has_room(tokens):
+            return None
+        self._numbers += 1
+        hold = Hold(f"r{self._numbers}", tokens)
+        fake.holds[hold.id] = (tokens, loop_time() + ttl_s)
+        return hold
+
+    async def drop_hold(self, replica: Replica, hold: Hold) -> None:
+        """Give a reservation back."""
+        self._fake(replica).holds.pop(hold.id, None)
+
+    async def free_handle(self, handle: KVHandle) -> None:
+        """Free a KV cache."""
+        for fake in self.replicas.values():
+            if fake.replica.address == handle.address:
+                fake.handles.pop(handle.id, None)
+
+    def _take_handle(self, handle: KVHandle) -> bool:
+        for fake in self.replicas.values():
+            if fake.replica.address == handle.address:
+                expires = fake.handles.pop(handle.id, 0.0)
+                if fake.faults.lose_handles:
+                    fake.faults.lose_handles -= 1
+                    return False
+                return expires > loop_time()
+        return False
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        replica: Replica,
+        request: RoutedRequest,
+        timeout_s: float,
+        options: SendOptions,
+    ) -> AsyncIterator[StreamAnswer]:
+        """Run a generation; its memory is free when the block ends."""
+        fake = self._fake(replica)
+        self.arrivals[request.id] += 1
+        held = options.hold is not None and fake.holds.pop(options.hold.id, None)
+        if options.source is not None and not self._take_handle(options.source):
+            raise NotExecutedError(503)
+        if not held and not fake.has_room(request.size.prompt):
+            raise NotExecutedError(503)
+        key = f"{request.id}/{self.arrivals[request.id]}"
+        fake.running[key] = request.size.prompt
+        self.runs[request.id] += 1
+        try:
+            if options.source is None:
+                await self._prefill_here(fake, request)
+            chunks = self._events(fake, key, request, options)
+            yield StreamAnswer(OK, STAMP, chunks)
+        finally:
+            fake.running.pop(key, None)
+
+    async def _prefill_here(self, fake: FakeReplica, request: RoutedRequest) -> None:
+        self.decoded_prompt_tokens += request.size.prompt
+        await asyncio.sleep(2 * request.size.prompt / fake.model.prefill_tokens_per_s)
+
+    async def _events(
+        self, fake: FakeReplica, key: str, request: RoutedRequest, options: SendOptions
+    ) -> AsyncIterator[bytes]:
+        first = (options.resume_after or 0) + 1
+        last = -(-request.size.max_output // fake.model.stride)
+        for number in range(first, last + 1):
+            if fake.faults.hang:
+                await asyncio.sleep(3600)
+            await asyncio.sleep(fake.model.step_s * fake.model.stride)
+            if fake.faults.refuse or number - first == fake.faults.break_after_events:
+                fake.faults.break_after_events = None
+                yield b"id: %d\nda" % number
+                raise AnswerLostError("reset")
+            fake.running[key] += fake.model.stride
+            yield b"id: %d\ndata: %s\n\n" % (number, request.id.encode())
--- /dev/null
+++ b/tests/routes/support.py
@@ -0,0 +1,160 @@
+"""A routing core over fake replicas, on the paused clock."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field, replace
+
+from bench.fakes.replicas import FakePool, ReplicaModel
+from marjoramstile.admission.quarantine import Quarantine
+from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.budget import BudgetLimits, WindowBudget
+from marjoramstile.routes.calls import PlainCallRunner
+from marjoramstile.routes.crashes import CrashWatch
+from marjoramstile.routes.generations import GenerationRunner
+from marjoramstile.routes.loads import FleetLoads
+from marjoramstile.routes.placement import DecodePlacer
+from marjoramstile.routes.prefills import PrefillMeter
+from marjoramstile.routes.replicas import ReplicaDirectory, Stage
+from marjoramstile.routes.requests import (
+    GenerationSize,
+    Headers,
+    RoutedRequest,
+)
+from marjoramstile.routes.table import EngineTraits, Route, RouteKind, ServiceShare
+from marjoramstile.utils import TaskGroupOwner, loop_time
+
+LLM = "llm"
+PLAIN = "ledger"
+ENGINE = EngineTraits(24, 33_466, 0.5, 2.0, 6.0, 11)
+SIZE = GenerationSize(prompt=3200, max_output=781, expected_output=781)
+EVENTS = 71
+
+
+class Caller:
+    """Collects what one caller receives."""
+
+    def __init__(self):
+        self.data = b""
+        self.first_at: float | None = None
+        self.complete = False
+        self.started = asyncio.Event()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Note the head."""
+        self.first_at = loop_time()
+        self.started.set()
+
+    async def write(self, data: bytes) -> None:
+        """Take a part of the body."""
+        assert not self.complete
+        self.data += data
+
+    async def finish(self) -> None:
+        """Note the end."""
+        self.complete = True
+
+    @property
+    def ids(self) -> list[int]:
+        """Ids of the events received."""
+        lines = self.data.decode().splitlines()
+        return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+@dataclass
+class Core:
+    """The roles of a daemon that run requests."""
+
+    pool: FakePool = field(default_factory=FakePool)
+    slack: float = 50.0
+    vm: str = "vm-1"
+
+    def __post_init__(self):
+        self.tasks = TaskGroupOwner()
+        self.directory = ReplicaDirectory()
+        self.balancer = Balancer("a", random.Random(1))
+        self.loads = FleetLoads(self.vm, "i1")
+        self.quarantine = Quarantine()
+        self.budget = WindowBudget(BudgetLimits(0.2, 10.0, self.slack), lambda: 1)
+        self.profile = []
+        prefills = PrefillMeter(self.directory, self.loads)
+        crashes = CrashWatch(self.quarantine, self.pool, self.tasks)
+        self.crashes = crashes
+        self.calls = PlainCallRunner(
+            self.directory, self.pool, self.balancer, self.budget, crashes
+        )
+        self.generations = GenerationRunner(
+            self.directory,
+            self.pool,
+            self.balancer,
+            self.budget,
+            DecodePlacer(
+                self.directory, self.pool, self.balancer, self.loads, prefills
+            ),
+            self.loads,
+            prefills,
+            crashes,
+            self.tasks,
+            lambda *generation: self.profile.append(generation),
+        )
+
+    def add_plain(self, count: int) -> list:
+        """Add plain replicas."""
+        return [self._add(f"p{n}", PLAIN, None, ReplicaModel()) for n in range(count)]
+
+    def add_engines(
+        self, prefill: int, decode: int, model: ReplicaModel | None = None
+    ) -> None:
+        """Add prefill replicas e0, e1, .. and decode replicas d0, d1, .."""
+        model = model or ReplicaModel()
+        for number in range(prefill):
+            self._add(f"e{number}", LLM, Stage.PREFILL, model)
+        for number in range(decode):
+            self._add(f"d{number}", LLM, Stage.DECODE, model)
+
+    def _add(self, name: str, service: str, stage: Stage | None, model: ReplicaModel):
+        fake = self.pool.add(name, service, stage, model)
+        self.directory.put(fake.replica)
+        return fake
+
+    async def generate(self, request: RoutedRequest, caller: Caller | None = None):
+        """Run a generation; return its caller."""
+        caller = caller or Caller()
+        await self.generations.run(request, ENGINE, caller)
+        return caller
+
+
+def route(kind: RouteKind, **changes) -> Route:
+    """Return a route."""
+    stream = kind == RouteKind.STREAM
+    result = Route(
+        name="r",
+        host="h.example",
+        prefix="/p/",
+        kind=kind,
+        timeout_s=14.0 if stream else 1.0,
+        target_latency_s=0.9 if stream else 0.2,
+        priority=1,
+        shares=(ServiceShare(LLM if stream else PLAIN, 1.0),),
+        max_attempts=2,
+        resumable=stream,
+        gap_target_s=0.3 if stream else None,
+    )
+    return replace(result, **changes)
+
+
+def request(request_id: str, used: Route, **changes) -> RoutedRequest:
+    """Return a request that arrives now."""
+    now = loop_time()
+    result = RoutedRequest(
+        id=request_id,
+        method="POST",
+        target=f"/p/{request_id}",
+        headers=(),
+        body=b"",
+        route=used,
+        service=used.shares[0].service,
+        arrived=now,
+        deadline=now + used.timeout_s,
+        size=SIZE if used.kind == RouteKind.STREAM else None,
+    )
+    return replace(result, **changes)
--- /dev/null
+++ b/tests/routes/test_generations.py
@@ -0,0 +1,167 @@
+"""Generations: whole streams, losses, callers who leave, and who waits for room."""
+
+import asyncio
+
+import pytest
+
+from bench.fakes.replicas import ReplicaModel
+from marjoramstile.routes.requests import (
+    OutcomeUnknownError,
+    RequestRefusedError,
+    StreamBrokenError,
+)
+from marjoramstile.routes.table import RouteKind
+from tests.routes.support import EVENTS, Caller, Core, request, route
+
+STREAM = route(RouteKind.STREAM)
+ONCE = route(RouteKind.STREAM, resumable=False, max_attempts=1)
+
+
+def core_with(prefill: int = 1, decode: int = 2, **changes) -> Core:
+    """Return a core with engines."""
+    core = Core()
+    core.add_engines(prefill, decode, ReplicaModel(**changes) if changes else None)
+    return core
+
+
+def whole(caller: Caller) -> bool:
+    """Tell whether a caller has every event once, in order, and the end."""
+    return caller.complete and caller.ids == list(range(1, EVENTS + 1))
+
+
+def assert_nothing_held(core: Core) -> None:
+    """Fail if a replica still holds memory for anybody."""
+    for fake in core.pool.replicas.values():
+        assert not fake.running
+        assert fake.used_tokens == 0
+        assert not fake.handles
+    assert core.loads.digest().replicas == {}
+
+
+async def test_a_stream_arrives_whole():
+    core = core_with()
+    assert whole(await core.generate(request("q", STREAM)))
+    assert core.pool.prefilled_tokens == 3200
+    assert_nothing_held(core)
+
+
+@pytest.mark.parametrize("events", [0, 1, 40, EVENTS - 1])
+async def test_a_resumable_stream_goes_on_elsewhere(events):
+    core = core_with()
+    for fake in core.pool.replicas.values():
+        fake.faults.break_after_events = events
+    core.pool.replicas["d1"].faults.break_after_events = None
+    caller = await core.generate(request("q", STREAM))
+    assert whole(caller)
+    assert core.pool.runs["q"] <= 2
+
+
+async def test_a_stream_that_may_not_be_resumed_breaks_off_and_runs_once():
+    core = core_with(decode=1)
+    core.pool.replicas["d0"].faults.break_after_events = 5
+    caller = Caller()
+    with pytest.raises(StreamBrokenError):
+        await core.generate(request("q", ONCE), caller)
+    assert not caller.complete
+    assert core.pool.runs["q"] == 1
+
+
+async def test_a_loss_before_the_first_event_promises_nothing():
+    core = core_with(decode=1)
+    core.pool.replicas["d0"].faults.break_after_events = 0
+    with pytest.raises(OutcomeUnknownError):
+        await core.generate(request("q", ONCE))
+
+
+async def test_a_silent_replica_is_left_for_another():
+    core = core_with(decode=2)
+    core.pool.replicas["d0"].faults.hang = True
+    core.pool.replicas["d1"].faults.hang = True
+    running = asyncio.create_task(core.generate(request("q", STREAM)))
+    await asyncio.sleep(0.5)
+    core.pool.replicas["d0"].faults.hang = False
+    core.pool.replicas["d1"].faults.hang = False
+    assert whole(await running)
+
+
+async def test_a_lapsed_handle_is_prefilled_again():
+    core = core_with()
+    core.pool.replicas["e0"].faults.lose_handles = 1
+    assert whole(await core.generate(request("q", ONCE)))
+    assert core.pool.runs["q"] == 1
+
+
+async def test_without_prefill_replicas_decode_replicas_prefill():
+    core = core_with(prefill=0)
+    assert whole(await core.generate(request("q", STREAM)))
+    assert core.pool.decoded_prompt_tokens == 3200
+
+
+async def test_a_full_pool_refuses_within_the_target_and_prefills_nothing():
+    core = core_with()
+    for name in ("d0", "d1"):
+        core.pool.replicas[name].faults.full = True
+    started = asyncio.get_running_loop().time()
+    with pytest.raises(RequestRefusedError) as refused:
+        await core.generate(request("q", STREAM))
+    assert asyncio.get_running_loop().time() - started < STREAM.target_latency_s
+    assert refused.value.retry_after_s > 0
+    assert core.pool.prefilled_tokens == 0
+    assert core.pool.runs["q"] == 0
+
+
+@pytest.mark.parametrize("after_s", [0.0005, 0.05, 0.12, 0.5, 2.0])
+async def test_nothing_is_held_for_a_caller_who_left(after_s):
+    core = core_with()
+    running = asyncio.create_task(core.generate(request("q", STREAM)))
+    await asyncio.sleep(after_s)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    await asyncio.sleep(2.5)
+    for fake in core.pool.replicas.values():
+        assert not fake.running
+        assert fake.used_tokens == 0
+    assert core.loads.digest().replicas == {}
+
+
+async def test_large_requests_are_not_passed_by_small_ones():
+    core = core_with(prefill=1, decode=1, kv_tokens=8000)
+    small = request("s0", STREAM)
+    first = asyncio.create_task(core.generate(small))
+    await asyncio.sleep(0.3)
+    large_size = type(small.size)(prompt=7000, max_output=110, expected_output=110)
+    large = asyncio.create_task(
+        core.generate(request("large", STREAM, size=large_size, arrived=1e3))
+    )
+    await asyncio.sleep(0.01)
+    late = [
+        asyncio.create_task(core.generate(request(f"s{n}", STREAM, arrived=2e3)))
+        for n in range(1, 4)
+    ]
+    await asyncio.gather(first, large, *late, return_exceptions=True)
+    assert core.pool.runs["large"] == 1
+
+
+async def test_a_burst_of_twice_the_memory_is_served_up_to_its_bound():
+    """Load: 18 generations a second for four seconds on memory for eight."""
+    core = core_with(prefill=1, decode=3)
+    callers: list[tuple[float, Caller, asyncio.Task]] = []
+    for number in range(72):
+        caller = Caller()
+        arrived = asyncio.get_running_loop().time()
+        task = core.generate(request(f"q{number}", STREAM), caller)
+        callers.append((arrived, caller, asyncio.create_task(task)))
+        await asyncio.sleep(1 / 18)
+    await asyncio.gather(*(task for _, _, task in callers), return_exceptions=True)
+    timely = [
+        caller
+        for arrived, caller, _ in callers
+        if caller.complete and caller.first_at - arrived <= STREAM.target_latency_s
+    ]
+    held_s = EVENTS * 11 * 0.00423
+    bound = 3 * (33_466 // 3981) * (4 + 0.585) / held_s
+    assert len(timely) >= 0.8 * bound
+    assert all(whole(caller) for _, caller, _ in callers if caller.complete)
+    in_vain = core.pool.prefilled_tokens - 3200 * len(timely)
+    assert in_vain <= 0.03 * core.pool.prefilled_tokens
+    assert_nothing_held(core)
