--- /dev/null
+++ b/tests/mirrors/test_mirrors.py
@@ -0,0 +1,126 @@
+"""Mirrors: the store's feed, its outages, lost history, and peers instead."""
+
+import asyncio
+from collections import deque
+
+from hypothesis import given, strategies as st
+from result import Err, Ok
+
+from marjoramstile.mirrors.follower import MirrorFollower
+from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.peers.membership_messages import changes_from_wire, changes_to_wire
+from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
+from marjoramstile.ports.tables import StoreError
+
+DOWN = Err(StoreError("down"))
+
+
+def changes(version: int, complete: bool = False, **rows: bytes | None) -> Changes:
+    """Return changes whose rows all have the version."""
+    stored = tuple(StoredRow(key, version, value) for key, value in rows.items())
+    return Changes(stored, version, complete)
+
+
+class ScriptedFeed:
+    """Answers by a script; without one the store is silent."""
+
+    def __init__(self, reads=(), feeds=()):
+        self.reads = deque(reads)
+        self.feeds = deque(feeds)
+
+    async def read_table(self, table):
+        """Return the next whole reading."""
+        await asyncio.sleep(0.01)
+        return self.reads.popleft() if self.reads else DOWN
+
+    async def wait_for_changes(self, table, after, wait_s):
+        """Return the next changes."""
+        await asyncio.sleep(0.01)
+        return self.feeds.popleft() if self.feeds else DOWN
+
+
+async def follow(feed: ScriptedFeed, peer: Changes | None = None, for_s: float = 1.0):
+    """Follow a feed for a while; return mirror, follower, and rows notified."""
+    mirror = TableMirror("t")
+    seen: list[StoredRow] = []
+    mirror.subscribe(seen.append)
+
+    async def ask_peer(table, after):
+        return peer
+
+    follower = MirrorFollower(feed, mirror, ask_peer, 1.0, 0.0)
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(for_s)
+    task.cancel()
+    return mirror, follower, seen
+
+
+async def test_the_feed_is_followed():
+    feed = ScriptedFeed([Ok(changes(1, True, a=b"1"))], [Ok(changes(2, b=b"2"))])
+    mirror, follower, seen = await follow(feed)
+    assert {key: row.value for key, row in mirror.rows.items()} == {
+        "a": b"1",
+        "b": b"2",
+    }
+    assert not follower.reachable
+    assert len(seen) == 2
+
+
+async def test_lost_history_leads_to_a_whole_reading():
+    feed = ScriptedFeed(
+        [Ok(changes(1, True, a=b"1", b=b"1")), Ok(changes(9, True, b=b"9"))],
+        [Err(HistoryLostError())],
+    )
+    mirror, _, seen = await follow(feed)
+    assert {key: row.value for key, row in mirror.rows.items()} == {"b": b"9"}
+    assert StoredRow("a", 9, None) in seen
+
+
+async def test_a_daemon_that_the_store_turns_away_learns_from_a_peer():
+    feed = ScriptedFeed([Ok(changes(1, True, a=b"1"))])
+    mirror, follower, _ = await follow(feed, peer=changes(5, a=b"5"))
+    assert mirror.rows["a"].value == b"5"
+    assert not follower.reachable
+
+
+async def test_a_peer_that_knows_less_changes_nothing():
+    feed = ScriptedFeed([Ok(changes(7, True, a=b"7"))])
+    mirror, _, _ = await follow(feed, peer=changes(5, a=b"5"))
+    assert mirror.rows["a"].value == b"7"
+
+
+async def test_the_return_of_the_store_is_noted():
+    feed = ScriptedFeed(
+        [Ok(changes(1, True, a=b"1"))], [DOWN, Ok(changes(2)), Ok(changes(3))]
+    )
+    _, follower, _ = await follow(feed, for_s=0.3)
+    assert 0.2 < follower.regained_at < 0.3
+
+
+@given(st.permutations([changes(n, a=b"%d" % n) for n in range(1, 6)]))
+def test_a_mirror_never_goes_back(order):
+    mirror = TableMirror("t")
+    newest = 0
+    for item in order:
+        mirror.apply(item)
+        newest = max(newest, item.version)
+        assert mirror.version == newest
+        assert mirror.rows["a"].value == b"%d" % newest
+
+
+def test_deletions_reach_peers():
+    mirror = TableMirror("t")
+    mirror.apply(changes(1, True, a=b"1", b=b"1"))
+    mirror.apply(changes(2, a=None))
+    peer = TableMirror("t")
+    peer.apply(changes(1, True, a=b"1", b=b"1"))
+    peer.apply(mirror.changes_after(1))
+    assert set(peer.rows) == {"b"}
+
+
+def test_changes_survive_the_wire():
+    sent = Changes(
+        (StoredRow("a", 1, b"\xff\x00"), StoredRow("b", 2, None)), 2, complete=True
+    )
+    wire = changes_to_wire(sent)
+    assert changes_from_wire(wire) == sent
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,221 @@
+"""Rows, headers and settings of the platform in the product's types."""
+
+import json
+
+import pytest
+import yaml
+from hypothesis import given, strategies as st
+
+from marjoramstile.platform import headers as names
+from marjoramstile.platform.documents import (
+    MalformedRowError,
+    decode_replica,
+    decode_routing_table,
+)
+from marjoramstile.platform.settings import load_platform_settings
+from marjoramstile.routes.replicas import ReplicaState, Stage
+from marjoramstile.routes.requests import GenerationSize
+from marjoramstile.routes.table import RouteKind
+
+SERVER = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 24,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "stage": "decode",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "sequence": 4,
+    "born": 1700000000000,
+}
+ROUTE = {
+    "name": "r1",
+    "host": "H.example",
+    "prefix": "/p/",
+    "kind": "stream",
+    "timeoutMs": 14000,
+    "targetLatencyMs": 900,
+    "priority": 1,
+    "service": "s",
+    "maxAttempts": 2,
+    "sessionAffinity": True,
+    "resumable": True,
+    "gapTargetMs": 300,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        ROUTE,
+        {
+            **ROUTE,
+            "name": "r2",
+            "prefix": "/p/q/",
+            "kind": "later_kind",
+            "trafficSplit": [
+                {"service": "s", "weight": 90},
+                {"service": "t", "weight": 10},
+            ],
+        },
+    ],
+    "services": [{"name": "s", "engine": {"slots": 24, "kvTokens": 33466}}],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+}
+SETTINGS = {
+    "nodeName": "front-a-1",
+    "ip": "10.1.0.35",
+    "zone": "a",
+    "region": "r",
+    "listen": {
+        "front": "10.1.0.35:8144",
+        "readyAddress": "10.1.0.35:8140",
+        "directory": "10.1.0.35:8143",
+    },
+    "internalPorts": [7660, 7675],
+    "heartbeatMs": 1200,
+    "bounds": {
+        "graceS": 8,
+        "retryBudgetRatio": 0.2,
+        "budgetWindowS": 10,
+        "budgetSlack": 54,
+        "leaseMs": 3000,
+    },
+    "platform": {"address": "10.200.1.7:8142"},
+    "aFieldOfTheFuture": 1,
+}
+
+
+def as_bytes(document) -> bytes:
+    """Return a row's value."""
+    return json.dumps(document).encode()
+
+
+def test_a_replica_is_read():
+    replica = decode_replica("i-1", as_bytes(SERVER))
+    assert (replica.address, replica.stage) == ("10.0.0.9:8080", Stage.DECODE)
+    assert (replica.state, replica.born_ms) == (ReplicaState.READY, 1700000000000)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": 5},
+        {"state": "resting"},
+        {"address": "nowhere"},
+        {"slots": None},
+        {"zone": None, "address": 7},
+        {"born": "yesterday"},
+        {"stage": "dessert"},
+    ],
+)
+def test_a_row_of_another_writer_is_no_replica(change):
+    with pytest.raises(MalformedRowError):
+        decode_replica("i-1", as_bytes({**SERVER, **change}))
+
+
+@given(st.binary(max_size=60))
+def test_bytes_that_cannot_be_read_are_no_replica(value):
+    with pytest.raises(MalformedRowError):
+        decode_replica("i-1", value)
+
+
+def test_the_longest_prefix_decides():
+    table = decode_routing_table(as_bytes(CONFIG))
+    assert table.match("h.example", "/p/x").name == "r1"
+    assert table.match("h.example", "/p/q/x").name == "r2"
+    assert table.match("h.example", "/p") is None
+    assert table.match("other", "/p/x") is None
+
+
+def test_an_unknown_kind_must_not_be_repeated():
+    table = decode_routing_table(as_bytes(CONFIG))
+    assert table.match("h.example", "/p/q/").kind == RouteKind.NON_IDEMPOTENT
+    assert [share.weight for share in table.routes[1].shares] == [90, 10]
+
+
+@given(st.binary(max_size=60))
+def test_a_configuration_that_cannot_be_read_is_refused(value):
+    with pytest.raises(MalformedRowError):
+        decode_routing_table(value)
+
+
+ROUTER_HEADERS = (
+    "X-Kv-Hold",
+    "X-Pin-Ms",
+    "X-Kv-Backup",
+    "X-Kv-Source",
+    "X-Stage",
+    "X-Expect-Instance",
+    "X-Expect-Version",
+    "X-Request-Priority",
+    "Kv-Fetch",
+)
+
+
+@pytest.mark.parametrize("name", ROUTER_HEADERS)
+def test_forged_copies_of_the_routers_headers_are_dropped(name):
+    forged = ((name.upper(), "x"), (name.lower(), "y"), ("X-Model", "m"))
+    assert names.forwarded_request_headers(forged) == (("X-Model", "m"),)
+
+
+def test_headers_of_one_connection_are_dropped_others_stay_in_order():
+    sent = (
+        ("Connection", "close, X-Hop"),
+        ("X-Hop", "1"),
+        ("X-B", "2"),
+        ("X-B", "3"),
+        ("Transfer-Encoding", "chunked"),
+        ("Last-Event-Id", "4"),
+    )
+    kept = (("X-B", "2"), ("X-B", "3"), ("Last-Event-Id", "4"))
+    assert names.forwarded_request_headers(sent) == kept
+
+
+def test_sizes_are_read_from_headers():
+    sent = (("X-Token-Count", "1460,80"), ("X-Length-Hint", "60"))
+    assert names.generation_size(sent) == GenerationSize(1460, 80, 60)
+    assert names.generation_size((("X-Token-Count", "many"),)) is None
+
+
+def write(tmp_path, document) -> str:
+    """Write a settings file."""
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(document))
+    return str(path)
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    settings = load_platform_settings(write(tmp_path, SETTINGS)).unwrap()
+    assert (settings.vm, settings.data_centre) == ("front-a-1", "a")
+    assert str(settings.listeners.peers) == "10.1.0.35:7660"
+    assert settings.bounds.lease_s == 3.0
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"ip": None}, "ip"),
+        ({"listen": None}, "listen"),
+        ({"listen": {**SETTINGS["listen"], "front": "here"}}, "listen.front"),
+        ({"bounds": {**SETTINGS["bounds"], "graceS": "long"}}, "bounds.graceS"),
+        ({"internalPorts": [7660]}, "internalPorts"),
+        ({"internalPorts": [7660, 99999]}, "internalPorts"),
+        ({"platform": {}}, "platform.address"),
+    ],
+)
+def test_a_bad_field_is_named(tmp_path, change, path):
+    loaded = load_platform_settings(write(tmp_path, {**SETTINGS, **change}))
+    assert loaded.unwrap_err().path == path
+
+
+def test_a_file_that_is_missing_or_no_yaml_is_an_error(tmp_path):
+    assert load_platform_settings(tmp_path / "none").is_err()
+    broken = tmp_path / "broken"
+    broken.write_text("a: [")
+    assert load_platform_settings(broken).is_err()
--- /dev/null
+++ b/tests/routes/test_orders.py
@@ -0,0 +1,163 @@
+"""Orders to replicas: one holder at a time, fencing tokens that only grow."""
+
+import json
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from marjoramstile.membership.view import PeerState, Report, View
+from marjoramstile.ports.feeds import StoredRow
+from marjoramstile.ports.tables import Committed, StoreError
+from marjoramstile.ports.vms import ListedState, ListedVM
+from marjoramstile.routes import orders as orders_module
+from marjoramstile.routes.loads import FleetLoads
+from marjoramstile.routes.orders import DatedRow, StageKeeper, StageReport
+from marjoramstile.routes.replicas import Replica, ReplicaDirectory, ReplicaState, Stage
+from marjoramstile.routes.requests import NotSentError
+from marjoramstile.routes.table import EntryLimits, RoutedService, RoutingTable
+from marjoramstile.utils import loop_time
+from tests.routes.support import ENGINE, LLM
+
+TABLE = RoutingTable(
+    1, (), {LLM: RoutedService(LLM, "/h", ENGINE)}, EntryLimits(1, 1, 1.0, 1.0)
+)
+
+
+@dataclass
+class FakeStore:
+    """One row with versions, shared by all daemons."""
+
+    row: StoredRow | None = None
+    version: int = 0
+    lose_answers: bool = False
+
+    async def read_row(self, table, key):
+        """Return the row."""
+        return Ok(DatedRow(self.row, loop_time()))
+
+    async def transact(self, conditions, writes):
+        """Write if the condition holds."""
+        present = self.row.version if self.row else 0
+        if conditions[0].version != present:
+            return Ok(None)
+        self.version += 1
+        value = json.dumps(writes[0].value).encode()
+        self.row = StoredRow(writes[0].key, self.version, value)
+        if self.lose_answers:
+            return Err(StoreError("lost"))
+        return Ok(Committed(self.version))
+
+
+@dataclass
+class FakeStages:
+    """Replicas that note their orders and carry them out at once."""
+
+    directory: ReplicaDirectory
+    orders: list = field(default_factory=list)
+    silent: bool = False
+
+    async def stage_report(self, replica):
+        """Return a replica's stage."""
+        stage = self.directory.get(replica.id).stage
+        done = sum(1 for item in self.orders if item[1] == replica.id)
+        return StageReport(stage, busy=False, orders=done)
+
+    async def order_stage(self, replica, order):
+        """Note an order."""
+        self.orders.append((loop_time(), replica.id, order))
+        if self.silent:
+            raise NotSentError("timeout")
+        self.directory.note_stage(replica, order.stage)
+        return 202
+
+
+def replicas(prefill: int, decode: int) -> ReplicaDirectory:
+    """Return a directory with engines."""
+    directory = ReplicaDirectory()
+    stages = [Stage.PREFILL] * prefill + [Stage.DECODE] * decode
+    for number, stage in enumerate(stages):
+        directory.put(
+            Replica(
+                f"r{number}", LLM, "h", 1, "a", 24, ReplicaState.READY, 1, stage=stage
+            )
+        )
+    return directory
+
+
+def keeper(vm: str, store: FakeStore, stages: FakeStages) -> StageKeeper:
+    """Return the keeper of one daemon."""
+    own = ListedVM(vm, "10.0.0.1", "a", "r", ListedState.LIVE)
+    loads = FleetLoads(vm, f"i-{vm}")
+    view = View(own, f"i-{vm}")
+    return StageKeeper(view, stages.directory, loads, store, stages, lease_s=3.0)
+
+
+async def run(keepers: list[StageKeeper], seconds: int) -> None:
+    """Let keepers step in turn."""
+    import asyncio
+
+    for _ in range(seconds * 2):
+        for item in keepers:
+            await item.step(TABLE)
+        await asyncio.sleep(0.5)
+
+
+async def test_the_split_that_serves_most_is_ordered_once():
+    stages = FakeStages(replicas(4, 5))
+    await run([keeper("a", FakeStore(), stages)], 30)
+    assert [order.stage for _, _, order in stages.orders] == [Stage.DECODE] * 2
+    assert len({replica for _, replica, _ in stages.orders}) == 2
+
+
+async def test_two_daemons_that_both_lead_never_share_a_token_or_take_turns():
+    stages = FakeStages(replicas(6, 3))
+    store = FakeStore()
+    await run([keeper("a", store, stages), keeper("b", store, stages)], 40)
+    tokens = [order.fencing_token for _, _, order in stages.orders]
+    assert tokens == sorted(set(tokens))
+    for (at, _, order), (later, _, other) in zip(
+        stages.orders, stages.orders[1:], strict=False
+    ):
+        assert order.holder == other.holder or later - at >= 2 * 3.0
+
+
+async def test_only_the_first_of_the_serving_daemons_tries():
+    stages = FakeStages(replicas(4, 5))
+    second = keeper("b", FakeStore(), stages)
+    first = ListedVM("a", "10.0.0.2", "a", "r", ListedState.LIVE)
+    own = second._view.own.vm
+    second._view.merge_list([first, own], 0.0)
+    second._view.merge_report(Report("a", "i", 0, PeerState.ALIVE), 0.0)
+    await run([second], 10)
+    assert stages.orders == []
+
+
+async def test_a_token_whose_write_was_not_answered_is_not_used():
+    stages = FakeStages(replicas(4, 5))
+    await run([keeper("a", FakeStore(lose_answers=True), stages)], 10)
+    assert stages.orders == []
+
+
+async def test_a_daemon_that_stood_still_gives_no_order(monkeypatch):
+    clock = iter(range(0, 10_000, 5))
+    monkeypatch.setattr(orders_module, "boot_time", lambda: next(clock))
+    stages = FakeStages(replicas(4, 5))
+    await run([keeper("a", FakeStore(), stages)], 10)
+    assert stages.orders == []
+
+
+async def test_an_order_without_answer_is_not_repeated_before_it_may_have_acted():
+    stages = FakeStages(replicas(4, 5), silent=True)
+    await run([keeper("a", FakeStore(), stages)], 12)
+    assert len(stages.orders) == 2
+    assert len({replica for _, replica, _ in stages.orders}) == 2
+
+
+async def test_a_lost_prefill_replica_is_replaced_soon():
+    stages = FakeStages(replicas(2, 7))
+    item = keeper("a", FakeStore(), stages)
+    await run([item], 5)
+    assert stages.orders == []
+    stages.directory.remove("r0", 0.0, 0.0)
+    await run([item], 4)
+    assert [order.stage for _, _, order in stages.orders] == [Stage.PREFILL]
