Logs within bounds, never blocking; explain follows an id through log files

Lines are bounded by event, level and second, and what is left out is counted; a reader that stands still costs lines, counted, and no time.

--- a/marjoramstile/cli/main.py
+++ b/marjoramstile/cli/main.py
@@ -11,6 +11,7 @@
 
 from marjoramstile import __version__
 from marjoramstile.cli.client import DaemonAnswer, ask_daemon
+from marjoramstile.cli.explain import explain
 from marjoramstile.cli.plots import plot_burn
 from marjoramstile.cli.tables import format_rows
 from marjoramstile.settings import load_settings
@@ -95,6 +96,25 @@
         typer.echo(f"plot written to {plot}")
 
 
+@app.command(name="explain")
+def explain_request(
+    request_id: str,
+    logs: Annotated[list[Path], typer.Argument(help="Collected log files.")],
+) -> None:
+    """Print a request's way through collected log files, in order."""
+    try:
+        found = explain(request_id, logs)
+    except OSError as error:
+        typer.echo(f"marjoramstile: {error}", err=True)
+        raise typer.Exit(USAGE_EXIT) from error
+    for step in found.steps:
+        typer.echo(f"{step.ts:.3f} {step.origin} {step.text}")
+    for gap in found.missing:
+        typer.echo(f"missing: {gap}", err=True)
+    if not found.steps:
+        raise typer.Exit(FAILED_EXIT)
+
+
 def _ask(daemon: str, method: str, path: str, body: Any) -> dict[str, Any]:
     """Ask the daemon; end the tool with its exit code when it can't answer."""
     token = os.environ.get(TOKEN_VARIABLE, "")
--- a/marjoramstile/logs.py
+++ b/marjoramstile/logs.py
@@ -1,16 +1,29 @@
 """Structured logs: eliot messages written as one key=value line each."""
 
 import sys
-from typing import Any, TextIO
+import time
+from typing import Any, Protocol
 
 from eliot import add_destinations, log_message, remove_destination
 from logfmter import Logfmter
 
+from marjoramstile.log_volume import VolumeLimit
+
 LEVELS = ("debug", "info", "warning", "error")
 _LEADING_KEYS = ("level", "event", "logger")
 _HIDDEN_KEYS = frozenset({"timestamp", "task_uuid", "task_level", "message_type"})
 
 
+class LineStream(Protocol):
+    """What a destination writes to."""
+
+    def write(self, line: str) -> Any:
+        """Write a line."""
+
+    def flush(self) -> None:
+        """Pass on what was written."""
+
+
 class Logger:
     """Writes events of one module; every keyword becomes one key of the line."""
 
@@ -47,16 +60,31 @@
 class KeyValueDestination:
     """Eliot destination that writes messages of ``level`` or above to ``stream``."""
 
-    def __init__(self, stream: TextIO, level: str = "info"):
+    def __init__(
+        self, stream: LineStream, level: str = "info", limit: VolumeLimit | None = None
+    ):
         self._stream = stream
         self._threshold = LEVELS.index(level)
+        self._limit = limit
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Write ``message`` as one line."""
         level = message.get("level", "info")
         if LEVELS.index(level) < self._threshold:
             return
-        ordered = {"ts": f"{message.get('timestamp', 0.0):.3f}"}
+        if self._limit is not None:
+            self._note_left_out()
+            if not self._limit.admits(message.get("event", "-"), level):
+                return
+        self._write_line(level, message)
+
+    def _note_left_out(self) -> None:
+        for event, count in self._limit.end_second().items():
+            left_out = {"event": "log_lines_left_out", "of": event, "count": count}
+            self._write_line("warning", {**left_out, "level": "warning"})
+
+    def _write_line(self, level: str, message: dict[str, Any]) -> None:
+        ordered = {"ts": f"{message.get('timestamp', time.time()):.3f}"}
         ordered.update({key: message.get(key, "-") for key in _LEADING_KEYS})
         for key, value in message.items():
             if key not in _HIDDEN_KEYS and key not in ordered:
@@ -65,9 +93,11 @@
         self._stream.flush()
 
 
-def start_logging(level: str, stream: TextIO | None = None) -> KeyValueDestination:
+def start_logging(
+    level: str, stream: LineStream | None = None, limit: VolumeLimit | None = None
+) -> KeyValueDestination:
     """Send events to ``stream`` (standard error by default); return the destination."""
-    destination = KeyValueDestination(stream or sys.stderr, level)
+    destination = KeyValueDestination(stream or sys.stderr, level, limit)
     add_destinations(destination)
     return destination
 
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -8,6 +8,7 @@
 import typer
 from aiohttp import ClientSession, TCPConnector, web
 
+from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop, listening_socket
 from marjoramstile.membership.nodes import NODES_TABLE, NodeEntry
@@ -192,7 +193,8 @@
         print(message, file=sys.stderr)
         return BAD_SETTINGS_EXIT
     settings = loaded.unwrap()
-    start_logging(settings.log_level, sys.stdout)
+    stream = NonBlockingStream(sys.stdout.fileno())
+    start_logging(settings.log_level, stream, VolumeLimit())
     logger.info("daemon_starting", vm=settings.vm, store=settings.store)
     loop = create_loop()
     asyncio.set_event_loop(loop)
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -201,7 +201,8 @@
         route = request.route
         self._metrics.count(f"requests_{outcome}", route.name)
         self._metrics.observe("request_duration", route.name, took_s)
-        logger.info(
+        log = logger.warning if outcome in _FAILURES else logger.info
+        log(
             "request_ended",
             request=request.id,
             route=route.name,
@@ -213,6 +214,7 @@
         )
 
 
+_FAILURES = frozenset({"refused", "outcome_unknown", "broken_off"})
 _OUTCOMES = {
     RequestRefusedError: "refused",
     OutcomeUnknownError: "outcome_unknown",
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,42 @@
+"""A request's way is put together from several daemons' logs."""
+
+import pytest
+from typer.testing import CliRunner
+
+from marjoramstile.cli.main import app
+
+FIRST = """\
+ 1.2 vm-1 ts=10.100 level=info event=replica_failed logger=m request=q1 replica=r
+ 1.3 vm-1 ts=10.300 level=info event=request_ended logger=m request=q10 outcome=200
+"""
+SECOND = """\
+ts=10.200 level=warning event=request_ended logger=m request=q1 outcome=refused
+"""
+
+
+@pytest.fixture
+def logs(tmp_path):
+    """Write two daemons' logs."""
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text(FIRST)
+    second.write_text(SECOND)
+    return [str(first), str(second)]
+
+
+def test_lines_of_all_daemons_come_in_order(logs):
+    result = CliRunner().invoke(app, ["explain", "q1", *logs])
+    lines = result.stdout.splitlines()
+    assert result.exit_code == 0
+    assert [line.split()[1] for line in lines] == ["vm-1", "b.log"]
+    assert "q10" not in result.stdout
+
+
+def test_an_end_that_is_missing_is_said(logs):
+    result = CliRunner().invoke(app, ["explain", "q1", logs[0]])
+    assert "missing: no end" in result.output
+
+
+def test_an_unknown_request_is_said(logs):
+    result = CliRunner().invoke(app, ["explain", "q9", *logs])
+    assert result.exit_code == 1
+    assert "missing: no line" in result.output
--- /dev/null
+++ b/tests/platform/test_front.py
@@ -0,0 +1,214 @@
+"""The callers' side over real sockets, with fake replicas behind."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+import pytest_asyncio
+from aiohttp import web
+
+from bench.fakes.replicas import ReplicaModel
+from marjoramstile.loops import listening_socket
+from marjoramstile.platform.front import FrontHandler, PlatformEndpoints
+from marjoramstile.reports.metrics import Metrics
+from marjoramstile.routes.entry import Entry
+from marjoramstile.routes.table import (
+    EntryLimits,
+    RoutedService,
+    RouteKind,
+    RoutingTable,
+)
+from tests.platform.support import HOST
+from tests.routes.support import ENGINE, LLM, PLAIN, Core, route
+
+FAST = ReplicaModel(step_s=0.0005, work_s=0.01)
+
+
+class Site:
+    """A front with one route to each kind of service."""
+
+    def __init__(self):
+        self.core = Core()
+        self.core.add_engines(1, 2, FAST)
+        self.core.add_plain(2)
+        self.table = RoutingTable(
+            1,
+            (
+                route(RouteKind.STREAM, name="s", prefix="/stream/"),
+                route(
+                    RouteKind.STREAM,
+                    name="once",
+                    prefix="/once/",
+                    resumable=False,
+                    max_attempts=1,
+                ),
+                route(RouteKind.NON_IDEMPOTENT, name="p", prefix="/plain/"),
+            ),
+            {
+                LLM: RoutedService(LLM, "/h", ENGINE),
+                PLAIN: RoutedService(PLAIN, "/h", None),
+            },
+            EntryLimits(16384, 1000, 3.0, 15.0),
+        )
+        core = self.core
+        self.entry = Entry(
+            lambda: self.table,
+            lambda: True,
+            core.calls,
+            core.generations,
+            core.crashes,
+            core.budget,
+            Metrics(),
+            8.0,
+            core.balancer._rng,
+        )
+
+    async def exchange(self, data: bytes, for_s: float = 2.0) -> bytes:
+        """Send bytes on one connection; return all that comes back."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(data)
+        received = b""
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(for_s):
+                while part := await reader.read(65536):
+                    received += part
+        writer.close()
+        return received
+
+
+@pytest_asyncio.fixture
+async def site():
+    """Run a site for one test."""
+    result = Site()
+    handler = FrontHandler(result.entry).handle
+    server = web.Server(handler, handler_cancellation=True)
+    listener = listening_socket(HOST, 0)
+    result.port = listener.getsockname()[1]
+    loop = asyncio.get_running_loop()
+    listening = await loop.create_server(server, sock=listener)
+    yield result
+    listening.close()
+    await server.shutdown(0.1)
+    await result.core.tasks.close()
+
+
+def head(path: str, *lines: str, method: str = "GET") -> bytes:
+    """Return a request's head with its own id."""
+    fixed = ["Host: H.example:80", "X-Request-Id: q1", *lines, "Connection: close"]
+    return "\r\n".join([f"{method} {path} HTTP/1.1", *fixed, "", ""]).encode()
+
+
+TOKENS = "X-Token-Count: 3200,110"
+
+
+async def test_a_call_is_answered_by_its_replica(site):
+    answer = await site.exchange(head("/plain/x"))
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"X-Server-Stamp: s" in answer
+    assert answer.endswith(b"q1")
+
+
+async def test_a_chunked_body_is_read_whole(site):
+    body = b"3\r\nabc\r\n0\r\n\r\n"
+    lines = head("/plain/x", "Transfer-Encoding: chunked", method="POST")
+    assert (await site.exchange(lines + body)).startswith(b"HTTP/1.1 200")
+
+
+async def test_a_path_without_route_is_not_found(site):
+    assert (await site.exchange(head("/other/x"))).startswith(b"HTTP/1.1 404")
+
+
+async def test_without_configuration_the_answer_is_503_and_never_404(site):
+    site.table = None
+    answer = await site.exchange(head("/other/x"))
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"Retry-After: 0.5" in answer
+
+
+async def test_a_body_over_the_limit_is_refused(site):
+    lines = head("/plain/x", "Content-Length: 2000", method="POST")
+    answer = await site.exchange(lines + b"x" * 2000)
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert site.core.pool.runs["q1"] == 0
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        ("Content-Length: 5", "Transfer-Encoding: chunked"),
+        ("Content-Length: 5", "Content-Length: 6"),
+        ("Content-Length: +5",),
+        ("Transfer-Encoding: xchunked",),
+    ],
+)
+async def test_a_request_hidden_in_another_never_runs(site, framing):
+    hidden = head("/plain/hidden").replace(b"q1", b"q2")
+    lines = head("/plain/x", *framing, method="POST").replace(b"close", b"keep-alive")
+    await site.exchange(lines + b"0\r\n\r\n" + hidden, for_s=0.5)
+    assert site.core.pool.runs["q2"] == 0
+
+
+async def test_a_stream_arrives_whole_and_framed(site):
+    answer = await site.exchange(head("/stream/x", TOKENS, method="POST"))
+    assert answer.count(b"id: ") == 10
+    assert answer.endswith(b"\r\n0\r\n\r\n")
+
+
+async def test_a_broken_stream_does_not_look_complete(site):
+    for name in ("d0", "d1"):
+        site.core.pool.replicas[name].faults.break_after_events = 3
+    answer = await site.exchange(head("/once/x", TOKENS, method="POST"))
+    assert answer.count(b"id: ") == 3
+    assert not answer.endswith(b"\r\n0\r\n\r\n")
+
+
+async def test_a_refusal_says_when_to_come_back_and_nothing_ran(site):
+    for name in ("d0", "d1"):
+        site.core.pool.replicas[name].faults.full = True
+    answer = await site.exchange(head("/stream/x", TOKENS, method="POST"))
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert b"Retry-After: " in answer
+    assert site.core.pool.runs["q1"] == 0
+
+
+async def test_a_caller_who_leaves_ends_the_run(site):
+    slow = ReplicaModel(step_s=0.02)
+    for name in ("d0", "d1"):
+        site.core.pool.replicas[name].model = slow
+    lines = head("/stream/x", "X-Token-Count: 3200,1100", method="POST")
+    reader, writer = await asyncio.open_connection(HOST, site.port)
+    writer.write(lines)
+    await reader.readuntil(b"id: 1")
+    writer.transport.abort()
+    async with asyncio.timeout(0.5):
+        while any(fake.running for fake in site.core.pool.replicas.values()):
+            await asyncio.sleep(0.01)
+    assert site.entry.running == 0
+
+
+async def test_a_stopping_daemon_serves_and_closes(site):
+    site.entry.stop()
+    kept = head("/plain/x").replace(b"close", b"keep-alive")
+    answer = await site.exchange(kept)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"Connection: close" in answer
+    assert not site.entry.ready
+
+
+async def test_readiness_follows_the_entry(site):
+    endpoints = PlatformEndpoints(site.entry, None, None)
+    assert (await endpoints.ready(None)).status == 200
+    site.entry.stop()
+    assert (await endpoints.ready(None)).status == 503
+
+
+async def test_addresses_are_returned_with_their_lifetime(site):
+    class Addresses:
+        ttl_s = 1.5
+
+        def current(self):
+            return ["10.0.0.1:80"]
+
+    answer = await PlatformEndpoints(site.entry, Addresses(), None).resolve(None)
+    assert json.loads(answer.body) == {"addresses": ["10.0.0.1:80"], "ttlS": 1.5}
--- /dev/null
+++ b/tests/test_log_volume.py
@@ -0,0 +1,74 @@
+"""Logs stay within bounds and never hold the daemon up."""
+
+import os
+import time
+
+from marjoramstile.log_volume import LINES_PER_S, NonBlockingStream, VolumeLimit
+from marjoramstile.logs import get_logger, start_logging, stop_logging
+from tests.support import captured_logs
+
+
+def write(limit: VolumeLimit, lines: int) -> str:
+    """Log many lines of one event under a limit."""
+    from io import StringIO
+
+    stream = StringIO()
+    destination = start_logging("info", stream, limit)
+    for number in range(lines):
+        get_logger("module").info("often", number=number)
+    get_logger("module").warning("seldom")
+    stop_logging(destination)
+    return stream.getvalue()
+
+
+def test_lines_of_one_event_are_bounded_and_others_kept():
+    text = write(VolumeLimit(lambda: 0.0), 1000)
+    assert text.count("event=often") == LINES_PER_S["info"]
+    assert text.count("event=seldom") == 1
+
+
+def test_what_was_left_out_is_counted_with_the_next_second():
+    now = [0.0]
+    limit = VolumeLimit(lambda: now[0])
+    write(limit, 1000)
+    now[0] = 1.0
+    text = write(limit, 1)
+    assert "event=log_lines_left_out" in text
+    assert f"of=often count={1000 - LINES_PER_S['info']}" in text
+
+
+def test_a_reader_that_stands_still_costs_lines_only():
+    reader, writer = os.pipe()
+    stream = NonBlockingStream(writer, max_bytes=10_000)
+    started = time.monotonic()
+    for number in range(20_000):
+        stream.write(f"line={number} {'x' * 50}\n")
+        stream.flush()
+    assert time.monotonic() - started < 5.0
+    assert stream.dropped > 0
+    os.set_blocking(reader, False)
+    received = os.read(reader, 1 << 20)
+    stream.flush()
+    stream.write("last\n")
+    stream.flush()
+    received += os.read(reader, 1 << 20)
+    os.close(reader)
+    os.close(writer)
+    assert b"event=log_lines_dropped count=" in received
+    assert received.endswith(b"last\n")
+
+
+def test_a_reader_that_is_gone_costs_lines_only():
+    reader, writer = os.pipe()
+    stream = NonBlockingStream(writer)
+    os.close(reader)
+    stream.write("lost\n")
+    stream.flush()
+    os.close(writer)
+
+
+def test_ordinary_logging_has_no_limit():
+    with captured_logs("info") as stream:
+        for _ in range(300):
+            get_logger("module").info("often")
+    assert stream.getvalue().count("event=often") == 300
