--- a/marjoramstile/mirrors/follower.py
+++ b/marjoramstile/mirrors/follower.py
@@ -1,19 +1,41 @@
-"""Keeps a mirror current: from the store's feed, or from peers while it is away."""
+"""Keeps a mirror current: from the store's feed, or from peers.
+
+Some daemons, the readers, follow the store; the others ask readers, so that the
+store's calls don't grow with the daemons. What a reader tells counts only if the store
+confirmed it lately; else the store itself is asked, and while that is away any peer.
+"""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from result import Result
 
 from marjoramstile.logs import get_logger
-from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.mirrors.mirror import PeerChanges, TableMirror
 from marjoramstile.ports.feeds import Changes, HistoryLostError, TableFeed
 from marjoramstile.ports.tables import StoreError
 from marjoramstile.utils import loop_time
 
 RETRY_S = 0.25
+# Pause between two questions to a reader.
+RELAY_PAUSE_S = 0.35
+# Older confirmations are not taken from a reader: the time that its feed call may wait,
+# and less than the bound on configuration.
+RELAY_AGE_MAX_S = 1.5
+
+
+class MirrorPeers(Protocol):
+    """What a follower needs of the other daemons."""
+
+    def reads_store(self) -> bool:
+        """Tell whether this daemon is a reader."""
+
+    async def ask_reader(self, table: str, after: int) -> PeerChanges | None:
+        """Ask one of the readers for changes; None if it doesn't answer."""
+
+    async def ask_any(self, table: str, after: int) -> PeerChanges | None:
+        """Ask any serving daemon for changes; None if it doesn't answer."""
 
-AskPeer = Callable[[str, int], Awaitable[Changes | None]]
 
 logger = get_logger(__name__)
 
@@ -25,14 +47,14 @@
         self,
         feed: TableFeed,
         mirror: TableMirror,
-        ask_peer: AskPeer,
+        peers: MirrorPeers,
         wait_s: float,
         pause_s: float,
     ):
         """Feed calls wait ``wait_s``; ``pause_s`` after each gathers changes."""
         self._feed = feed
         self._mirror = mirror
-        self._ask_peer = ask_peer
+        self._peers = peers
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._reload = False
@@ -40,6 +62,11 @@
         self._regained_at = float("-inf")
         self._confirmed_at = float("-inf")
 
+    @property
+    def mirror(self) -> TableMirror:
+        """The mirror that is kept current."""
+        return self._mirror
+
     @property
     def reachable(self) -> bool:
         """Whether the store answered the last call."""
@@ -57,6 +84,9 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            if await self._relayed():
+                await asyncio.sleep(RELAY_PAUSE_S)
+                continue
             answer = await self._next_changes()
             if answer.is_ok():
                 self._store_answered()
@@ -72,6 +102,22 @@
             await self._catch_up_from_peer()
             await asyncio.sleep(RETRY_S)
 
+    async def _relayed(self) -> bool:
+        """Take changes from a reader; return whether they are fresh enough."""
+        if not self._mirror.known or self._reload or self._peers.reads_store():
+            return False
+        heard = await self._peers.ask_reader(self._mirror.table, self._mirror.version)
+        if heard is None or heard.age_s > RELAY_AGE_MAX_S:
+            return False
+        self._take_from_peer(heard)
+        self._store_answered()
+        return True
+
+    def _take_from_peer(self, heard: PeerChanges) -> None:
+        confirmed_at = loop_time() - heard.age_s
+        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        self._mirror.apply(heard.changes)
+
     async def _next_changes(
         self,
     ) -> Result[Changes, StoreError | HistoryLostError]:
@@ -106,10 +152,13 @@
             logger.warning("store_lost", table=self._mirror.table, reason=error.message)
 
     async def _catch_up_from_peer(self) -> None:
-        changes = await self._ask_peer(self._mirror.table, self._mirror.version)
-        if changes is None or changes.version <= self._mirror.version:
+        heard = await self._peers.ask_any(self._mirror.table, self._mirror.version)
+        if heard is None or heard.changes.version <= self._mirror.version:
             return
         logger.info(
-            "caught_up_from_peer", table=self._mirror.table, version=changes.version
+            "caught_up_from_peer",
+            table=self._mirror.table,
+            version=heard.changes.version,
+            age_s=round(heard.age_s, 3),
         )
-        self._apply(changes)
+        self._take_from_peer(heard)
--- a/marjoramstile/mirrors/mirror.py
+++ b/marjoramstile/mirrors/mirror.py
@@ -1,11 +1,21 @@
 """A daemon's copy of one table of the platform's store."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from marjoramstile.ports.feeds import NOTHING_KNOWN, Changes, StoredRow
 
 TOMBSTONES_KEPT = 1024
 
+
+@dataclass(frozen=True)
+class PeerChanges:
+    """Changes from a peer's mirror, which the store confirmed ``age_s`` ago."""
+
+    changes: Changes
+    age_s: float
+
+
 Listener = Callable[[StoredRow], None]
 
 
--- a/marjoramstile/peers/membership_caller.py
+++ b/marjoramstile/peers/membership_caller.py
@@ -4,13 +4,13 @@
 
 from marjoramstile.membership.prober import Probe
 from marjoramstile.membership.view import Peer
+from marjoramstile.mirrors.mirror import PeerChanges
 from marjoramstile.peers.connections import Connections
 from marjoramstile.peers.membership_messages import (
     changes_from_wire,
     probe_from_wire,
     probe_to_wire,
 )
-from marjoramstile.ports.feeds import Changes
 
 SLOT_TIMEOUT_S = 0.5
 
@@ -47,7 +47,7 @@
         )
         return bool(answer)
 
-    async def changes(self, peer: Peer, table: str, after: int) -> Changes | None:
+    async def changes(self, peer: Peer, table: str, after: int) -> PeerChanges | None:
         """Ask a daemon for changes of a mirrored table."""
         wire = await self._call(peer, "changes", table, after, timeout_s=SLOT_TIMEOUT_S)
         return None if wire is None else changes_from_wire(wire)
--- a/marjoramstile/peers/membership_messages.py
+++ b/marjoramstile/peers/membership_messages.py
@@ -2,6 +2,7 @@
 
 from marjoramstile.membership.prober import Probe
 from marjoramstile.membership.view import PeerState, Report
+from marjoramstile.mirrors.mirror import PeerChanges
 from marjoramstile.peers.frames import IDL
 from marjoramstile.ports.feeds import Changes, StoredRow
 
@@ -40,8 +41,8 @@
     )
 
 
-def changes_to_wire(changes: Changes):
-    """Return the thrift form of a mirror's changes."""
+def changes_to_wire(changes: Changes, age_s: float):
+    """Return the thrift form of a mirror's changes, confirmed ``age_s`` ago."""
     return IDL.MirrorChanges(
         rows=[
             IDL.MirrorRow(
@@ -54,16 +55,17 @@
         ],
         version=changes.version,
         complete=changes.complete,
+        age_s=age_s,
     )
 
 
-def changes_from_wire(wire) -> Changes:
+def changes_from_wire(wire) -> PeerChanges:
     """Return the mirror's changes that ``wire`` holds."""
     rows = tuple(
         StoredRow(row.key, row.version, None if row.deleted else _as_bytes(row.value))
         for row in wire.rows
     )
-    return Changes(rows, wire.version, wire.complete)
+    return PeerChanges(Changes(rows, wire.version, wire.complete), wire.age_s)
 
 
 def _as_bytes(value: str | bytes) -> bytes:
--- a/marjoramstile/peers/peer.thrift
+++ b/marjoramstile/peers/peer.thrift
@@ -96,10 +96,12 @@
   4: bool deleted,
 }
 
+// age_s: time since the store confirmed the mirror.
 struct MirrorChanges {
   1: list<MirrorRow> rows,
   2: i64 version,
   3: bool complete,
+  4: double age_s,
 }
 
 service Peer {
--- a/marjoramstile/peers/router_handler.py
+++ b/marjoramstile/peers/router_handler.py
@@ -3,20 +3,21 @@
 from collections.abc import Mapping
 
 from marjoramstile.membership.prober import Prober
-from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.peers.membership_messages import (
     changes_to_wire,
     probe_from_wire,
     probe_to_wire,
 )
+from marjoramstile.utils import loop_time
 
 
 class RouterPeerHandler:
     """One method for each call of peer.thrift that routing daemons make."""
 
-    def __init__(self, prober: Prober, mirrors: Mapping[str, TableMirror]):
+    def __init__(self, prober: Prober, followers: Mapping[str, MirrorFollower]):
         self._prober = prober
-        self._mirrors = mirrors
+        self._followers = followers
 
     async def probe(self, message):
         """Exchange news with a daemon."""
@@ -28,5 +29,7 @@
         return await self._prober.on_probe_through(vm)
 
     async def changes(self, table: str, after: int):
-        """Return what a daemon that lost the store lacks of a table."""
-        return changes_to_wire(self._mirrors[table].changes_after(after))
+        """Return what a daemon lacks of a table."""
+        follower = self._followers[table]
+        changes = follower.mirror.changes_after(after)
+        return changes_to_wire(changes, follower.age_s(loop_time()))
--- a/marjoramstile/routes/admission.py
+++ b/marjoramstile/routes/admission.py
@@ -11,6 +11,8 @@
 MEMORY_SHARE = 1.0
 # Part of all decode memory that late requests leave free.
 LATE_HEADROOM = 0.15
+# Replicas that fit which are compared.
+COMPARED_MOST = 4
 # Replicas asked in one round.
 ASKED_MOST = 3
 
@@ -54,10 +56,15 @@
 def replicas_to_ask(
     rooms: list[ReplicaRoom], tokens: int, urgency: Urgency, timely_waiting: int
 ) -> list[str]:
-    """Return ids of replicas to ask for room, the emptiest first."""
+    """Return ids of replicas to ask for room, the emptiest first.
+
+    Only the first few that fit are compared: the caller shuffles ``rooms``, so that
+    daemons with the same, somewhat old knowledge don't all ask the same replica.
+    """
     if urgency == Urgency.LATE and not _leaves_headroom(rooms, tokens, timely_waiting):
         return []
     fitting = [room for room in rooms if room.fits(tokens)]
+    fitting = fitting[:COMPARED_MOST]
     fitting.sort(key=lambda room: (room.doubtful, -room.free_tokens))
     return [room.replica_id for room in fitting[:ASKED_MOST]]
 
--- a/marjoramstile/routes/balancing.py
+++ b/marjoramstile/routes/balancing.py
@@ -16,6 +16,10 @@
 FAILURE_COST = 3.0
 # Cost of a data centre boundary, in outstanding requests.
 REMOTE_COST = 0.3
+# Recent failures above which a replica is used only if there is no other.
+DOUBTFUL_FAILURES = 0.5
+# Replicas of which the least loaded is taken.
+DRAWN = 3
 
 
 @dataclass
@@ -70,16 +74,25 @@
         )
 
     def choose_by_tokens(
-        self, replicas: Iterable[Replica], loads: FleetLoads, now: float
+        self, replicas: list[Replica], loads: FleetLoads, now: float
     ) -> Replica | None:
-        """Return the replica with the fewest prompt tokens to prefill."""
+        """Return the replica with the fewest prompt tokens of a few drawn at random.
+
+        What is known of the others' work is some time old; drawing keeps the daemons
+        from all choosing the same replica.
+        """
+        sound = [
+            replica
+            for replica in replicas
+            if self.stats(replica).recent_failures(now) <= DOUBTFUL_FAILURES
+        ]
+        candidates = sound or replicas
+        drawn = self._rng.sample(candidates, min(DRAWN, len(candidates)))
         return min(
-            replicas,
+            drawn,
             key=lambda replica: (
-                self.stats(replica).recent_failures(now) > 0.5,
                 loads.load_of(replica.id, now).prefill_tokens,
                 replica.data_centre != self._data_centre,
-                self._rng.random(),
             ),
             default=None,
         )
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -12,12 +12,13 @@
 from marjoramstile.membership.view import View
 from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.mirrors.peers import ViewPeers
 from marjoramstile.peers.connections import PeerConnections
 from marjoramstile.peers.datagrams import DigestProtocol, DigestSender
 from marjoramstile.peers.membership_caller import MembershipCaller
 from marjoramstile.peers.router_handler import RouterPeerHandler
 from marjoramstile.peers.transport import PeerServer
-from marjoramstile.ports.feeds import Changes, TableFeed
+from marjoramstile.ports.feeds import TableFeed
 from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.reports.exposition import exposition_text
 from marjoramstile.reports.metrics import Metrics
@@ -149,10 +150,10 @@
             lambda limit: self.quarantine.take_news(limit, len(self.view.peers)),
             self.quarantine.strike,
         )
-        mirrors = (self.configuration_mirror, self.replicas_mirror, self.nodes_mirror)
+        peers = ViewPeers(self.view, self.caller, self._rng)
         self._followers = {
             mirror.table: MirrorFollower(
-                self._ports.feed, mirror, self._ask_peer, wait_s, pause_s
+                self._ports.feed, mirror, peers, wait_s, pause_s
             )
             for mirror, wait_s, pause_s in (
                 (self.configuration_mirror, FEED_WAIT_S, 0.0),
@@ -160,17 +161,9 @@
                 (self.nodes_mirror, NODES_FEED_WAIT_S, 0.0),
             )
         }
-        handler = RouterPeerHandler(
-            self.prober, {mirror.table: mirror for mirror in mirrors}
-        )
+        handler = RouterPeerHandler(self.prober, self._followers)
         self._peer_server = PeerServer(handler, FRAME_MAX_BYTES)
 
-    async def _ask_peer(self, table: str, after: int) -> Changes | None:
-        peers = [peer for peer in self.view.others if peer.serving]
-        if not peers:
-            return None
-        return await self.caller.changes(self._rng.choice(peers), table, after)
-
     def _build_requests(self) -> None:
         settings = self.settings
         client = self._ports.replicas
@@ -197,7 +190,14 @@
             client,
             self.balancer,
             self.budget,
-            DecodePlacer(self.directory, client, self.balancer, self.loads, prefills),
+            DecodePlacer(
+                self.directory,
+                client,
+                self.balancer,
+                self.loads,
+                prefills,
+                self._rng,
+            ),
             self.loads,
             prefills,
             crashes,
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -11,12 +11,13 @@
 import contextlib
 import heapq
 import itertools
+import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.admission import ReplicaRoom, Urgency, replicas_to_ask
-from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.balancing import DOUBTFUL_FAILURES, Balancer
 from marjoramstile.routes.loads import FleetLoads, ReplicaLoad
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.prefills import PrefillMeter
@@ -46,7 +47,6 @@
 HOLD_TTL_S = 2.0
 # A replica that had no room is not asked again for this long.
 FULL_PAUSE_S = 0.06
-DOUBTFUL_FAILURES = 0.5
 
 logger = get_logger(__name__)
 
@@ -128,12 +128,14 @@
         balancer: Balancer,
         loads: FleetLoads,
         prefills: PrefillMeter,
+        rng: random.Random,
     ):
         self._directory = directory
         self._client = client
         self._balancer = balancer
         self._loads = loads
         self._prefills = prefills
+        self._rng = rng
         self._queues: dict[str, PlaceQueue] = {}
         self._full_until: dict[str, float] = {}
 
@@ -202,6 +204,7 @@
         if crowded:
             rooms = [room for room in rooms if not room.prefilling]
         waiting = self._loads.waiting_for(service, now)
+        self._rng.shuffle(rooms)
         for replica_id in replicas_to_ask(rooms, ask.tokens, ask.urgency, waiting):
             if now < self._full_until.get(replica_id, 0.0):
                 continue
--- a/marjoramstile/utils.py
+++ b/marjoramstile/utils.py
@@ -50,10 +50,11 @@
 
 def rendezvous_owner(key: str, nodes: Iterable[str]) -> str | None:
     """Return the node with the highest rendezvous weight for ``key``."""
-    return max(nodes, key=lambda node: _weight(key, node), default=None)
+    return max(nodes, key=lambda node: rendezvous_weight(key, node), default=None)
 
 
-def _weight(key: str, node: str) -> bytes:
+def rendezvous_weight(key: str, node: str) -> bytes:
+    """Return the weight of ``node`` for ``key``, the same on every daemon."""
     return hashlib.blake2b(f"{key}|{node}".encode(), digest_size=8).digest()
 
 
--- a/tests/mirrors/test_mirrors.py
+++ b/tests/mirrors/test_mirrors.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections import deque
+from dataclasses import dataclass
 
 from hypothesis import given, strategies as st
 from result import Err, Ok
 
 from marjoramstile.mirrors.follower import MirrorFollower
-from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.mirrors.mirror import PeerChanges, TableMirror
 from marjoramstile.peers.membership_messages import changes_from_wire, changes_to_wire
 from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
 from marjoramstile.ports.tables import StoreError
@@ -39,16 +40,39 @@
         return self.feeds.popleft() if self.feeds else DOWN
 
 
-async def follow(feed: ScriptedFeed, peer: Changes | None = None, for_s: float = 1.0):
+@dataclass
+class FakePeers:
+    """A reader and any other daemon, with fixed answers."""
+
+    reader: PeerChanges | None = None
+    any_: Changes | None = None
+    is_reader: bool = True
+
+    def reads_store(self):
+        """Tell whether this daemon is a reader."""
+        return self.is_reader
+
+    async def ask_reader(self, table, after):
+        """Return the reader's answer."""
+        return self.reader
+
+    async def ask_any(self, table, after):
+        """Return the other daemon's answer."""
+        return self.any_ and PeerChanges(self.any_, 9.0)
+
+
+async def follow(
+    feed: ScriptedFeed,
+    peer: Changes | None = None,
+    for_s: float = 1.0,
+    peers: FakePeers | None = None,
+):
     """Follow a feed for a while; return mirror, follower, and rows notified."""
     mirror = TableMirror("t")
     seen: list[StoredRow] = []
     mirror.subscribe(seen.append)
 
-    async def ask_peer(table, after):
-        return peer
-
-    follower = MirrorFollower(feed, mirror, ask_peer, 1.0, 0.0)
+    follower = MirrorFollower(feed, mirror, peers or FakePeers(any_=peer), 1.0, 0.0)
     task = asyncio.create_task(follower.run())
     await asyncio.sleep(for_s)
     task.cancel()
@@ -122,5 +146,23 @@
     sent = Changes(
         (StoredRow("a", 1, b"\xff\x00"), StoredRow("b", 2, None)), 2, complete=True
     )
-    wire = changes_to_wire(sent)
-    assert changes_from_wire(wire) == sent
+    wire = changes_to_wire(sent, 0.5)
+    assert changes_from_wire(wire) == PeerChanges(sent, 0.5)
+
+
+async def test_a_daemon_that_is_no_reader_spares_the_store():
+    feed = ScriptedFeed([Ok(changes(1, True, a=b"1"))], [Ok(changes(9, a=b"9"))])
+    reader = PeerChanges(changes(5, a=b"5"), age_s=1.0)
+    peers = FakePeers(reader=reader, is_reader=False)
+    mirror, follower, _ = await follow(feed, peers=peers)
+    assert mirror.rows["a"].value == b"5"
+    assert len(feed.feeds) == 1
+    assert follower.reachable
+
+
+async def test_an_old_confirmation_of_a_reader_is_not_enough():
+    feed = ScriptedFeed([Ok(changes(1, True, a=b"1"))], [Ok(changes(9, a=b"9"))])
+    reader = PeerChanges(changes(5, a=b"5"), age_s=1.6)
+    peers = FakePeers(reader=reader, is_reader=False)
+    mirror, _, _ = await follow(feed, peers=peers)
+    assert mirror.rows["a"].value == b"9"
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -88,7 +88,12 @@
             self.balancer,
             self.budget,
             DecodePlacer(
-                self.directory, self.pool, self.balancer, self.loads, prefills
+                self.directory,
+                self.pool,
+                self.balancer,
+                self.loads,
+                prefills,
+                random.Random(2),
             ),
             self.loads,
             prefills,
