--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against real processes, with the promises checked meanwhile."""
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,98 @@
+"""Callers of the soak: they resolve, keep addresses, and note what they got."""
+
+import asyncio
+import contextlib
+import random
+from dataclasses import dataclass, field
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from demo.published_fleet import HOST_NAME, PublishedFleet
+
+EVENTS = 12
+PATIENCE_S = 6.0
+ADDRESS_LIFE_S = 1.5
+KINDS = ("stream", "book", "look")
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What one request came to; a status of 0 stands for no complete answer."""
+
+    id: str
+    kind: str
+    front: str
+    status: int
+    good: bool
+    ended: float
+
+
+@dataclass
+class Callers:
+    """A number of callers and all their outcomes."""
+
+    fleet: PublishedFleet
+    daemons: int
+    rng: random.Random
+    outcomes: list[Outcome] = field(default_factory=list)
+    _addresses: list[str] = field(default_factory=list)
+    _asked_at: float = float("-inf")
+    _number: int = 0
+
+    async def run(self, count: int, stopping: asyncio.Event) -> None:
+        """Call until ``stopping`` is set."""
+        async with ClientSession(timeout=ClientTimeout(PATIENCE_S)) as session:
+            # Repeats are the callers' own decision here, and none is made.
+            session._retry_connection = False
+            await asyncio.gather(
+                *(self._call_often(session, stopping) for _ in range(count))
+            )
+
+    async def _call_often(self, session: ClientSession, stopping: asyncio.Event):
+        while not stopping.is_set():
+            front = await self._front()
+            if front is not None:
+                kind = self.rng.choice(KINDS)
+                self.outcomes.append(await self.call(session, front, kind))
+            await asyncio.sleep(self.rng.uniform(0.01, 0.1))
+
+    async def _front(self) -> str | None:
+        now = asyncio.get_running_loop().time()
+        if now - self._asked_at > ADDRESS_LIFE_S:
+            self._asked_at = now
+            with contextlib.suppress(ClientError, OSError, TimeoutError):
+                async with asyncio.timeout(1.0):
+                    number = self.rng.randint(1, self.daemons)
+                    self._addresses = await self.fleet.addresses(number)
+        return self.rng.choice(self._addresses) if self._addresses else None
+
+    async def call(self, session: ClientSession, front: str, kind: str) -> Outcome:
+        """Send one request and judge its answer."""
+        self._number += 1
+        request_id = f"s{self._number}"
+        headers = {
+            "Host": HOST_NAME,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(round(PATIENCE_S * 1000)),
+        }
+        if kind == "stream":
+            headers["X-Token-Count"] = f"800,{11 * EVENTS}"
+        method = "POST" if kind != "look" else "GET"
+        status, body = 0, b""
+        with contextlib.suppress(ClientError, OSError, TimeoutError):
+            async with session.request(
+                method, f"http://{front}/first/{kind}/x", headers=headers
+            ) as response:
+                body = await response.read()
+                status = response.status
+        good = status != 200 or self._is_whole(kind, request_id, body)
+        ended = asyncio.get_running_loop().time()
+        return Outcome(request_id, kind, front, status, good, ended)
+
+    @staticmethod
+    def _is_whole(kind: str, request_id: str, body: bytes) -> bool:
+        if kind != "stream":
+            return body == request_id.encode()
+        events = [event for event in body.decode().split("\n\n") if event]
+        wanted = [f"id: {n}\ndata: {request_id}" for n in range(1, EVENTS + 1)]
+        return events == wanted
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,71 @@
+"""A loopback proxy that delays, resets or silences what passes through it."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+
+CHUNK_BYTES = 65536
+
+
+@dataclass
+class LinkFaults:
+    """What is wrong with a link: ``mode`` is "", reset, silent or one_way."""
+
+    mode: str = ""
+    delay_s: float = 0.0
+
+
+class LinkProxy:
+    """Forwards one address to another."""
+
+    def __init__(self, target: str):
+        self._host, _, port = target.rpartition(":")
+        self._port = int(port)
+        self.faults = LinkFaults()
+        self._tasks: set[asyncio.Task] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def close(self) -> None:
+        """End all connections."""
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if self.faults.mode == "reset":
+            writer.transport.abort()
+            return
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            up = await asyncio.open_connection(self._host, self._port)
+            await asyncio.gather(
+                self._pump(reader, up[1], "there"), self._pump(up[0], writer, "back")
+            )
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: str,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                faults = self.faults
+                if faults.mode == "reset":
+                    break
+                if faults.mode == "silent":
+                    continue
+                if faults.mode == "one_way" and direction == "back":
+                    continue
+                await asyncio.sleep(faults.delay_s)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
--- a/standins/published/replica.py
+++ b/standins/published/replica.py
@@ -56,6 +56,8 @@
     def __init__(self, identity: Identity, model: ReplicaModel):
         self._identity = identity
         self._pool = FakePool()
+        # What ran is printed, so that it is known after the replica was killed.
+        self._pool.on_run = lambda request_id: print("run", request_id, flush=True)
         stage = Stage(identity.stage) if identity.stage else None
         self._fake = self._pool.add(identity.id, identity.service, stage, model)
         address = replace(self._fake.replica, host=identity.host, port=identity.port)
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 
@@ -93,6 +93,7 @@
         self.prefilled_tokens = 0
         self.decoded_prompt_tokens = 0
         self._numbers = 0
+        self.on_run: Callable[[str], None] = lambda request_id: None
 
     def add(
         self,
@@ -124,6 +125,10 @@
         self.replicas[replica_id] = FakeReplica(born, old.model)
         return born
 
+    def _note_run(self, request: RoutedRequest) -> None:
+        self.runs[request.id] += 1
+        self.on_run(request.id)
+
     def _fake(self, replica: Replica) -> FakeReplica:
         fake = self.replicas[replica.id]
         if fake.faults.refuse:
@@ -138,7 +143,7 @@
         self.arrivals[request.id] += 1
         if fake.faults.full:
             raise NotExecutedError(503)
-        self.runs[request.id] += 1
+        self._note_run(request)
         if fake.faults.hang or fake.model.work_s > timeout_s:
             await asyncio.sleep(timeout_s)
             raise AnswerLostError("timeout")
@@ -224,7 +229,7 @@
             raise NotExecutedError(503)
         key = f"{request.id}/{self.arrivals[request.id]}"
         fake.running[key] = request.size.prompt
-        self.runs[request.id] += 1
+        self._note_run(request)
         try:
             if options.source is None:
                 await self._prefill_here(fake, request)
