Splits of pools that have shrunk: all may decode, and one always does

Cause: gyeol mix takes four of six language replicas away; the split moved the last two between the stages and had no decode replica for ten seconds.

--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -163,7 +163,8 @@
             profile, len(prefill), len(decode), engine.kv_tokens
         )
         change = wanted - len(prefill)
-        if not self._steady(service, change, now):
+        serves = bool(decode) or not prefill
+        if change == 0 or (serves and not self._steady(service, change, now)):
             return
         logger.info(
             "split_wanted", service=service, prefill=len(prefill), wanted=wanted
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -198,7 +198,8 @@
             if replica.id not in ask.avoid
         }
         crowded = self._prefills.is_crowded(service)
-        if crowded and ask.urgency == Urgency.LATE:
+        overloaded = crowded and self._prefills.has_replicas(service)
+        if overloaded and ask.urgency == Urgency.LATE:
             return None
         rooms = [self._room(replica, ask.engine, now) for replica in replicas.values()]
         if crowded:
--- a/marjoramstile/routes/prefills.py
+++ b/marjoramstile/routes/prefills.py
@@ -28,6 +28,10 @@
         """Return the prompt tokens that one replica prefills in a second."""
         return self._speeds.get(service, INITIAL_SPEED)
 
+    def has_replicas(self, service: str) -> bool:
+        """Tell whether the service has a prefill replica."""
+        return bool(self._directory.usable(service, Stage.PREFILL))
+
     def is_crowded(self, service: str) -> bool:
         """Tell whether a new prompt would wait too long at every prefill replica."""
         now = loop_time()
--- a/marjoramstile/routes/stages.py
+++ b/marjoramstile/routes/stages.py
@@ -10,6 +10,8 @@
 MEAN_WEIGHT = 0.05
 # Part of the prefill speed that a decode replica adds by prefilling some prompts.
 DECODE_PREFILL_SHARE = 0.02
+# A decode replica prefills at half the speed.
+OWN_PREFILL_FACTOR = 2.0
 # Gain in throughput for which a replica is moved: a move costs some seconds of it.
 GAIN_MIN = 1.12
 
@@ -41,6 +43,10 @@
         """Return the generations a second that fill the memory of the replicas."""
         return replicas * kv_tokens / (self.kv_tokens * self.decode_s)
 
+    def own_prefill_s(self) -> float:
+        """Return the time for which a prompt stalls a decode replica."""
+        return OWN_PREFILL_FACTOR * self.prompt_tokens / self.prefill_tokens_per_s
+
     def prefill_rate(self, replicas: float) -> float:
         """Return the prompts a second that the replicas can prefill."""
         return replicas * self.prefill_tokens_per_s / self.prompt_tokens
@@ -55,22 +61,27 @@
 ) -> int:
     """Return how many of the replicas should prefill; the present split if it will do.
 
-    At least one replica stays in each stage if there are two.
+    Without any, decode replicas prefill; without decode replicas nothing is served.
     """
     total = prefill + decode
-    if total < 2:
-        return prefill
+    if total == 0:
+        return 0
     rates = {
         count: _throughput(profile, count, total - count, kv_tokens)
-        for count in range(1, total)
+        for count in range(total + 1)
     }
     best = max(rates, key=rates.get)
-    return best if rates[best] >= GAIN_MIN * rates.get(prefill, 0.0) else prefill
+    return best if rates[best] >= GAIN_MIN * rates[prefill] else prefill
 
 
 def _throughput(
     profile: GenerationProfile, prefill: int, decode: int, kv_tokens: int
 ) -> float:
     """Return the generations a second that a split can serve."""
+    if decode == 0:
+        return 0.0
+    decoded = profile.decode_rate(decode, kv_tokens)
+    if prefill == 0:
+        return decoded / (1 + profile.own_prefill_s() * decoded / decode)
     helped = prefill + DECODE_PREFILL_SHARE * decode
-    return min(profile.prefill_rate(helped), profile.decode_rate(decode, kv_tokens))
+    return min(profile.prefill_rate(helped), decoded)
--- a/tests/routes/test_generations.py
+++ b/tests/routes/test_generations.py
@@ -97,6 +97,11 @@
     assert core.pool.decoded_prompt_tokens == 3200
 
 
+async def test_without_prefill_replicas_late_requests_are_served_too():
+    core = core_with(prefill=0, decode=1)
+    assert whole(await core.generate(request("q", STREAM, age_s=5.0)))
+
+
 async def test_a_full_pool_refuses_within_the_target_and_prefills_nothing():
     core = core_with()
     for name in ("d0", "d1"):
--- a/tests/routes/test_orders.py
+++ b/tests/routes/test_orders.py
@@ -161,3 +161,10 @@
     stages.directory.remove("r0", 0.0, 0.0)
     await run([item], 4)
     assert [order.stage for _, _, order in stages.orders] == [Stage.PREFILL]
+
+
+async def test_a_pool_without_decode_replicas_gets_one_at_once():
+    stages = FakeStages(replicas(2, 0))
+    await run([keeper("a", FakeStore(), stages)], 1)
+    assert Stage.DECODE in [order.stage for _, _, order in stages.orders]
+    assert stages.orders[0][0] < 1.0
