--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from demo.fleet import OPERATOR_TOKEN, WORKSPACE_KEY, Fleet, own_network
+from demo.published import demonstrate
 from standins.tokens import answer_text
 
 DAEMONS = (1, 2, 3)
@@ -139,8 +140,9 @@
         await demonstration.book_twice()
         await demonstration.ask_addresses()
         demonstration.ask_as_operator()
-    if demonstration.failures:
-        print(f"failed: {', '.join(demonstration.failures)}")
+    failures = demonstration.failures + await demonstrate()
+    if failures:
+        print(f"failed: {', '.join(failures)}")
         return 1
     print("all steps returned what they should")
     return 0
--- /dev/null
+++ b/demo/published.py
@@ -0,0 +1,60 @@
+"""The routing daemons' part of the demonstration, over the published protocol."""
+
+import asyncio
+
+from aiohttp import ClientError
+
+from demo.fleet import own_network
+from demo.published_fleet import HOST_NAME, PublishedFleet
+
+EVENTS = 10
+DAEMONS = 3
+
+
+async def demonstrate() -> list[str]:
+    """Run the steps, print what each returned; return the wrong ones."""
+    wrong: list[str] = []
+
+    def show(step: str, shown: object, good: bool) -> None:
+        print(f"{'ok  ' if good else 'BAD '} {step}: {shown}", flush=True)
+        if not good:
+            wrong.append(step)
+
+    async with PublishedFleet(own_network()) as fleet:
+        await fleet.start(daemons=DAEMONS)
+        addresses = await _all_addresses(fleet)
+        show("addresses", addresses, len(addresses) == DAEMONS)
+        for number, kind in ((1, "book"), (2, "look")):
+            status, body = await _ask(fleet, number, kind)
+            show(f"{kind} through daemon {number}", status, body == b"demo")
+        status, body = await _ask(fleet, 3, "stream")
+        events = body.count(b"id: ")
+        show("stream through daemon 3", f"{events} events", events == EVENTS)
+        fleet.get("decode-1").process.kill()
+        status, body = await _ask(fleet, 1, "stream")
+        events = body.count(b"id: ")
+        show("stream after a replica's loss", f"{events} events", events == EVENTS)
+        await fleet.fail_store(mode="silent")
+        status, _ = await _ask(fleet, 2, "look")
+        show("look while the store is away", status, status == 200)
+    return wrong
+
+
+async def _all_addresses(fleet: PublishedFleet) -> list[str]:
+    """Ask until the daemons have found each other."""
+    async with asyncio.timeout(20):
+        while len(found := await fleet.addresses(1)) < DAEMONS:
+            await asyncio.sleep(0.1)
+    return found
+
+
+async def _ask(fleet: PublishedFleet, number: int, kind: str) -> tuple[int, bytes]:
+    headers = {"Host": HOST_NAME, "X-Request-Id": "demo", "X-Deadline-Ms": "5000"}
+    if kind == "stream":
+        headers["X-Token-Count"] = f"3200,{11 * EVENTS}"
+    url = f"http://{fleet.front(number)}/first/{kind}/x"
+    try:
+        async with fleet.session.post(url, headers=headers) as response:
+            return response.status, await response.read()
+    except (ClientError, OSError) as error:
+        return 0, repr(error).encode()
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -32,9 +32,8 @@
 
 BAD_SETTINGS_EXIT = 78
 REGISTER_RETRY_S = 0.3
-# Idle connections are kept longer than callers reuse them.
-IDLE_MARGIN_S = 5.0
-DEFAULT_IDLE_S = 30.0
+# Idle connections are kept longer than any caller may stay idle by configuration.
+IDLE_LIMIT_S = 120.0
 STOP_POLL_S = 0.05
 # Part of the grace after which what still runs is cut.
 STOP_LIMIT_SHARE = 0.9
@@ -121,7 +120,7 @@
         server = web.Server(
             handler,
             handler_cancellation=True,
-            keepalive_timeout=DEFAULT_IDLE_S,
+            keepalive_timeout=IDLE_LIMIT_S,
             lingering_time=LINGER_S,
             access_log=None,
             auto_decompress=False,
--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -77,7 +77,6 @@
     engine = item.get("engine")
     return RoutedService(
         name=item["name"],
-        health_path=item.get("healthPath", "/healthz"),
         engine=_engine(engine) if engine else None,
     )
 
@@ -86,7 +85,6 @@
     return EngineTraits(
         slots=int(item["slots"]),
         kv_tokens=int(item["kvTokens"]),
-        handle_ttl_s=float(item.get("handleTtlS", 0.5)),
         hold_max_s=item.get("holdMs", 0.0) / 1000,
         switch_s=float(item.get("switchS", 0.0)),
         stride=int(item.get("stride", 1)),
@@ -95,10 +93,7 @@
 
 def _limits(item: dict[str, Any]) -> EntryLimits:
     return EntryLimits(
-        header_max_bytes=int(item["maxHeaderBytes"]),
         body_max_bytes=int(item["maxBodyBytes"]),
-        header_timeout_s=item["headerTimeoutMs"] / 1000,
-        idle_timeout_s=item["idleTimeoutMs"] / 1000,
     )
 
 
@@ -121,10 +116,6 @@
             state=ReplicaState(body["state"]),
             born_ms=born,
             stage=Stage(stage) if stage else None,
-            model_versions=tuple(
-                (model["name"], int(model["version"]))
-                for model in body.get("models", ())
-            ),
         )
     except _MALFORMED as error:
         raise MalformedRowError(repr(error)) from error
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -1,7 +1,7 @@
 """The callers' side on the platform: requests in, answers and streams out."""
 
 import json
-from typing import Any
+from collections.abc import Callable
 
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
@@ -9,6 +9,7 @@
 
 from marjoramstile.logs import get_logger
 from marjoramstile.platform import headers as names
+from marjoramstile.routes.addresses import FrontAddresses
 from marjoramstile.routes.entry import Entry, IncomingRequest
 from marjoramstile.routes.requests import (
     Headers,
@@ -173,7 +174,6 @@
         patience_s=_patience_s(names.first_value(headers, names.DEADLINE_MS)),
         size=names.generation_size(headers),
         resume_after=names.resume_after(headers),
-        subject=names.own_prefix_part(headers),
     )
 
 
@@ -191,7 +191,12 @@
 class PlatformEndpoints:
     """Answers the platform's own questions: readiness and addresses."""
 
-    def __init__(self, entry: Entry, addresses: Any, metrics_text: Any):
+    def __init__(
+        self,
+        entry: Entry,
+        addresses: FrontAddresses,
+        metrics_text: Callable[[], str],
+    ):
         self._entry = entry
         self._addresses = addresses
         self._metrics_text = metrics_text
--- a/marjoramstile/platform/headers.py
+++ b/marjoramstile/platform/headers.py
@@ -7,7 +7,6 @@
 REQUEST_ID = "X-Request-Id"
 DEADLINE_MS = "X-Deadline-Ms"
 TOKEN_COUNT = "X-Token-Count"
-PREFIX = "X-Prefix-Hash"
 LENGTH_HINT = "X-Length-Hint"
 EXPECT_INSTANCE = "X-Expect-Instance"
 STAGE = "X-Stage"
@@ -94,12 +93,6 @@
     return GenerationSize(prompt, max_output, expected)
 
 
-def own_prefix_part(headers: Headers) -> str:
-    """Return the last part of the prompt, which belongs to one session."""
-    parts = first_value(headers, PREFIX)
-    return parts.rpartition(",")[2].partition(":")[0] if parts else ""
-
-
 def resume_after(headers: Headers) -> int | None:
     """Return the last event that the caller has received."""
     value = first_value(headers, LAST_EVENT_ID)
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -248,8 +248,6 @@
         headers[names.KV_SOURCE] = f"{source.address}/{source.id}"
     if options.resume_after is not None:
         headers[names.LAST_EVENT_ID] = str(options.resume_after)
-    if options.priority is not None:
-        headers[names.PRIORITY] = str(options.priority)
     headers.extend(options.extra)
     return headers
 
--- a/marjoramstile/platform/settings.py
+++ b/marjoramstile/platform/settings.py
@@ -20,7 +20,6 @@
 SETTINGS_VARIABLE = "MARJORAMSTILE_CONFIG"
 MILLISECONDS_PER_S = 1000
 DEFAULT_LEASE_MS = 3000
-DEFAULT_HEARTBEAT_MS = 1000
 DEFAULT_ADDRESS_TTL_S = 1.0
 
 
@@ -110,7 +109,6 @@
         grace_s=bounds.get("graceS", float),
         address_ttl_max_s=bounds.get("ttl_max_s", float, DEFAULT_ADDRESS_TTL_S),
         lease_s=bounds.get("leaseMs", _seconds, DEFAULT_LEASE_MS),
-        heartbeat_s=document.get("heartbeatMs", _seconds, DEFAULT_HEARTBEAT_MS),
         retries=BudgetLimits(
             ratio=bounds.get("retryBudgetRatio", float),
             window_s=bounds.get("budgetWindowS", float),
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -79,6 +79,13 @@
         stats = self._balancer.stats(replica)
         started = loop_time()
         stats.outstanding += 1
+        logger.info(
+            "call_sent",
+            request=request.id,
+            replica=replica.id,
+            outstanding=stats.outstanding,
+            left_s=round(request.deadline - started, 3),
+        )
         try:
             reply = await self._client.call(
                 replica, request, request.deadline - started
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -51,7 +51,6 @@
     patience_s: float | None
     size: GenerationSize | None
     resume_after: int | None
-    subject: str
 
 
 class Entry:
@@ -171,7 +170,6 @@
             deadline=now + patience_s,
             size=incoming.size,
             resume_after=incoming.resume_after,
-            subject=incoming.subject,
             age_s=age_s,
         )
 
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -110,6 +110,14 @@
                 )
             except _SendFailedError as failure:
                 failed.add(failure.replica.id)
+                logger.info(
+                    "attempt_failed",
+                    request=request.id,
+                    replica=failure.replica.id,
+                    may_have_run=failure.ran,
+                    events_sent=progress.events,
+                    runs=progress.runs,
+                )
                 self._note_failure(request, failure)
                 if failure.ran:
                     self._crashes.note_lost(request, failure.replica)
@@ -183,6 +191,8 @@
             replica = self._balancer.choose_by_tokens(untried, self._loads, loop_time())
             if replica is None:
                 return None
+            if loop_time() > request.deadline - MIN_ATTEMPT_S:
+                raise RequestRefusedError(RefusalReason.TIMED_OUT, RETRY_AFTER_S)
             tried.add(replica.id)
             try:
                 return await self._prefill_at(replica, request)
@@ -193,8 +203,18 @@
 
     async def _prefill_at(self, replica: Replica, request: RoutedRequest) -> KVHandle:
         with self._prefills.prefilling(replica, request.size.prompt):
-            left_s = request.deadline - loop_time()
-            return await self._client.prefill(replica, request, left_s)
+            started = loop_time()
+            left_s = request.deadline - started
+            handle = await self._client.prefill(replica, request, left_s)
+        logger.info(
+            "prefilled",
+            request=request.id,
+            replica=replica.id,
+            tokens=request.size.prompt,
+            handle=handle.id,
+            took_s=round(loop_time() - started, 4),
+        )
+        return handle
 
     async def _decode(
         self,
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -250,6 +250,16 @@
         if hold is None:
             self._full_until[replica.id] = loop_time() + FULL_PAUSE_S
             return None
+        logger.info(
+            "placed",
+            request=ask.request.id,
+            replica=replica.id,
+            hold=hold.id,
+            tokens=ask.tokens,
+            urgency=ask.urgency.name,
+            prefills=prefills,
+            waited_s=round(loop_time() - ask.request.arrived, 4),
+        )
         return Place(replica, hold, load, prefills)
 
     def release(self, place: Place) -> None:
--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -42,7 +42,6 @@
     state: ReplicaState
     born_ms: int
     stage: Stage | None = None
-    model_versions: tuple[tuple[str, int], ...] = ()
 
     @property
     def address(self) -> str:
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -39,7 +39,6 @@
     deadline: float
     size: GenerationSize | None = None
     resume_after: int | None = None
-    subject: str = ""
     age_s: float = 0.0
 
 
@@ -62,6 +61,7 @@
     BUDGET = "retry_budget_spent"
     QUARANTINED = "crashes_replicas"
     STOPPING = "stopping"
+    TIMED_OUT = "timed_out"
 
 
 class RequestRefusedError(Exception):
@@ -132,5 +132,4 @@
     hold: Hold | None = None
     source: KVHandle | None = None
     resume_after: int | None = None
-    priority: int | None = None
     extra: Headers = field(default=())
--- a/marjoramstile/routes/settings.py
+++ b/marjoramstile/routes/settings.py
@@ -45,7 +45,6 @@
 
     grace_s: float
     address_ttl_max_s: float
-    heartbeat_s: float
     lease_s: float
     retries: BudgetLimits
 
--- a/marjoramstile/routes/table.py
+++ b/marjoramstile/routes/table.py
@@ -58,13 +58,12 @@
 class EngineTraits:
     """What all engines of a language service have in common.
 
-    ``hold_max_s`` is the longest reservation, ``handle_ttl_s`` the life of a
-    prefilled KV cache, ``switch_s`` the pause of a change of stage.
+    ``kv_tokens`` is the memory of one engine, ``hold_max_s`` the longest reservation,
+    ``switch_s`` the pause of a change of stage, ``stride`` the tokens of an event.
     """
 
     slots: int
     kv_tokens: int
-    handle_ttl_s: float
     hold_max_s: float
     switch_s: float
     stride: int
@@ -75,18 +74,14 @@
     """A service; ``engine`` is None for plain services."""
 
     name: str
-    health_path: str
     engine: EngineTraits | None
 
 
 @dataclass(frozen=True)
 class EntryLimits:
-    """What callers may send and how long they may stay idle."""
+    """What callers may send."""
 
-    header_max_bytes: int
     body_max_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
 
 
 @dataclass(frozen=True)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -25,6 +25,11 @@
         self._tasks: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
 
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
     async def start(self, host: str, port: int) -> None:
         """Listen."""
         self._server = await asyncio.start_server(self._serve, host, port)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -46,10 +46,10 @@
                 route(RouteKind.NON_IDEMPOTENT, name="p", prefix="/plain/"),
             ),
             {
-                LLM: RoutedService(LLM, "/h", ENGINE),
-                PLAIN: RoutedService(PLAIN, "/h", None),
+                LLM: RoutedService(LLM, ENGINE),
+                PLAIN: RoutedService(PLAIN, None),
             },
-            EntryLimits(16384, 1000, 3.0, 15.0),
+            EntryLimits(1000),
         )
         core = self.core
         self.entry = Entry(
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -25,7 +25,9 @@
 
 LLM = "llm"
 PLAIN = "ledger"
-ENGINE = EngineTraits(24, 33_466, 0.5, 2.0, 6.0, 11)
+ENGINE = EngineTraits(
+    slots=24, kv_tokens=33_466, hold_max_s=2.0, switch_s=6.0, stride=11
+)
 SIZE = GenerationSize(prompt=3200, max_output=781, expected_output=781)
 EVENTS = 71
 
--- a/tests/routes/test_generations.py
+++ b/tests/routes/test_generations.py
@@ -5,12 +5,13 @@
 import pytest
 
 from marjoramstile.routes.requests import (
+    AnswerLostError,
     OutcomeUnknownError,
     RequestRefusedError,
     StreamBrokenError,
 )
 from marjoramstile.routes.table import RouteKind
-from standins.replica_pool import ReplicaModel
+from standins.replica_pool import Faults, ReplicaModel
 from tests.routes.support import EVENTS, Caller, Core, request, route
 
 STREAM = route(RouteKind.STREAM)
@@ -48,12 +49,12 @@
 @pytest.mark.parametrize("events", [0, 1, 40, EVENTS - 1])
 async def test_a_resumable_stream_goes_on_elsewhere(events):
     core = core_with()
-    for fake in core.pool.replicas.values():
-        fake.faults.break_after_events = events
-    core.pool.replicas["d1"].faults.break_after_events = None
+    once = Faults(break_after_events=events)
+    for name in ("d0", "d1"):
+        core.pool.replicas[name].faults = once
     caller = await core.generate(request("q", STREAM))
     assert whole(caller)
-    assert core.pool.runs["q"] <= 2
+    assert core.pool.runs["q"] == 2
 
 
 async def test_a_stream_that_may_not_be_resumed_breaks_off_and_runs_once():
@@ -122,7 +123,7 @@
     await asyncio.sleep(after_s)
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
-    await asyncio.sleep(2.5)
+    await asyncio.sleep(0.1)
     for fake in core.pool.replicas.values():
         assert not fake.running
         assert fake.used_tokens == 0
@@ -170,3 +171,29 @@
     in_vain = core.pool.prefilled_tokens - 3200 * len(timely)
     assert in_vain <= 0.03 * core.pool.prefilled_tokens
     assert_nothing_held(core)
+
+
+async def test_a_timeout_while_prefilling_is_refused_and_blames_no_other_replica():
+    core = core_with(prefill=3)
+    slow = ReplicaModel(prefill_tokens_per_s=100.0)
+    for name in ("e0", "e1", "e2"):
+        core.pool.replicas[name].model = slow
+    core.pool.prefill = timing_out(core.pool.prefill)
+    used = route(RouteKind.STREAM, timeout_s=1.0)
+    with pytest.raises(RequestRefusedError):
+        await core.generate(request("q", used))
+    assert core.pool.arrivals["q"] == 1
+    assert core.pool.runs["q"] == 0
+
+
+def timing_out(prefill):
+    """Return a prefill that gives up as the real client does."""
+
+    async def limited(replica, sent, timeout_s):
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await prefill(replica, sent, timeout_s)
+        except TimeoutError:
+            raise AnswerLostError("timeout") from None
+
+    return limited
--- a/tests/routes/test_orders.py
+++ b/tests/routes/test_orders.py
@@ -18,9 +18,7 @@
 from marjoramstile.utils import loop_time
 from tests.routes.support import ENGINE, LLM
 
-TABLE = RoutingTable(
-    1, (), {LLM: RoutedService(LLM, "/h", ENGINE)}, EntryLimits(1, 1, 1.0, 1.0)
-)
+TABLE = RoutingTable(1, (), {LLM: RoutedService(LLM, ENGINE)}, EntryLimits(1))
 
 
 @dataclass
@@ -110,9 +108,10 @@
 
 
 async def test_two_daemons_that_both_lead_never_share_a_token_or_take_turns():
-    stages = FakeStages(replicas(6, 3))
+    stages = FakeStages(replicas(6, 3), silent=True)
     store = FakeStore()
-    await run([keeper("a", store, stages), keeper("b", store, stages)], 40)
+    await run([keeper("a", store, stages), keeper("b", store, stages)], 60)
+    assert {order.holder for _, _, order in stages.orders} == {"a", "b"}
     tokens = [order.fencing_token for _, _, order in stages.orders]
     assert tokens == sorted(set(tokens))
     for (at, _, order), (later, _, other) in zip(
--- a/tests/specifications/test_specifications.py
+++ b/tests/specifications/test_specifications.py
@@ -3,7 +3,7 @@
 import pytest
 from minicheck import check_safety
 
-from specifications import changes, claims
+from specifications import changes, claims, orders
 
 MAX_STATES = 3_000_000
 
@@ -44,3 +44,21 @@
 def test_a_seeded_bug_in_changes_is_found(bug):
     variant = changes.Variant(**{bug: True})
     assert verdicts(changes.change_protocol(variant))["in_force_everywhere"] is False
+
+
+def test_orders_hold():
+    holds = verdicts(orders.order_protocol())
+    assert len(holds) == 2
+    assert set(holds.values()) == {True}
+
+
+@pytest.mark.parametrize(
+    ("variant", "violated"),
+    [
+        (orders.Variant(write_unconditionally=True), "tokens_grow"),
+        (orders.Variant(no_age=True), "holders_take_no_turns"),
+        (orders.Variant(send_late=True), "holders_take_no_turns"),
+    ],
+)
+def test_a_seeded_bug_in_orders_is_found(variant, violated):
+    assert verdicts(orders.order_protocol(variant))[violated] is False
