Soak: a refused connection is no cut request; callers ask three daemons

Its callers asked one daemon for addresses and kept an old answer when that one was down, where callers try three. The check is as strict for every request that was sent.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,7 +11,7 @@
 
 from demo.fleet import own_network
 from demo.published_fleet import HOST_NAME, PublishedFleet
-from soak.callers import KINDS, Callers
+from soak.callers import CUT, KINDS, Callers
 from soak.faults import DECODE, FAULTS, PLAIN, PLANNED, Site
 from soak.proxy import LinkProxy
 
@@ -115,7 +115,7 @@
                 self._broken.append(f"ran {ran} times: {outcome}")
             if outcome.kind == "book" and outcome.status in NOT_RUN and ran:
                 self._broken.append(f"ran, though told not run: {outcome}")
-            if self._planned and outcome.status in (0, 502, 504):
+            if self._planned and outcome.status in (CUT, 502, 504):
                 self._broken.append(f"cut by planned work: {outcome}")
 
     def _report(self, callers: Callers) -> None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,7 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout
 
 from demo.published_fleet import HOST_NAME, PublishedFleet
 
@@ -13,11 +13,14 @@
 PATIENCE_S = 6.0
 ADDRESS_LIFE_S = 1.5
 KINDS = ("stream", "book", "look")
+# Statuses of requests without a complete answer: never sent, and cut.
+UNSENT = -1
+CUT = 0
 
 
 @dataclass(frozen=True)
 class Outcome:
-    """What one request came to; a status of 0 stands for no complete answer."""
+    """What one request came to; the status may be UNSENT or CUT."""
 
     id: str
     kind: str
@@ -60,11 +63,18 @@
         now = asyncio.get_running_loop().time()
         if now - self._asked_at > ADDRESS_LIFE_S:
             self._asked_at = now
+            await self._resolve()
+        return self.rng.choice(self._addresses) if self._addresses else None
+
+    async def _resolve(self) -> None:
+        """Ask daemons in random order until one answers, as callers do."""
+        numbers = list(range(1, self.daemons + 1))
+        self.rng.shuffle(numbers)
+        for number in numbers[:3]:
             with contextlib.suppress(ClientError, OSError, TimeoutError):
                 async with asyncio.timeout(1.0):
-                    number = self.rng.randint(1, self.daemons)
                     self._addresses = await self.fleet.addresses(number)
-        return self.rng.choice(self._addresses) if self._addresses else None
+                    return
 
     async def call(self, session: ClientSession, front: str, kind: str) -> Outcome:
         """Send one request and judge its answer."""
@@ -78,13 +88,17 @@
         if kind == "stream":
             headers["X-Token-Count"] = f"800,{11 * EVENTS}"
         method = "POST" if kind != "look" else "GET"
-        status, body = 0, b""
-        with contextlib.suppress(ClientError, OSError, TimeoutError):
+        status, body = CUT, b""
+        try:
             async with session.request(
                 method, f"http://{front}/first/{kind}/x", headers=headers
             ) as response:
                 body = await response.read()
                 status = response.status
+        except ClientConnectorError:
+            status = UNSENT
+        except (ClientError, OSError, TimeoutError):
+            status = CUT
         good = status != 200 or self._is_whole(kind, request_id, body)
         ended = asyncio.get_running_loop().time()
         return Outcome(request_id, kind, front, status, good, ended)
