Totals of all daemons' work kept with each change; pools of any size cost the same

Cause: looking up a replica's load added up every daemon's digest, and a round looked at every decode replica: at 400 daemons and 670 replicas 268,000 additions a placement. A property test compares the totals with those added up from scratch.

--- a/marjoramstile/routes/loads.py
+++ b/marjoramstile/routes/loads.py
@@ -5,10 +5,10 @@
 daemon that ended is forgotten.
 """
 
-from collections import defaultdict
+from collections import Counter, OrderedDict
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 # Digests are renewed at least this often, and count for a few renewals.
 RENEW_S = 0.5
@@ -52,23 +52,29 @@
     waiting: Mapping[str, int]
 
 
-@dataclass
+@dataclass(frozen=True)
 class _Heard:
     digest: LoadDigest
     at: float
 
 
-@dataclass
 class FleetLoads:
-    """This daemon's own work and the digests of the others."""
-
-    vm: str
-    incarnation: str
-    _own: dict[str, ReplicaLoad] = field(default_factory=dict)
-    _waiting: dict[str, int] = field(default_factory=lambda: defaultdict(int))
-    _heard: dict[str, _Heard] = field(default_factory=dict)
-    _sequence: int = 0
-    _changed: bool = False
+    """This daemon's own work, the others' digests, and the totals of both.
+
+    Totals are kept up to date with each change, so that a look-up costs the same
+    whatever the number of daemons.
+    """
+
+    def __init__(self, vm: str, incarnation: str):
+        self._vm = vm
+        self._incarnation = incarnation
+        self._own: dict[str, ReplicaLoad] = {}
+        self._own_waiting: Counter[str] = Counter()
+        self._totals: dict[str, ReplicaLoad] = {}
+        self._waiting: Counter[str] = Counter()
+        self._heard: OrderedDict[str, _Heard] = OrderedDict()
+        self._sequence = 0
+        self._changed = False
 
     @property
     def changed(self) -> bool:
@@ -77,11 +83,8 @@
 
     def add(self, replica_id: str, load: ReplicaLoad) -> None:
         """Add own work at a replica."""
-        total = self._own.get(replica_id, NO_LOAD) + load
-        if total == NO_LOAD:
-            self._own.pop(replica_id, None)
-        else:
-            self._own[replica_id] = total
+        _add(self._own, replica_id, load)
+        _add(self._totals, replica_id, load)
         self._changed = True
 
     def remove(self, replica_id: str, load: ReplicaLoad) -> None:
@@ -100,26 +103,29 @@
     @contextmanager
     def waiting(self, service: str) -> Iterator[None]:
         """Count a timely request that waits for room."""
-        self._waiting[service] += 1
-        self._changed = True
+        self._note_waiting(service, 1)
         try:
             yield
         finally:
-            self._waiting[service] -= 1
-            self._changed = True
+            self._note_waiting(service, -1)
+
+    def _note_waiting(self, service: str, change: int) -> None:
+        self._own_waiting[service] += change
+        self._waiting[service] += change
+        self._changed = True
 
     def digest(self) -> LoadDigest:
         """Return the next digest of own work."""
         self._sequence += 1
         self._changed = False
-        waiting = {service: count for service, count in self._waiting.items() if count}
+        waiting = {key: count for key, count in self._own_waiting.items() if count}
         return LoadDigest(
-            self.vm, self.incarnation, self._sequence, dict(self._own), waiting
+            self._vm, self._incarnation, self._sequence, dict(self._own), waiting
         )
 
     def hear(self, digest: LoadDigest, now: float) -> None:
         """Take another daemon's digest unless a newer one was heard."""
-        if digest.vm == self.vm:
+        if digest.vm == self._vm:
             return
         known = self._heard.get(digest.vm)
         if (
@@ -128,23 +134,41 @@
             and known.digest.sequence >= digest.sequence
         ):
             return
+        if known is not None:
+            self._forget(digest.vm)
         self._heard[digest.vm] = _Heard(digest, now)
-
-    def _current(self, now: float) -> Iterator[LoadDigest]:
-        for vm, heard in list(self._heard.items()):
-            if now - heard.at > EXPIRY_S:
-                del self._heard[vm]
-            else:
-                yield heard.digest
+        for replica_id, load in digest.replicas.items():
+            _add(self._totals, replica_id, load)
+        self._waiting.update(digest.waiting)
+
+    def _forget(self, vm: str) -> None:
+        digest = self._heard.pop(vm).digest
+        for replica_id, load in digest.replicas.items():
+            _add(self._totals, replica_id, NO_LOAD - load)
+        self._waiting.subtract(digest.waiting)
+
+    def _expire(self, now: float) -> None:
+        """Forget digests that were not renewed; the oldest come first."""
+        while self._heard:
+            vm, heard = next(iter(self._heard.items()))
+            if now - heard.at <= EXPIRY_S:
+                return
+            self._forget(vm)
 
     def load_of(self, replica_id: str, now: float) -> ReplicaLoad:
         """Return the work of all daemons at a replica."""
-        total = self._own.get(replica_id, NO_LOAD)
-        for digest in self._current(now):
-            total = total + digest.replicas.get(replica_id, NO_LOAD)
-        return total
+        self._expire(now)
+        return self._totals.get(replica_id, NO_LOAD)
 
     def waiting_for(self, service: str, now: float) -> int:
         """Return the timely requests that wait for room at all daemons."""
-        others = sum(digest.waiting.get(service, 0) for digest in self._current(now))
-        return self._waiting[service] + others
+        self._expire(now)
+        return self._waiting[service]
+
+
+def _add(loads: dict[str, ReplicaLoad], replica_id: str, load: ReplicaLoad) -> None:
+    total = loads.get(replica_id, NO_LOAD) + load
+    if total == NO_LOAD:
+        loads.pop(replica_id, None)
+    else:
+        loads[replica_id] = total
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -47,6 +47,8 @@
 HOLD_TTL_S = 2.0
 # A replica that had no room is not asked again for this long.
 FULL_PAUSE_S = 0.06
+# Replicas looked at in one round, whatever the size of the pool.
+ROOMS_MAX = 24
 
 logger = get_logger(__name__)
 
@@ -192,11 +194,7 @@
     async def _ask_round(self, ask: "_Ask") -> Place | None:
         now = loop_time()
         service = ask.request.service
-        replicas = {
-            replica.id: replica
-            for replica in self._directory.usable(service, Stage.DECODE)
-            if replica.id not in ask.avoid
-        }
+        replicas = self._drawn_replicas(ask)
         crowded = self._prefills.is_crowded(service)
         overloaded = crowded and self._prefills.has_replicas(service)
         if overloaded and ask.urgency == Urgency.LATE:
@@ -205,7 +203,6 @@
         if crowded:
             rooms = [room for room in rooms if not room.prefilling]
         waiting = self._loads.waiting_for(service, now)
-        self._rng.shuffle(rooms)
         for replica_id in replicas_to_ask(rooms, ask.tokens, ask.urgency, waiting):
             if now < self._full_until.get(replica_id, 0.0):
                 continue
@@ -214,10 +211,17 @@
                 return place
         return None
 
+    def _drawn_replicas(self, ask: "_Ask") -> dict[str, Replica]:
+        """Return decode replicas by id in random order, at most ROOMS_MAX of them."""
+        usable = self._directory.usable(ask.request.service, Stage.DECODE)
+        allowed = [replica for replica in usable if replica.id not in ask.avoid]
+        drawn = self._rng.sample(allowed, min(ROOMS_MAX, len(allowed)))
+        return {replica.id: replica for replica in drawn}
+
     def _free_tokens(self, ask: "_Ask") -> str:
-        """Return the expected free memory of each replica, for the log."""
+        """Return requests and free memory of replicas as expected, for the log."""
         now = loop_time()
-        replicas = self._directory.usable(ask.request.service, Stage.DECODE)
+        replicas = self._drawn_replicas(ask).values()
         rooms = [self._room(replica, ask.engine, now) for replica in replicas]
         return ",".join(f"{room.requests}:{room.free_tokens}" for room in rooms)
 
--- a/tests/routes/test_decisions.py
+++ b/tests/routes/test_decisions.py
@@ -186,3 +186,34 @@
     assert not directory.usable("ledger")
     directory.put(plain("r", born_ms=2))
     assert directory.usable("ledger")
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["vm-2", "vm-3", "vm-4"]),
+            st.integers(1, 9),
+            st.dictionaries(st.sampled_from("abc"), st.integers(1, 99), max_size=3),
+            st.floats(0.0, 1.0),
+        ),
+        max_size=20,
+    )
+)
+def test_totals_are_those_of_the_newest_digests(events):
+    """The totals kept with each change are those added up from scratch."""
+    loads = FleetLoads("vm-1", "i")
+    newest: dict[str, tuple[float, LoadDigest]] = {}
+    now = 0.0
+    for vm, sequence, tokens, pause in events:
+        now += pause
+        replicas = {key: ReplicaLoad(1, value, 0) for key, value in tokens.items()}
+        item = LoadDigest(vm, "i", sequence, replicas, {"s": 1})
+        loads.hear(item, now)
+        known = newest.get(vm)
+        if known is None or known[1].sequence < sequence:
+            newest[vm] = (now, item)
+    current = [item for at, item in newest.values() if now - at <= EXPIRY_S]
+    for key in "abc":
+        expected = sum(item.replicas.get(key, NO_LOAD).kv_tokens for item in current)
+        assert loads.load_of(key, now).kv_tokens == expected
+    assert loads.waiting_for("s", now) == len(current)
