--- a/marjoramstile/peers/frames.py
+++ b/marjoramstile/peers/frames.py
@@ -21,6 +21,8 @@
 from thriftpy2.transport import TMemoryBuffer
 from thriftpy2.transport.memory import TCyMemoryBuffer
 
+from marjoramstile.peers.checks import check_message
+
 IDL = load(
     str(Path(__file__).with_name("peer.thrift")), module_name="marjoramstile_thrift"
 )
@@ -54,6 +56,7 @@
 
 def decode_call(processor: TProcessor, message: bytes) -> IncomingCall:
     """Return the call that ``message`` holds; ``handle`` is None if it is unknown."""
+    check_message(message)
     protocol = TBinaryProtocol(TMemoryBuffer(message))
     method, _, result, handle = processor.process_in(protocol)
     return IncomingCall(method, result, handle)
@@ -68,6 +71,7 @@
 
 def decode_answer(message: bytes) -> Any:
     """Return the value that a peer has answered with."""
+    check_message(message)
     protocol = TBinaryProtocol(TMemoryBuffer(message))
     method, kind, _ = protocol.read_message_begin()
     if kind == TMessageType.EXCEPTION:
--- /dev/null
+++ b/tests/peers/test_frames.py
@@ -0,0 +1,79 @@
+"""Messages between daemons: whole ones pass, broken ones end in bounded time."""
+
+import contextlib
+import random
+import time
+
+import pytest
+from thriftpy2.thrift import TProcessor
+
+from marjoramstile.peers.checks import BrokenMessageError, check_message
+from marjoramstile.peers.frames import (
+    IDL,
+    IncomingCall,
+    decode_answer,
+    decode_call,
+    encode_answer,
+    encode_call,
+)
+
+PROBE = IDL.Probe(
+    vm="vm-1",
+    incarnation="i",
+    reports=[IDL.Report(vm="vm-2", incarnation="j", counter=3, state=1)],
+    strikes=[IDL.Strike(content="c", endpoint="e")],
+)
+CALLS = [
+    encode_call("probe", PROBE),
+    encode_call("probe_through", "vm"),
+    encode_call("changes", "table", 5),
+    encode_call("query", "{}"),
+]
+# Each held thriftpy2 for more than half a second.
+HELD = [
+    b"\x80\x01\x01\x01\x00\x00\x00\x07changes\x00\x00\x00\x00\x7f\x00\x01\r\x00\x00\x01t"
+    b"\n\xff\x02\x00\x00\x00\x00\x00\x00\x00\x05\x00",
+    b"\x80\x01\x00\x01\x00\x00\x00\x07changes\x00\x00\x00\x00\x0f\x00\x01\x00\x0c\x00"
+    b"\x01t\n\x00\x02\x00\x00\x00\x00\x00\x00\x00\x05\x00",
+    b"\x80\x01\x0b\x01\x00\x00\x00\x05\x0buery\x00\x00\x02\x00\x0f\x00\x01\x00\x0b\xff"
+    b"\x02{}\x00",
+]
+
+
+@pytest.mark.parametrize("message", CALLS)
+def test_whole_messages_pass(message):
+    check_message(message)
+
+
+def test_answers_pass():
+    result = IDL.Peer.probe_result(success=PROBE)
+    message = encode_answer(IncomingCall("probe", result, None))
+    assert decode_answer(message) == PROBE
+
+
+@pytest.mark.parametrize("message", HELD)
+def test_messages_that_held_the_loop_are_refused(message):
+    with pytest.raises(BrokenMessageError):
+        check_message(message)
+
+
+@pytest.mark.parametrize("message", CALLS)
+def test_messages_cut_short_or_followed_by_bytes_are_refused(message):
+    for broken in (message[:-1], message + b"\0", message[: len(message) // 2]):
+        with pytest.raises(BrokenMessageError):
+            check_message(broken)
+
+
+def test_broken_messages_end_in_bounded_time():
+    rng = random.Random(5)
+    processor = TProcessor(IDL.Peer, object())
+    longest_s = 0.0
+    for _ in range(20_000):
+        data = bytearray(rng.choice(CALLS))
+        for _ in range(rng.randint(1, 6)):
+            data[rng.randrange(len(data))] = rng.choice([*range(16), 127, 255])
+        started = time.process_time()
+        with contextlib.suppress(Exception):
+            decode_call(processor, bytes(data))
+        longest_s = max(longest_s, time.process_time() - started)
+    assert longest_s < 0.25
