The retry budget's slack is shared by known daemons only, and grows after a start

Tests: both fail without the change. A daemon without the others' rows has no slack; an attempt tries two prefill replicas.

--- a/marjoramstile/routes/budget.py
+++ b/marjoramstile/routes/budget.py
@@ -23,9 +23,16 @@
 class WindowBudget:
     """Counts requests and repeats of each service over a sliding window."""
 
-    def __init__(self, limits: BudgetLimits, daemon_count: Callable[[], int]):
+    def __init__(
+        self,
+        limits: BudgetLimits,
+        daemon_count: Callable[[], int | None],
+        started: float,
+    ):
+        """``daemon_count`` returns None while the other daemons are not known."""
         self._limits = limits
         self._daemon_count = daemon_count
+        self._started = started
         self._requests: dict[str, deque[float]] = defaultdict(deque)
         self._repeats: dict[str, deque[float]] = defaultdict(deque)
 
@@ -47,9 +54,20 @@
         repeats = self._repeats[service]
         self._trim(requests, now)
         self._trim(repeats, now)
-        share = self._limits.slack / max(1, self._daemon_count())
-        allowed = SAFETY * (self._limits.ratio * len(requests) + share)
-        return allowed - len(repeats)
+        allowed = self._limits.ratio * len(requests) + self._slack_share(now)
+        return SAFETY * allowed - len(repeats)
+
+    def _slack_share(self, now: float) -> float:
+        """Return this daemon's part of the slack.
+
+        It grows over the first window, as the process before this one may have used
+        the part up, and there is none while the daemons are not known.
+        """
+        count = self._daemon_count()
+        if count is None:
+            return 0.0
+        grown = min(1.0, (now - self._started) / self._limits.window_s)
+        return max(0.0, grown) * self._limits.slack / max(1, count)
 
     def _trim(self, times: deque[float], now: float) -> None:
         while times and times[0] <= now - self._limits.window_s:
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -50,6 +50,8 @@
 STALL_GAPS = 5
 MIN_STALL_S = 1.5
 MIN_ATTEMPT_S = 0.05
+# Prefill replicas that one attempt may try; more only spend the others' budget.
+PREFILL_TRIES = 2
 OK = 200
 
 logger = get_logger(__name__)
@@ -191,6 +193,8 @@
             replica = self._balancer.choose_by_tokens(untried, self._loads, loop_time())
             if replica is None:
                 return None
+            if len(tried) - len(failed) >= PREFILL_TRIES:
+                raise RequestRefusedError(RefusalReason.SHED, RETRY_AFTER_S)
             if loop_time() > request.deadline - MIN_ATTEMPT_S:
                 raise RequestRefusedError(RefusalReason.TIMED_OUT, RETRY_AFTER_S)
             tried.add(replica.id)
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -164,13 +164,19 @@
         handler = RouterPeerHandler(self.prober, self._followers)
         self._peer_server = PeerServer(handler, FRAME_MAX_BYTES)
 
+    def _daemon_count(self) -> int | None:
+        """Return how many daemons there are, None before their rows were read."""
+        if not self.nodes_mirror.known:
+            return None
+        return max(len(self.view.peers), len(self.nodes_mirror.rows))
+
     def _build_requests(self) -> None:
         settings = self.settings
         client = self._ports.replicas
         self.balancer = Balancer(settings.data_centre, self._rng)
         self.loads = FleetLoads(settings.vm, self.view.own.incarnation)
         self.budget = WindowBudget(
-            settings.bounds.retries, lambda: len(self.view.peers)
+            settings.bounds.retries, self._daemon_count, loop_time()
         )
         prefills = PrefillMeter(self.directory, self.loads)
         self.stages = StageKeeper(
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -76,7 +76,8 @@
         self.balancer = Balancer("a", random.Random(1))
         self.loads = FleetLoads(self.vm, "i1")
         self.quarantine = Quarantine()
-        self.budget = WindowBudget(BudgetLimits(0.2, 10.0, self.slack), lambda: 1)
+        limits = BudgetLimits(0.2, 10.0, self.slack)
+        self.budget = WindowBudget(limits, lambda: 1, started=-10.0)
         self.profile = []
         prefills = PrefillMeter(self.directory, self.loads)
         crashes = CrashWatch(self.quarantine, self.pool, self.tasks)
--- a/tests/routes/test_decisions.py
+++ b/tests/routes/test_decisions.py
@@ -99,7 +99,7 @@
 
 def test_all_daemons_together_stay_within_the_budget():
     limits = BudgetLimits(ratio=0.2, window_s=10.0, slack=54.0)
-    daemons = [WindowBudget(limits, lambda: 7) for _ in range(7)]
+    daemons = [WindowBudget(limits, lambda: 7, started=-10.0) for _ in range(7)]
     for daemon in daemons:
         for number in range(20):
             daemon.note_request("s", number / 20)
@@ -108,11 +108,23 @@
 
 
 def test_the_budget_comes_back_with_the_window():
-    budget = WindowBudget(BudgetLimits(0.0, 10.0, 2.0), lambda: 1)
+    budget = WindowBudget(BudgetLimits(0.0, 10.0, 2.0), lambda: 1, started=-10.0)
     assert [budget.spend("s", 0.0) for _ in range(3)] == [True, False, False]
     assert budget.spend("s", 10.1)
 
 
+def test_daemons_that_all_start_at_once_do_not_each_take_the_whole_slack():
+    """After a power loss no daemon knows the others, nor what was spent before."""
+    limits = BudgetLimits(ratio=0.2, window_s=10.0, slack=164.0)
+    known = [None, 62]
+    daemons = [WindowBudget(limits, lambda: known[0], started=0.0) for _ in range(62)]
+    spent = sum(daemon.spend("s", 0.5) for daemon in daemons for _ in range(20))
+    assert spent == 0
+    known.reverse()
+    spent = sum(daemon.spend("s", 2.0) for daemon in daemons for _ in range(20))
+    assert spent <= 164 / 2
+
+
 def digest(sequence: int, tokens: int, incarnation: str = "i") -> LoadDigest:
     """Return a digest of another daemon."""
     load = ReplicaLoad(1, tokens, 0)
--- a/tests/routes/test_generations.py
+++ b/tests/routes/test_generations.py
@@ -197,3 +197,12 @@
             raise AnswerLostError("timeout") from None
 
     return limited
+
+
+async def test_full_prefill_replicas_are_not_all_tried():
+    core = core_with(prefill=6)
+    for number in range(6):
+        core.pool.replicas[f"e{number}"].faults.full = True
+    with pytest.raises(RequestRefusedError):
+        await core.generate(request("q", STREAM))
+    assert core.pool.arrivals["q"] == 2
