--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -151,9 +151,8 @@
     ) -> Place:
         """Return a place or raise RequestRefusedError when time is up."""
         queue = self._queues.setdefault(request.service, PlaceQueue())
-        ask = _Ask(
-            request, engine, reserved_tokens(request, engine), urgency, frozenset(avoid)
-        )
+        tokens = reserved_tokens(request, engine)
+        ask = _Ask(request, engine, tokens, urgency, avoid)
         try:
             async with (
                 asyncio.timeout_at(wait_until),
@@ -169,6 +168,8 @@
                 urgency=urgency.name,
                 waited_s=round(loop_time() - request.arrived, 3),
                 queued=queue.length,
+                holds_refused=ask.holds_refused,
+                prefill_crowded=self._prefills.is_crowded(request.service),
                 waiting=self._loads.waiting_for(request.service, loop_time()),
                 free=self._free_tokens(ask),
             )
@@ -252,6 +253,7 @@
             if hold is None:
                 self._loads.remove(replica.id, load)
         if hold is None:
+            ask.holds_refused += 1
             self._full_until[replica.id] = loop_time() + FULL_PAUSE_S
             return None
         logger.info(
@@ -278,15 +280,16 @@
             logger.info("hold_not_dropped", hold=place.hold.id, reason=repr(error))
 
 
-@dataclass(frozen=True)
+@dataclass
 class _Ask:
-    """What one request asks of decode replicas."""
+    """What one request asks of decode replicas, and how often they refused."""
 
     request: RoutedRequest
     engine: EngineTraits
     tokens: int
     urgency: Urgency
     avoid: frozenset[str]
+    holds_refused: int = 0
 
 
 def reserved_tokens(request: RoutedRequest, engine: EngineTraits) -> int:
