Parts of large modules on their own; a split must be wanted by the same pool for a while

The slack after a start begins at a quarter: without any, a killed replica cost a stream right after a daemon's start (tests/processes/test_published.py, failed once, traced to the budget).

--- a/demo/published_fleet.py
+++ b/demo/published_fleet.py
@@ -173,7 +173,7 @@
         log = self._directory / f"{name}.log"
         with log.open("ab") as output:
             process = subprocess.Popen(
-                [sys.executable, "-m", "marjoramstile.platform.daemon"],
+                [sys.executable, "-m", "marjoramstile.platform"],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
--- /dev/null
+++ b/marjoramstile/platform/__main__.py
@@ -0,0 +1,5 @@
+"""Starts the routing daemon: ``python -m marjoramstile.platform``."""
+
+from marjoramstile.platform.daemon import main
+
+main()
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -211,7 +211,3 @@
         raise typer.Exit(run_daemon())
 
     app(args=argv)
-
-
-if __name__ == "__main__":
-    main()
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -25,7 +25,7 @@
 from marjoramstile.loops import connect
 from marjoramstile.platform import headers as names
 from marjoramstile.platform.connections import ReplicaConnector
-from marjoramstile.routes.orders import StageOrder, StageReport
+from marjoramstile.routes.order_ports import StageOrder, StageReport
 from marjoramstile.routes.ports import StreamAnswer
 from marjoramstile.routes.replicas import Replica, Stage
 from marjoramstile.routes.requests import (
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -11,7 +11,7 @@
 
 from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
 from marjoramstile.ports.tables import Committed, Condition, StoreError, Write
-from marjoramstile.routes.orders import DatedRow
+from marjoramstile.routes.order_ports import DatedRow
 
 # Longest time from a call to its answer, beside the wait of a feed.
 CALL_TIMEOUT_S = 0.8
--- a/marjoramstile/routes/budget.py
+++ b/marjoramstile/routes/budget.py
@@ -6,6 +6,8 @@
 
 # Part of the allowance that is used: daemons count windows at different moments.
 SAFETY = 0.7
+# Part of the slack that a daemon may use right after its start.
+START_PART = 0.25
 
 
 @dataclass(frozen=True)
@@ -67,7 +69,8 @@
         if count is None:
             return 0.0
         grown = min(1.0, (now - self._started) / self._limits.window_s)
-        return max(0.0, grown) * self._limits.slack / max(1, count)
+        part = START_PART + (1 - START_PART) * grown
+        return part * self._limits.slack / max(1, count)
 
     def _trim(self, times: deque[float], now: float) -> None:
         while times and times[0] <= now - self._limits.window_s:
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -4,11 +4,11 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowBudget
 from marjoramstile.routes.crashes import CrashWatch
+from marjoramstile.routes.failures import FailureNotes
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory
 from marjoramstile.routes.requests import (
     AnswerLostError,
-    MisdirectedError,
     NotSentError,
     OutcomeUnknownError,
     RefusalReason,
@@ -44,6 +44,7 @@
         self._balancer = balancer
         self._budget = budget
         self._crashes = crashes
+        self._failures = FailureNotes(directory, balancer)
 
     async def run(self, request: RoutedRequest) -> Reply:
         """Return a replica's answer.
@@ -90,17 +91,8 @@
             reply = await self._client.call(
                 replica, request, request.deadline - started
             )
-        except MisdirectedError:
-            self._directory.note_misdirected(replica)
-            raise
         except ReplicaError as error:
-            stats.note_failure(loop_time())
-            logger.info(
-                "replica_failed",
-                request=request.id,
-                replica=replica.id,
-                reason=f"{type(error).__name__}: {error}",
-            )
+            self._failures.note(replica, request, error)
             raise
         finally:
             stats.outstanding -= 1
--- /dev/null
+++ b/marjoramstile/routes/failures.py
@@ -0,0 +1,36 @@
+"""What a replica's failure changes in the daemon's beliefs."""
+
+from marjoramstile.logs import get_logger
+from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.replicas import Replica, ReplicaDirectory
+from marjoramstile.routes.requests import (
+    MisdirectedError,
+    ReplicaError,
+    RoutedRequest,
+)
+from marjoramstile.utils import loop_time
+
+logger = get_logger(__name__)
+
+
+class FailureNotes:
+    """Takes failed sends into the directory and the balancer."""
+
+    def __init__(self, directory: ReplicaDirectory, balancer: Balancer):
+        self._directory = directory
+        self._balancer = balancer
+
+    def note(
+        self, replica: Replica, request: RoutedRequest, error: ReplicaError
+    ) -> None:
+        """Note that a replica did not answer a request as it should."""
+        if isinstance(error, MisdirectedError):
+            self._directory.note_misdirected(replica)
+        else:
+            self._balancer.stats(replica).note_failure(loop_time())
+        logger.info(
+            "replica_failed",
+            request=request.id,
+            replica=replica.id,
+            reason=f"{type(error).__name__}: {error}",
+        )
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -11,10 +11,10 @@
 
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.admission import Urgency
-from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowBudget
 from marjoramstile.routes.crashes import CrashWatch
 from marjoramstile.routes.events import EventSplitter
+from marjoramstile.routes.failures import FailureNotes
 from marjoramstile.routes.loads import FleetLoads, ReplicaLoad
 from marjoramstile.routes.placement import (
     DecodePlacer,
@@ -23,12 +23,11 @@
     urgency_of,
 )
 from marjoramstile.routes.ports import ReplicaClient, Responder, StreamAnswer
-from marjoramstile.routes.prefills import PrefillMeter
-from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
+from marjoramstile.routes.prefiller import Prefiller
+from marjoramstile.routes.replicas import Replica
 from marjoramstile.routes.requests import (
     AnswerLostError,
     KVHandle,
-    MisdirectedError,
     NotExecutedError,
     OutcomeUnknownError,
     RefusalReason,
@@ -50,8 +49,6 @@
 STALL_GAPS = 5
 MIN_STALL_S = 1.5
 MIN_ATTEMPT_S = 0.05
-# Prefill replicas that one attempt may try; more only spend the others' budget.
-PREFILL_TRIES = 2
 OK = 200
 
 logger = get_logger(__name__)
@@ -72,28 +69,26 @@
 
     def __init__(
         self,
-        directory: ReplicaDirectory,
         client: ReplicaClient,
-        balancer: Balancer,
-        budget: WindowBudget,
         placer: DecodePlacer,
+        prefiller: Prefiller,
+        budget: WindowBudget,
         loads: FleetLoads,
-        prefills: PrefillMeter,
+        failures: FailureNotes,
         crashes: CrashWatch,
         tasks: TaskGroupOwner,
         note_generation: Callable[[str, int, int, float], None],
     ):
         """``note_generation`` takes service, prompt, output tokens and seconds."""
-        self._note_generation = note_generation
-        self._directory = directory
         self._client = client
-        self._balancer = balancer
-        self._budget = budget
         self._placer = placer
+        self._prefiller = prefiller
+        self._budget = budget
         self._loads = loads
-        self._prefills = prefills
+        self._failures = failures
         self._crashes = crashes
         self._tasks = tasks
+        self._note_generation = note_generation
 
     async def run(
         self, request: RoutedRequest, engine: EngineTraits, responder: Responder
@@ -112,19 +107,9 @@
                 )
             except _SendFailedError as failure:
                 failed.add(failure.replica.id)
-                logger.info(
-                    "attempt_failed",
-                    request=request.id,
-                    replica=failure.replica.id,
-                    may_have_run=failure.ran,
-                    events_sent=progress.events,
-                    runs=progress.runs,
-                )
-                self._note_failure(request, failure)
-                if failure.ran:
-                    self._crashes.note_lost(request, failure.replica)
-                if not self._may_go_on(request, progress, failure):
-                    raise self._give_up(request, progress, failure) from failure
+                self._note_failure(request, progress, failure)
+                if not self._may_go_on(request, progress):
+                    raise self._give_up(progress, failure) from failure
             except RequestRefusedError as refusal:
                 if progress.runs == 0:
                     raise
@@ -146,7 +131,7 @@
         handle = None
         try:
             if not place.prefills:
-                handle = await self._prefill(request, failed)
+                handle = await self._prefiller.prefill(request, failed)
             used = True
             return await self._decode(
                 request, engine, place, handle, responder, progress
@@ -174,51 +159,7 @@
         if not used:
             self._tasks.start(self._placer.give_back(place), "drop_hold")
         elif handle is not None:
-            self._tasks.start(self._free_handle(handle), "free_handle")
-
-    async def _free_handle(self, handle: KVHandle) -> None:
-        try:
-            await self._client.free_handle(handle)
-        except ReplicaError as error:
-            logger.debug("handle_not_freed", handle=handle.id, reason=repr(error))
-
-    async def _prefill(
-        self, request: RoutedRequest, failed: frozenset[str]
-    ) -> KVHandle | None:
-        """Return the prefilled KV cache; None to let the decode replica prefill."""
-        tried: set[str] = set(failed)
-        while True:
-            replicas = self._directory.usable(request.service, Stage.PREFILL)
-            untried = [replica for replica in replicas if replica.id not in tried]
-            replica = self._balancer.choose_by_tokens(untried, self._loads, loop_time())
-            if replica is None:
-                return None
-            if len(tried) - len(failed) >= PREFILL_TRIES:
-                raise RequestRefusedError(RefusalReason.SHED, RETRY_AFTER_S)
-            if loop_time() > request.deadline - MIN_ATTEMPT_S:
-                raise RequestRefusedError(RefusalReason.TIMED_OUT, RETRY_AFTER_S)
-            tried.add(replica.id)
-            try:
-                return await self._prefill_at(replica, request)
-            except ReplicaError as error:
-                self._note_replica_failure(replica, request, error)
-            if not self._budget.spend(request.service, loop_time()):
-                raise RequestRefusedError(RefusalReason.BUDGET, RETRY_AFTER_S)
-
-    async def _prefill_at(self, replica: Replica, request: RoutedRequest) -> KVHandle:
-        with self._prefills.prefilling(replica, request.size.prompt):
-            started = loop_time()
-            left_s = request.deadline - started
-            handle = await self._client.prefill(replica, request, left_s)
-        logger.info(
-            "prefilled",
-            request=request.id,
-            replica=replica.id,
-            tokens=request.size.prompt,
-            handle=handle.id,
-            took_s=round(loop_time() - started, 4),
-        )
-        return handle
+            self._tasks.start(self._prefiller.free(handle), "free_handle")
 
     async def _decode(
         self,
@@ -315,26 +256,22 @@
         except TimeoutError:
             raise AnswerLostError("the stream went silent") from None
 
-    def _note_failure(self, request: RoutedRequest, failure: "_SendFailedError"):
-        self._note_replica_failure(failure.replica, request, failure.error)
-
-    def _note_replica_failure(
-        self, replica: Replica, request: RoutedRequest, error: ReplicaError
+    def _note_failure(
+        self, request: RoutedRequest, progress: Progress, failure: "_SendFailedError"
     ) -> None:
-        if isinstance(error, MisdirectedError):
-            self._directory.note_misdirected(replica)
-        else:
-            self._balancer.stats(replica).note_failure(loop_time())
         logger.info(
-            "replica_failed",
+            "attempt_failed",
             request=request.id,
-            replica=replica.id,
-            reason=f"{type(error).__name__}: {error}",
+            replica=failure.replica.id,
+            may_have_run=failure.ran,
+            events_sent=progress.events,
+            runs=progress.runs,
         )
+        self._failures.note(failure.replica, request, failure.error)
+        if failure.ran:
+            self._crashes.note_lost(request, failure.replica)
 
-    def _may_go_on(
-        self, request: RoutedRequest, progress: Progress, failure: "_SendFailedError"
-    ) -> bool:
+    def _may_go_on(self, request: RoutedRequest, progress: Progress) -> bool:
         now = loop_time()
         if now > request.deadline - MIN_ATTEMPT_S:
             return False
@@ -346,9 +283,7 @@
                 return False
         return self._budget.spend(request.service, now)
 
-    def _give_up(
-        self, request: RoutedRequest, progress: Progress, failure: "_SendFailedError"
-    ) -> Exception:
+    def _give_up(self, progress: Progress, failure: "_SendFailedError") -> Exception:
         if progress.runs == 0:
             return RequestRefusedError(RefusalReason.SHED, RETRY_AFTER_S)
         return self._unfinished(progress, str(failure.error))
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -28,11 +28,14 @@
 from marjoramstile.routes.calls import PlainCallRunner
 from marjoramstile.routes.crashes import CrashWatch
 from marjoramstile.routes.entry import Entry
+from marjoramstile.routes.failures import FailureNotes
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.loads import FleetLoads
-from marjoramstile.routes.orders import OrderStore, StageClient, StageKeeper
+from marjoramstile.routes.order_ports import OrderStore, StageClient
+from marjoramstile.routes.orders import StageKeeper
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.ports import ReplicaClient
+from marjoramstile.routes.prefiller import Prefiller
 from marjoramstile.routes.prefills import PrefillMeter
 from marjoramstile.routes.replicas import RETURN_WAIT_S, ReplicaDirectory
 from marjoramstile.routes.settings import Address, RouterSettings
@@ -178,7 +181,8 @@
         self.budget = WindowBudget(
             settings.bounds.retries, self._daemon_count, loop_time()
         )
-        prefills = PrefillMeter(self.directory, self.loads)
+        meter = PrefillMeter(self.directory, self.loads)
+        crashes = CrashWatch(self.quarantine, client, self.tasks)
         self.stages = StageKeeper(
             self.view,
             self.directory,
@@ -187,29 +191,10 @@
             self._ports.stages,
             settings.bounds.lease_s,
         )
-        crashes = CrashWatch(self.quarantine, client, self.tasks)
         calls = PlainCallRunner(
             self.directory, client, self.balancer, self.budget, crashes
         )
-        generations = GenerationRunner(
-            self.directory,
-            client,
-            self.balancer,
-            self.budget,
-            DecodePlacer(
-                self.directory,
-                client,
-                self.balancer,
-                self.loads,
-                prefills,
-                self._rng,
-            ),
-            self.loads,
-            prefills,
-            crashes,
-            self.tasks,
-            self.stages.note_generation,
-        )
+        generations = self._build_generations(client, meter, crashes)
         self.entry = Entry(
             lambda: self._table,
             lambda: self.replicas_mirror.known,
@@ -229,6 +214,27 @@
             min(ADDRESS_TTL_S, settings.bounds.address_ttl_max_s),
         )
 
+    def _build_generations(
+        self, client: ReplicaClient, meter: PrefillMeter, crashes: CrashWatch
+    ) -> GenerationRunner:
+        placer = DecodePlacer(
+            self.directory, client, self.balancer, self.loads, meter, self._rng
+        )
+        prefiller = Prefiller(
+            self.directory, client, self.balancer, self.budget, self.loads, meter
+        )
+        return GenerationRunner(
+            client,
+            placer,
+            prefiller,
+            self.budget,
+            self.loads,
+            FailureNotes(self.directory, self.balancer),
+            crashes,
+            self.tasks,
+            self.stages.note_generation,
+        )
+
     async def start(self) -> None:
         """Listen for peers and begin to follow the store."""
         peers = self.settings.listeners.peers
--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -11,21 +11,21 @@
 import json
 import time
 from dataclasses import dataclass
-from typing import Protocol
-
-from result import Result
 
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import View
-from marjoramstile.ports.feeds import StoredRow
 from marjoramstile.ports.tables import (
     ABSENT,
-    Committed,
     Condition,
-    StoreError,
     Write,
 )
 from marjoramstile.routes.loads import FleetLoads
+from marjoramstile.routes.order_ports import (
+    DatedRow,
+    OrderStore,
+    StageClient,
+    StageOrder,
+)
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
 from marjoramstile.routes.requests import ReplicaError
 from marjoramstile.routes.stages import GenerationProfile, wanted_prefill_count
@@ -45,33 +45,6 @@
 logger = get_logger(__name__)
 
 
-@dataclass(frozen=True)
-class DatedRow:
-    """A row, None if there is none, and the store's steady clock at the reading."""
-
-    row: StoredRow | None
-    now_s: float
-
-
-@dataclass(frozen=True)
-class StageOrder:
-    """An order to a replica, carried out only after ``expected_orders`` others."""
-
-    stage: Stage
-    holder: str
-    fencing_token: int
-    expected_orders: int
-
-
-@dataclass(frozen=True)
-class StageReport:
-    """What a replica says of its stage: whether an order runs, how many it took."""
-
-    stage: Stage
-    busy: bool
-    orders: int
-
-
 @dataclass(frozen=True)
 class PendingOrder:
     """The stage that a replica was ordered into; not believed after ``until``."""
@@ -80,28 +53,6 @@
     until: float
 
 
-class OrderStore(Protocol):
-    """What numbering orders needs of the platform's store."""
-
-    async def read_row(self, table: str, key: str) -> Result[DatedRow, StoreError]:
-        """Read one row."""
-
-    async def transact(
-        self, conditions: list[Condition], writes: list[Write]
-    ) -> Result[Committed | None, StoreError]:
-        """Commit ``writes`` if all ``conditions`` hold; None if one doesn't."""
-
-
-class StageClient(Protocol):
-    """What giving orders needs of replicas; raises ReplicaError."""
-
-    async def stage_report(self, replica: Replica) -> StageReport:
-        """Ask a replica for its stage."""
-
-    async def order_stage(self, replica: Replica, order: StageOrder) -> int:
-        """Give an order; return the status of the answer."""
-
-
 def boot_time() -> float:
     """Return a clock that also counts while the VM is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -126,7 +77,7 @@
         self._client = client
         self._lease_s = lease_s
         self._profiles: dict[str, GenerationProfile] = {}
-        self._wanted_since: dict[str, tuple[int, float]] = {}
+        self._wanted_since: dict[str, tuple[tuple[bool, int], float]] = {}
         self._quiet_until: dict[str, float] = {}
         self._pending: dict[str, PendingOrder] = {}
 
@@ -163,8 +114,7 @@
             profile, len(prefill), len(decode), engine.kv_tokens
         )
         change = wanted - len(prefill)
-        serves = bool(decode) or not prefill
-        if change == 0 or (serves and not self._steady(service, change, now)):
+        if not self._steady(service, change, len(stages), now):
             return
         logger.info(
             "split_wanted", service=service, prefill=len(prefill), wanted=wanted
@@ -205,14 +155,15 @@
             ),
         )
 
-    def _steady(self, service: str, change: int, now: float) -> bool:
+    def _steady(self, service: str, change: int, pool_size: int, now: float) -> bool:
+        """Tell whether the same move of the same pool has been wanted for a while."""
         if change == 0:
             self._wanted_since.pop(service, None)
             return False
-        direction = 1 if change > 0 else -1
+        wanted = (change > 0, pool_size)
         known = self._wanted_since.get(service)
-        if known is None or known[0] != direction:
-            self._wanted_since[service] = (direction, now)
+        if known is None or known[0] != wanted:
+            self._wanted_since[service] = (wanted, now)
             return False
         return now - known[1] >= STEADY_S
 
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -9,16 +9,14 @@
 
 import asyncio
 import contextlib
-import heapq
-import itertools
 import random
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.admission import ReplicaRoom, Urgency, replicas_to_ask
 from marjoramstile.routes.balancing import DOUBTFUL_FAILURES, Balancer
 from marjoramstile.routes.loads import FleetLoads, ReplicaLoad
+from marjoramstile.routes.place_queue import PlaceQueue, WaitingPlace
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.prefills import PrefillMeter
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
@@ -80,46 +78,6 @@
     prefills: bool
 
 
-@dataclass(order=True)
-class _Waiting:
-    rank: tuple[int, int, float, int]
-    turn: asyncio.Event = field(compare=False, default_factory=asyncio.Event)
-
-
-class PlaceQueue:
-    """Requests of one service that wait for room, the first of them asking."""
-
-    def __init__(self):
-        self._waiting: list[_Waiting] = []
-        self._numbers = itertools.count()
-
-    @property
-    def length(self) -> int:
-        """Requests waiting now, the asking one included."""
-        return len(self._waiting)
-
-    @asynccontextmanager
-    async def entry(self, urgency: Urgency, priority: int, arrived: float):
-        """Wait in the queue for as long as the block runs."""
-        rank = (urgency, priority, arrived, next(self._numbers))
-        waiting = _Waiting(rank)
-        heapq.heappush(self._waiting, waiting)
-        self._wake_first()
-        try:
-            yield waiting
-        finally:
-            self._waiting.remove(waiting)
-            heapq.heapify(self._waiting)
-            self._wake_first()
-
-    def _wake_first(self) -> None:
-        for waiting in self._waiting:
-            if waiting is self._waiting[0]:
-                waiting.turn.set()
-            else:
-                waiting.turn.clear()
-
-
 class DecodePlacer:
     """Takes reservations at decode replicas."""
 
@@ -175,7 +133,7 @@
             )
             raise RequestRefusedError(RefusalReason.NO_MEMORY, RETRY_AFTER_S) from None
 
-    async def _ask_in_turn(self, ask: "_Ask", entry: _Waiting) -> Place:
+    async def _ask_in_turn(self, ask: "_Ask", entry: WaitingPlace) -> Place:
         place = await self._ask_round(ask) if entry.turn.is_set() else None
         if place is not None:
             return place
--- /dev/null
+++ b/marjoramstile/routes/prefiller.py
@@ -0,0 +1,103 @@
+"""Has prompts prefilled, at another replica if one fails."""
+
+from marjoramstile.logs import get_logger
+from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.budget import WindowBudget
+from marjoramstile.routes.failures import FailureNotes
+from marjoramstile.routes.loads import FleetLoads
+from marjoramstile.routes.ports import ReplicaClient
+from marjoramstile.routes.prefills import PrefillMeter
+from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
+from marjoramstile.routes.requests import (
+    KVHandle,
+    RefusalReason,
+    ReplicaError,
+    RequestRefusedError,
+    RoutedRequest,
+)
+from marjoramstile.utils import loop_time
+
+RETRY_AFTER_S = 1.0
+# Least time in which a prefill can still help.
+MIN_ATTEMPT_S = 0.05
+# Replicas that one attempt may try; more only spend the others' budget.
+TRIES_MAX = 2
+
+logger = get_logger(__name__)
+
+
+class Prefiller:
+    """Chooses prefill replicas and keeps count of their work."""
+
+    def __init__(
+        self,
+        directory: ReplicaDirectory,
+        client: ReplicaClient,
+        balancer: Balancer,
+        budget: WindowBudget,
+        loads: FleetLoads,
+        meter: PrefillMeter,
+    ):
+        self._directory = directory
+        self._client = client
+        self._balancer = balancer
+        self._budget = budget
+        self._loads = loads
+        self._meter = meter
+        self._failures = FailureNotes(directory, balancer)
+
+    async def prefill(
+        self, request: RoutedRequest, avoid: frozenset[str]
+    ) -> KVHandle | None:
+        """Return the prefilled KV cache; None if there is no replica to ask.
+
+        Raises RequestRefusedError when tries, time or the retry budget are used up.
+        """
+        tried: set[str] = set()
+        while True:
+            replica = self._choose(request.service, avoid | tried)
+            if replica is None:
+                return None
+            self._check_may_try(request, len(tried))
+            tried.add(replica.id)
+            try:
+                return await self._prefill_at(replica, request)
+            except ReplicaError as error:
+                self._failures.note(replica, request, error)
+
+    def _choose(self, service: str, avoid: frozenset[str]) -> Replica | None:
+        replicas = self._directory.usable(service, Stage.PREFILL)
+        allowed = [replica for replica in replicas if replica.id not in avoid]
+        return self._balancer.choose_by_tokens(allowed, self._loads, loop_time())
+
+    def _check_may_try(self, request: RoutedRequest, tries: int) -> None:
+        """Raise unless the request may be sent to one more replica."""
+        now = loop_time()
+        if tries >= TRIES_MAX:
+            raise RequestRefusedError(RefusalReason.SHED, RETRY_AFTER_S)
+        if now > request.deadline - MIN_ATTEMPT_S:
+            raise RequestRefusedError(RefusalReason.TIMED_OUT, RETRY_AFTER_S)
+        if tries > 0 and not self._budget.spend(request.service, now):
+            raise RequestRefusedError(RefusalReason.BUDGET, RETRY_AFTER_S)
+
+    async def _prefill_at(self, replica: Replica, request: RoutedRequest) -> KVHandle:
+        started = loop_time()
+        with self._meter.prefilling(replica, request.size.prompt):
+            left_s = request.deadline - started
+            handle = await self._client.prefill(replica, request, left_s)
+        logger.info(
+            "prefilled",
+            request=request.id,
+            replica=replica.id,
+            tokens=request.size.prompt,
+            handle=handle.id,
+            took_s=round(loop_time() - started, 4),
+        )
+        return handle
+
+    async def free(self, handle: KVHandle) -> None:
+        """Free a KV cache that nobody will take."""
+        try:
+            await self._client.free_handle(handle)
+        except ReplicaError as error:
+            logger.info("handle_not_freed", handle=handle.id, reason=repr(error))
