--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -45,6 +45,8 @@
 # Callers abandon a stream after two seconds of silence or more; a resumed stream
 # must have its place before that.
 RESUME_WAIT_S = 1.5
+# Least wait for another place after one that was lost before it was used.
+AGAIN_WAIT_S = 0.25
 # Silence after which a replica is taken for lost, in longest timely pauses.
 STALL_GAPS = 5
 MIN_STALL_S = 1.5
@@ -125,7 +127,11 @@
     ) -> Reply | None:
         urgency = Urgency.RESUMED if progress.runs else urgency_of(request)
         place = await self._placer.place(
-            request, engine, self._wait_until(request, urgency), urgency, failed
+            request,
+            engine,
+            self._wait_until(request, urgency, again=bool(failed)),
+            urgency,
+            failed,
         )
         used = False
         handle = None
@@ -143,10 +149,12 @@
             self._placer.release(place)
 
     @staticmethod
-    def _wait_until(request: RoutedRequest, urgency: Urgency) -> float:
+    def _wait_until(request: RoutedRequest, urgency: Urgency, again: bool) -> float:
         if urgency == Urgency.RESUMED:
             return min(request.deadline, loop_time() + RESUME_WAIT_S)
         limit = request.arrived + queue_limit_s(request, urgency)
+        if again:
+            limit = max(limit, loop_time() + AGAIN_WAIT_S)
         return min(request.deadline, limit)
 
     def _clean_up(
--- a/tests/routes/test_generations.py
+++ b/tests/routes/test_generations.py
@@ -206,3 +206,17 @@
     with pytest.raises(RequestRefusedError):
         await core.generate(request("q", STREAM))
     assert core.pool.arrivals["q"] == 2
+
+
+async def test_a_place_lost_during_the_prefill_is_replaced_though_time_is_short():
+    """A decode replica died while the prompt was prefilled for most of the target."""
+    core = core_with()
+    core.pool.replicas["e0"].model = ReplicaModel(prefill_tokens_per_s=3200 / 0.7)
+    running = asyncio.create_task(core.generate(request("q", ONCE)))
+    await asyncio.sleep(0.5)
+    for name in ("d0", "d1"):
+        fake = core.pool.replicas[name]
+        if fake.holds:
+            fake.faults.refuse = True
+    assert whole(await running)
+    assert core.pool.runs["q"] == 1
