A replica is used again once its row tells of the stage that its 421 meant

Cause: a 421 left a replica out until its next start. Replicas that had been ordered into another stage also answer 421 while a daemon still has their old row, so that this daemon lost them for the rest of their life. Ruled out: reuse of addresses (the rows' stage was the only change). Now the row's start and stage together are what a 421 refutes; a 421 to a reservation counts alike.

Also, each with a test that failed first: numbers that don't fit their header (infinity, superscript digits, 5000 digits) ended in 500 and are now as if absent; a reservation without an id is a replica's error; answers of the store that can't be read are errors of the store; the table of daemons is relayed by readers though its feed waits 8 s. Statuses of the store are a field, not a text. Twins and dead code of the last reading removed.

--- a/marjoramstile/mirrors/follower.py
+++ b/marjoramstile/mirrors/follower.py
@@ -19,9 +19,9 @@
 RETRY_S = 0.25
 # Pause between two questions to a reader.
 RELAY_PAUSE_S = 0.35
-# Older confirmations are not taken from a reader: the time that its feed call may wait,
-# and less than the bound on configuration.
-RELAY_AGE_MAX_S = 1.5
+# A reader's confirmation may be older than its feed calls wait by this; it is not taken
+# if it is older still.
+RELAY_MARGIN_S = 0.3
 
 
 class MirrorPeers(Protocol):
@@ -56,6 +56,7 @@
         self._mirror = mirror
         self._peers = peers
         self._wait_s = wait_s
+        self._relay_age_max_s = wait_s + RELAY_MARGIN_S
         self._pause_s = pause_s
         self._reload = False
         self._lost_at: float | None = None
@@ -107,7 +108,7 @@
         if not self._mirror.known or self._reload or self._peers.reads_store():
             return False
         heard = await self._peers.ask_reader(self._mirror.table, self._mirror.version)
-        if heard is None or heard.age_s > RELAY_AGE_MAX_S:
+        if heard is None or heard.age_s > self._relay_age_max_s:
             return False
         self._take_from_peer(heard)
         self._store_answered()
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -38,6 +38,12 @@
 # Part of the grace after which what still runs is cut.
 STOP_LIMIT_SHARE = 0.9
 LINGER_S = 1.0
+# Callers keep an answer of the addresses for up to this many of its lifetimes.
+ANSWERS_KEPT_LIFETIMES = 3
+# Part of the grace for which an idle daemon still waits for such callers.
+STAY_SHARE = 0.6
+# Time in which connections without a request are closed.
+CLOSE_S = 0.2
 
 logger = get_logger(__name__)
 
@@ -154,7 +160,8 @@
         self._node.entry.stop()
         logger.info("daemon_stopping", running=self._node.entry.running)
         await self._node.leave()
-        stay_s = min(3 * self._node.addresses.ttl_s, 0.6 * grace_s)
+        kept_s = ANSWERS_KEPT_LIFETIMES * self._node.addresses.ttl_s
+        stay_s = min(kept_s, STAY_SHARE * grace_s)
         while loop_time() < began + STOP_LIMIT_SHARE * grace_s:
             idle = self._node.entry.running == 0
             if idle and loop_time() >= began + stay_s:
@@ -165,7 +172,7 @@
         for server, _ in self._servers:
             server.pre_shutdown()
         await asyncio.gather(
-            *(server.shutdown(timeout=0.2) for server, _ in self._servers)
+            *(server.shutdown(timeout=CLOSE_S) for server, _ in self._servers)
         )
         await self._node.close()
         logger.info("daemon_stopped", cut=self._node.entry.running)
--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -13,6 +13,7 @@
     RoutingTable,
     ServiceShare,
 )
+from marjoramstile.utils import MILLISECONDS_PER_S
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -46,16 +47,20 @@
         host=item["host"].lower(),
         prefix=item["prefix"],
         kind=_kind(item["kind"]),
-        timeout_s=item["timeoutMs"] / 1000,
-        target_latency_s=item.get("targetLatencyMs", item["timeoutMs"]) / 1000,
+        timeout_s=_seconds(item["timeoutMs"]),
+        target_latency_s=_seconds(item.get("targetLatencyMs", item["timeoutMs"])),
         priority=int(item.get("priority", 0)),
         shares=_shares(item),
         max_attempts=int(item.get("maxAttempts", 1)),
         resumable=bool(item.get("resumable", False)),
-        gap_target_s=None if gap_ms is None else gap_ms / 1000,
+        gap_target_s=None if gap_ms is None else _seconds(gap_ms),
     )
 
 
+def _seconds(milliseconds: float) -> float:
+    return milliseconds / MILLISECONDS_PER_S
+
+
 def _kind(text: str) -> RouteKind:
     """Return the kind; what is not known must not be repeated."""
     try:
@@ -85,7 +90,7 @@
     return EngineTraits(
         slots=int(item["slots"]),
         kv_tokens=int(item["kvTokens"]),
-        hold_max_s=item.get("holdMs", 0.0) / 1000,
+        hold_max_s=_seconds(item.get("holdMs", 0.0)),
         switch_s=float(item.get("switchS", 0.0)),
         stride=int(item.get("stride", 1)),
     )
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -7,7 +7,6 @@
 from aiohttp.client_exceptions import ClientConnectionResetError
 from multidict import CIMultiDict
 
-from marjoramstile.logs import get_logger
 from marjoramstile.platform import headers as names
 from marjoramstile.routes.addresses import FrontAddresses
 from marjoramstile.routes.entry import Entry, IncomingRequest
@@ -19,11 +18,8 @@
     StreamBrokenError,
 )
 
-MILLISECONDS_PER_S = 1000
 NO_RETRY = None
 
-logger = get_logger(__name__)
-
 
 class CallerGoneError(Exception):
     """The caller's connection ended while its answer was being sent."""
@@ -55,9 +51,7 @@
         except OutcomeUnknownError as error:
             status = 504 if error.timed_out else 502
             return self._failure(status, str(error), NO_RETRY)
-        except StreamBrokenError:
-            return responder.break_off()
-        except CallerGoneError:
+        except (StreamBrokenError, CallerGoneError):
             return responder.break_off()
         if reply is not None:
             return await responder.reply(reply)
@@ -171,7 +165,7 @@
         target=target,
         headers=names.forwarded_request_headers(headers),
         body=body,
-        patience_s=_patience_s(names.first_value(headers, names.DEADLINE_MS)),
+        patience_s=names.patience_s(headers),
         size=names.generation_size(headers),
         resume_after=names.resume_after(headers),
     )
@@ -181,13 +175,6 @@
     return host.partition(":")[0].lower()
 
 
-def _patience_s(value: str | None) -> float | None:
-    try:
-        return None if value is None else float(value) / MILLISECONDS_PER_S
-    except ValueError:
-        return None
-
-
 class PlatformEndpoints:
     """Answers the platform's own questions: readiness and addresses."""
 
--- a/marjoramstile/platform/headers.py
+++ b/marjoramstile/platform/headers.py
@@ -1,8 +1,10 @@
 """Header names of the platform's wire and what becomes of callers' headers."""
 
+import math
 from collections.abc import Iterable
 
 from marjoramstile.routes.requests import GenerationSize, Headers
+from marjoramstile.utils import MILLISECONDS_PER_S
 
 REQUEST_ID = "X-Request-Id"
 DEADLINE_MS = "X-Deadline-Ms"
@@ -17,6 +19,9 @@
 NOT_EXECUTED = "X-Not-Executed"
 RETRY_AFTER = "Retry-After"
 
+# Longest whole number that is read, in digits; longer ones fit no field.
+DIGITS_MAX = 15
+
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -84,16 +89,39 @@
     counts = first_value(headers, TOKEN_COUNT)
     if counts is None:
         return None
-    try:
-        prompt, max_output = (int(part) for part in counts.split(","))
-        hint = int(float(first_value(headers, LENGTH_HINT) or max_output))
-    except ValueError:
+    prompt, _, max_output = counts.partition(",")
+    prompt = _whole_number(prompt)
+    max_output = _whole_number(max_output)
+    if prompt is None or max_output is None:
         return None
-    expected = max(1, min(hint, max_output))
-    return GenerationSize(prompt, max_output, expected)
+    hint = _positive_number(first_value(headers, LENGTH_HINT))
+    expected = max_output if hint is None else min(hint, max_output)
+    return GenerationSize(prompt, max_output, max(1, int(expected)))
 
 
 def resume_after(headers: Headers) -> int | None:
     """Return the last event that the caller has received."""
-    value = first_value(headers, LAST_EVENT_ID)
-    return int(value) if value is not None and value.isdigit() else None
+    return _whole_number(first_value(headers, LAST_EVENT_ID))
+
+
+def patience_s(headers: Headers) -> float | None:
+    """Return for how many seconds the caller will wait, as far as it says so."""
+    patience_ms = _positive_number(first_value(headers, DEADLINE_MS))
+    return None if patience_ms is None else patience_ms / MILLISECONDS_PER_S
+
+
+def _whole_number(text: str | None) -> int | None:
+    """Return a number of decimal digits; None for anything else."""
+    digits = (text or "").strip()
+    if not digits.isascii() or not digits.isdecimal() or len(digits) > DIGITS_MAX:
+        return None
+    return int(digits)
+
+
+def _positive_number(text: str | None) -> float | None:
+    """Return a finite number above 0; None for anything else."""
+    try:
+        number = float(text or "")
+    except ValueError:
+        return None
+    return number if 0 < number < math.inf else None
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -40,6 +40,7 @@
     RoutedRequest,
     SendOptions,
 )
+from marjoramstile.utils import MILLISECONDS_PER_S
 
 CONNECT_TIMEOUT_S = 0.35
 # Longest time for calls that replicas answer at once: holds and handles.
@@ -120,7 +121,7 @@
         self, replica: Replica, tokens: int, ttl_s: float
     ) -> Hold | None:
         """Reserve a slot and memory; None if the replica has no room."""
-        body = {"tokens": tokens, "ttlMs": round(ttl_s * 1000)}
+        body = {"tokens": tokens, "ttlMs": round(ttl_s * MILLISECONDS_PER_S)}
         status, answer = await self._control(
             "POST", replica.address, "/v1/hold-take", body, replica
         )
@@ -128,7 +129,10 @@
             raise MisdirectedError(status)
         if status != OK:
             return None
-        return Hold(str(answer["hold"]), tokens)
+        try:
+            return Hold(str(answer["hold"]), tokens)
+        except (KeyError, TypeError) as error:
+            raise AnswerLostError("hold-take: no hold in the answer") from error
 
     async def drop_hold(self, replica: Replica, hold: Hold) -> None:
         """Give a reservation back."""
@@ -239,7 +243,7 @@
     replica: Replica, request: RoutedRequest, timeout_s: float, options: SendOptions
 ) -> CIMultiDict[str]:
     headers = CIMultiDict(request.headers)
-    headers[names.DEADLINE_MS] = str(max(1, int(timeout_s * 1000)))
+    headers[names.DEADLINE_MS] = str(max(1, int(timeout_s * MILLISECONDS_PER_S)))
     headers[names.EXPECT_INSTANCE] = replica.id
     if options.hold is not None:
         headers[names.KV_HOLD] = options.hold.id
--- a/marjoramstile/platform/settings.py
+++ b/marjoramstile/platform/settings.py
@@ -16,9 +16,9 @@
     RouterListeners,
     RouterSettings,
 )
+from marjoramstile.utils import MILLISECONDS_PER_S
 
 SETTINGS_VARIABLE = "MARJORAMSTILE_CONFIG"
-MILLISECONDS_PER_S = 1000
 DEFAULT_LEASE_MS = 3000
 DEFAULT_ADDRESS_TTL_S = 1.0
 
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -4,23 +4,37 @@
 import binascii
 import json
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from result import Err, Ok, Result
 
+from marjoramstile.logs import get_logger
 from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
 from marjoramstile.ports.tables import Committed, Condition, StoreError, Write
 from marjoramstile.routes.order_ports import DatedRow
+from marjoramstile.utils import MILLISECONDS_PER_S
 
 # Longest time from a call to its answer, beside the wait of a feed.
 CALL_TIMEOUT_S = 0.8
 ROWS_PER_READ = 500
-MILLISECONDS_PER_S = 1000
 GONE = 410
 CONFLICT = 412
 OK = 200
 
+logger = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class Page:
+    """One answer of the store: rows, its version, and its clock in Unix seconds."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    has_more: bool
+    now_s: float
+
 
 class PlatformStore:
     """Rows, feeds and transactions of the store; implements TableFeed."""
@@ -30,7 +44,11 @@
         self._url = f"http://{address}/v1"
 
     async def read_table(self, table: str) -> Result[Changes, StoreError]:
-        """Read all rows of a table; pages that differ in version are read again."""
+        """Read all rows of a table, page by page.
+
+        Rows that change between two pages are not missed: the version returned is
+        that of the first page, from which the feed goes on.
+        """
         rows: list[StoredRow] = []
         start = ""
         first_version = None
@@ -41,11 +59,11 @@
             answer = await self._call("GET", "/rows-get", query)
             if answer.is_err():
                 return answer
-            body = answer.unwrap()
-            rows += _decode_rows(body)
+            page = answer.unwrap()
+            rows += page.rows
             if first_version is None:
-                first_version = body["rowVersion"]
-            if not body.get("hasMore"):
+                first_version = page.version
+            if not page.has_more:
                 return Ok(Changes(tuple(rows), first_version, complete=True))
             start = rows[-1].key + "\0"
 
@@ -59,13 +77,12 @@
             "GET", "/rows-feed", query, timeout_s=wait_s + CALL_TIMEOUT_S
         )
         if answer.is_err():
-            error = answer.unwrap_err()
-            if error.message == _status_message(GONE):
+            if answer.unwrap_err().status == GONE:
                 return Err(HistoryLostError())
             return answer
-        body = answer.unwrap()
-        version = max(after, body["rowVersion"])
-        return Ok(Changes(tuple(_decode_rows(body)), version, complete=False))
+        page = answer.unwrap()
+        version = max(after, page.version)
+        return Ok(Changes(page.rows, version, complete=False))
 
     async def read_row(self, table: str, key: str) -> Result[DatedRow, StoreError]:
         """Read one row."""
@@ -73,10 +90,9 @@
         answer = await self._call("GET", "/rows-get", query)
         if answer.is_err():
             return answer
-        body = answer.unwrap()
-        rows = [row for row in _decode_rows(body) if row.key == key]
-        now_s = body.get("nowMs", 0) / MILLISECONDS_PER_S
-        return Ok(DatedRow(rows[0] if rows else None, now_s))
+        page = answer.unwrap()
+        rows = [row for row in page.rows if row.key == key]
+        return Ok(DatedRow(rows[0] if rows else None, page.now_s))
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
@@ -98,8 +114,8 @@
         }
         answer = await self._call("POST", "/rows-tx", {}, body)
         if answer.is_ok():
-            return Ok(Committed(answer.unwrap()["rowVersion"]))
-        if answer.unwrap_err().message == _status_message(CONFLICT):
+            return Ok(Committed(answer.unwrap().version))
+        if answer.unwrap_err().status == CONFLICT:
             return Ok(None)
         return answer
 
@@ -110,24 +126,18 @@
         query: dict[str, str],
         body: dict[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Result[dict[str, Any], StoreError]:
+    ) -> Result[Page, StoreError]:
         timeout = ClientTimeout(total=timeout_s, sock_connect=CALL_TIMEOUT_S)
         try:
             async with self._session.request(
                 method, self._url + path, params=query, json=body, timeout=timeout
             ) as response:
                 if response.status != OK:
-                    return Err(StoreError(_status_message(response.status)))
-                answer = json.loads(await response.read())
+                    status = response.status
+                    return Err(StoreError(f"status {status}", status))
+                return Ok(decode_page(await response.read()))
         except (TimeoutError, ClientError, OSError, ValueError) as error:
             return Err(StoreError(repr(error)))
-        if not isinstance(answer, dict) or "rowVersion" not in answer:
-            return Err(StoreError("the answer is no object with a version"))
-        return Ok(answer)
-
-
-def _status_message(status: int) -> str:
-    return f"status {status}"
 
 
 def _row_name(table: str, key: str) -> dict[str, str]:
@@ -138,17 +148,32 @@
     return base64.b64encode(json.dumps(value).encode()).decode()
 
 
-def _decode_rows(body: dict[str, Any]) -> list[StoredRow]:
-    rows = body.get("rows", [])
-    return [_decode_row(row) for row in rows if row.get("part", "") == ""]
+def decode_page(answer: bytes) -> Page:
+    """Return what an answer holds; raises ValueError if it can't be read."""
+    try:
+        body = json.loads(answer)
+        rows = [_decode_row(row) for row in body.get("rows", []) if not row.get("part")]
+        page = Page(
+            rows=tuple(rows),
+            version=int(body["rowVersion"]),
+            has_more=bool(body.get("hasMore")),
+            now_s=float(body.get("nowMs", 0)) / MILLISECONDS_PER_S,
+        )
+    except (AttributeError, KeyError, TypeError) as error:
+        raise ValueError(f"not an answer of the store: {error!r}") from error
+    if page.has_more and not page.rows:
+        raise ValueError("a page without rows that is not the last")
+    return page
 
 
 def _decode_row(row: dict[str, Any]) -> StoredRow:
     """Return a row; bytes that can't be decoded stay bytes that no reader accepts."""
+    key = str(row["key"])
+    version = int(row["rowVersion"])
     if row.get("tombstone"):
-        return StoredRow(row["key"], row["rowVersion"], None)
+        return StoredRow(key, version, None)
     try:
-        value = base64.b64decode(row.get("value") or "")
+        return StoredRow(key, version, base64.b64decode(row.get("value") or ""))
     except (binascii.Error, ValueError):
-        value = b""
-    return StoredRow(row["key"], row["rowVersion"], value)
+        logger.warning("row_value_undecodable", row=key, version=version)
+        return StoredRow(key, version, b"")
--- a/marjoramstile/ports/tables.py
+++ b/marjoramstile/ports/tables.py
@@ -60,9 +60,13 @@
 
 @dataclass(frozen=True)
 class StoreError:
-    """The service gave no answer; a write may have taken effect all the same."""
+    """The service gave no answer; a write may have taken effect all the same.
+
+    ``status`` is the HTTP status if the service answered with another than 200.
+    """
 
     message: str
+    status: int | None = None
 
 
 class TableService(Protocol):
--- a/marjoramstile/routes/admission.py
+++ b/marjoramstile/routes/admission.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-# Part of a replica's memory that expected generations may fill.
-MEMORY_SHARE = 1.0
 # Part of all decode memory that late requests leave free.
 LATE_HEADROOM = 0.15
 # Replicas that fit which are compared.
@@ -44,7 +42,7 @@
     @property
     def free_tokens(self) -> int:
         """Memory that expected generations leave."""
-        return round(self.kv_tokens * MEMORY_SHARE) - self.used_tokens
+        return self.kv_tokens - self.used_tokens
 
     def fits(self, tokens: int) -> bool:
         """Tell whether a generation of ``tokens`` is expected to fit."""
@@ -58,8 +56,9 @@
 ) -> list[str]:
     """Return ids of replicas to ask for room, the emptiest first.
 
-    Only the first few that fit are compared: the caller shuffles ``rooms``, so that
-    daemons with the same, somewhat old knowledge don't all ask the same replica.
+    Only the first few that fit are compared: the caller draws ``rooms`` in random
+    order, so that daemons with the same, somewhat old knowledge don't all ask the same
+    replica.
     """
     if urgency == Urgency.LATE and not _leaves_headroom(rooms, tokens, timely_waiting):
         return []
--- a/marjoramstile/routes/balancing.py
+++ b/marjoramstile/routes/balancing.py
@@ -58,6 +58,10 @@
         """Return the statistics of a replica's incarnation."""
         return self._stats.setdefault((replica.id, replica.born_ms), ReplicaStats())
 
+    def is_doubtful(self, replica: Replica, now: float) -> bool:
+        """Tell whether a replica has failed so lately that others come first."""
+        return self.stats(replica).recent_failures(now) > DOUBTFUL_FAILURES
+
     def forget_missing(self, known: Iterable[Replica]) -> None:
         """Drop statistics of incarnations that are gone and have no request left."""
         kept = {(replica.id, replica.born_ms) for replica in known}
@@ -81,11 +85,7 @@
         What is known of the others' work is some time old; drawing keeps the daemons
         from all choosing the same replica.
         """
-        sound = [
-            replica
-            for replica in replicas
-            if self.stats(replica).recent_failures(now) <= DOUBTFUL_FAILURES
-        ]
+        sound = [item for item in replicas if not self.is_doubtful(item, now)]
         candidates = sound or replicas
         drawn = self._rng.sample(candidates, min(DRAWN, len(candidates)))
         return min(
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -23,7 +23,11 @@
     urgency_of,
 )
 from marjoramstile.routes.ports import ReplicaClient, Responder, StreamAnswer
-from marjoramstile.routes.prefiller import Prefiller
+from marjoramstile.routes.prefiller import (
+    MIN_ATTEMPT_S,
+    RETRY_AFTER_S,
+    Prefiller,
+)
 from marjoramstile.routes.replicas import Replica
 from marjoramstile.routes.requests import (
     AnswerLostError,
@@ -41,7 +45,6 @@
 from marjoramstile.routes.table import EngineTraits
 from marjoramstile.utils import TaskGroupOwner, loop_time
 
-RETRY_AFTER_S = 1.0
 # Callers abandon a stream after two seconds of silence or more; a resumed stream
 # must have its place before that.
 RESUME_WAIT_S = 1.5
@@ -50,7 +53,6 @@
 # Silence after which a replica is taken for lost, in longest timely pauses.
 STALL_GAPS = 5
 MIN_STALL_S = 1.5
-MIN_ATTEMPT_S = 0.05
 OK = 200
 
 logger = get_logger(__name__)
--- a/marjoramstile/routes/patience.py
+++ b/marjoramstile/routes/patience.py
@@ -6,10 +6,11 @@
 
 from collections import Counter, defaultdict
 
+from marjoramstile.utils import MILLISECONDS_PER_S
+
 # How often a value must have been stated to be usual.
 USUAL_COUNT = 3
 VALUES_KEPT = 512
-MILLISECONDS_PER_S = 1000
 
 
 class PatienceBook:
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -14,7 +14,8 @@
 
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.admission import ReplicaRoom, Urgency, replicas_to_ask
-from marjoramstile.routes.balancing import DOUBTFUL_FAILURES, Balancer
+from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.failures import FailureNotes
 from marjoramstile.routes.loads import FleetLoads, ReplicaLoad
 from marjoramstile.routes.place_queue import PlaceQueue, WaitingPlace
 from marjoramstile.routes.ports import ReplicaClient
@@ -96,6 +97,7 @@
         self._loads = loads
         self._prefills = prefills
         self._rng = rng
+        self._failures = FailureNotes(directory, balancer)
         self._queues: dict[str, PlaceQueue] = {}
         self._full_until: dict[str, float] = {}
 
@@ -127,7 +129,7 @@
                 waited_s=round(loop_time() - request.arrived, 3),
                 queued=queue.length,
                 holds_refused=ask.holds_refused,
-                prefill_crowded=self._prefills.is_crowded(request.service),
+                prefill_crowded=self._prefills.outlook(request.service).is_crowded,
                 waiting=self._loads.waiting_for(request.service, loop_time()),
                 free=self._free_tokens(ask),
             )
@@ -154,18 +156,17 @@
         now = loop_time()
         service = ask.request.service
         replicas = self._drawn_replicas(ask)
-        crowded = self._prefills.is_crowded(service)
-        overloaded = crowded and self._prefills.has_replicas(service)
-        if overloaded and ask.urgency == Urgency.LATE:
+        prefill = self._prefills.outlook(service)
+        if prefill.is_overloaded and ask.urgency == Urgency.LATE:
             return None
         rooms = [self._room(replica, ask.engine, now) for replica in replicas.values()]
-        if crowded:
+        if prefill.is_crowded:
             rooms = [room for room in rooms if not room.prefilling]
         waiting = self._loads.waiting_for(service, now)
         for replica_id in replicas_to_ask(rooms, ask.tokens, ask.urgency, waiting):
             if now < self._full_until.get(replica_id, 0.0):
                 continue
-            place = await self._ask(replicas[replica_id], ask, crowded)
+            place = await self._ask(replicas[replica_id], ask, prefill.is_crowded)
             if place is not None:
                 return place
         return None
@@ -186,14 +187,13 @@
 
     def _room(self, replica: Replica, engine: EngineTraits, now: float) -> ReplicaRoom:
         load = self._loads.load_of(replica.id, now)
-        failures = self._balancer.stats(replica).recent_failures(now)
         return ReplicaRoom(
             replica_id=replica.id,
             kv_tokens=engine.kv_tokens,
             used_tokens=load.kv_tokens,
             requests=load.requests,
             slots=engine.slots,
-            doubtful=failures > DOUBTFUL_FAILURES,
+            doubtful=self._balancer.is_doubtful(replica, now),
             prefilling=load.prefill_tokens > 0,
         )
 
@@ -205,8 +205,7 @@
         try:
             hold = await self._client.take_hold(replica, ask.tokens, ttl_s)
         except ReplicaError as error:
-            self._balancer.stats(replica).note_failure(loop_time())
-            logger.info("hold_failed", replica=replica.id, reason=repr(error))
+            self._failures.note(replica, ask.request, error)
         finally:
             if hold is None:
                 self._loads.remove(replica.id, load)
--- a/marjoramstile/routes/prefills.py
+++ b/marjoramstile/routes/prefills.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 
 from marjoramstile.routes.loads import FleetLoads, ReplicaLoad
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
@@ -16,6 +17,23 @@
 WAIT_MAX_S = 0.4
 
 
+@dataclass(frozen=True)
+class PrefillOutlook:
+    """The wait before a new prompt is prefilled; None without prefill replicas."""
+
+    wait_s: float | None
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether a timely prompt had better be prefilled by its decode replica."""
+        return self.wait_s is None or self.wait_s > WAIT_MAX_S
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether there are prefill replicas and all have too much work."""
+        return self.wait_s is not None and self.wait_s > WAIT_MAX_S
+
+
 class PrefillMeter:
     """Expected waits at the prefill replicas, by outstanding tokens and speed."""
 
@@ -28,18 +46,16 @@
         """Return the prompt tokens that one replica prefills in a second."""
         return self._speeds.get(service, INITIAL_SPEED)
 
-    def has_replicas(self, service: str) -> bool:
-        """Tell whether the service has a prefill replica."""
-        return bool(self._directory.usable(service, Stage.PREFILL))
-
-    def is_crowded(self, service: str) -> bool:
-        """Tell whether a new prompt would wait too long at every prefill replica."""
+    def outlook(self, service: str) -> PrefillOutlook:
+        """Return the wait of a new prompt at the service's least loaded replica."""
         now = loop_time()
         replicas = self._directory.usable(service, Stage.PREFILL)
         waiting = [
             self._loads.load_of(replica.id, now).prefill_tokens for replica in replicas
         ]
-        return not waiting or min(waiting) / self.speed(service) > WAIT_MAX_S
+        if not waiting:
+            return PrefillOutlook(None)
+        return PrefillOutlook(round(min(waiting) / self.speed(service), 3))
 
     @contextmanager
     def prefilling(self, replica: Replica, tokens: int) -> Iterator[None]:
--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -1,7 +1,7 @@
 """Replicas known to this daemon and whether they may get new requests."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from enum import StrEnum
 
 from marjoramstile.logs import get_logger
@@ -55,7 +55,7 @@
     def __init__(self):
         self._replicas: dict[str, Replica] = {}
         self._missing_until: dict[str, float] = {}
-        self._misdirected: dict[str, int] = {}
+        self._misdirected: dict[str, tuple[int, Stage | None]] = {}
 
     def put(self, replica: Replica) -> None:
         """Take a replica's row."""
@@ -63,7 +63,6 @@
         self._replicas[replica.id] = replica
         self._missing_until.pop(replica.id, None)
         if known is None or known.born_ms != replica.born_ms:
-            self._misdirected.pop(replica.id, None)
             logger.info(
                 "replica_appeared",
                 replica=replica.id,
@@ -90,6 +89,7 @@
             self._missing_until[replica_id] = keep_until
             return
         del self._replicas[replica_id]
+        self._misdirected.pop(replica_id, None)
         logger.info("replica_gone", replica=replica_id, service=replica.service)
 
     def expire(self, now: float) -> None:
@@ -100,15 +100,12 @@
                 self.remove(replica_id, now, now)
 
     def note_misdirected(self, replica: Replica) -> None:
-        """Note that another replica answered at the address of ``replica``."""
-        self._misdirected[replica.id] = replica.born_ms
-        logger.warning("replica_misdirected", replica=replica.id)
+        """Note that another replica, or one of another stage, has answered.
 
-    def note_stage(self, replica: Replica, stage: Stage) -> None:
-        """Note the stage that a replica itself has just told."""
-        known = self._replicas.get(replica.id)
-        if known is not None and known.stage != stage:
-            self._replicas[replica.id] = replace(known, stage=stage)
+        ``replica`` is left out until its row tells of a new start or another stage.
+        """
+        self._misdirected[replica.id] = _incarnation_and_stage(replica)
+        logger.warning("replica_misdirected", replica=replica.id, stage=replica.stage)
 
     def get(self, replica_id: str) -> Replica | None:
         """Return a replica by id."""
@@ -122,10 +119,15 @@
             if replica.service == service
             and replica.state == ReplicaState.READY
             and replica.stage == stage
-            and self._misdirected.get(replica.id) != replica.born_ms
+            and self._misdirected.get(replica.id) != _incarnation_and_stage(replica)
         ]
 
     @property
     def all(self) -> Iterable[Replica]:
         """All replicas known."""
         return self._replicas.values()
+
+
+def _incarnation_and_stage(replica: Replica) -> tuple[int, Stage | None]:
+    """Return what a 421 of the replica says is wrong in its row."""
+    return replica.born_ms, replica.stage
--- a/marjoramstile/utils.py
+++ b/marjoramstile/utils.py
@@ -10,6 +10,7 @@
 from marjoramstile.logs import get_logger
 
 TOKEN_BYTES = 12
+MILLISECONDS_PER_S = 1000
 
 logger = get_logger(__name__)
 
--- a/tests/mirrors/test_mirrors.py
+++ b/tests/mirrors/test_mirrors.py
@@ -66,13 +66,14 @@
     peer: Changes | None = None,
     for_s: float = 1.0,
     peers: FakePeers | None = None,
+    wait_s: float = 1.2,
 ):
     """Follow a feed for a while; return mirror, follower, and rows notified."""
     mirror = TableMirror("t")
     seen: list[StoredRow] = []
     mirror.subscribe(seen.append)
 
-    follower = MirrorFollower(feed, mirror, peers or FakePeers(any_=peer), 1.0, 0.0)
+    follower = MirrorFollower(feed, mirror, peers or FakePeers(any_=peer), wait_s, 0.0)
     task = asyncio.create_task(follower.run())
     await asyncio.sleep(for_s)
     task.cancel()
@@ -166,3 +167,13 @@
     peers = FakePeers(reader=reader, is_reader=False)
     mirror, _, _ = await follow(feed, peers=peers)
     assert mirror.rows["a"].value == b"9"
+
+
+async def test_a_table_whose_feed_waits_long_is_relayed_too():
+    """Readers confirm such a table as seldom as their feed calls return."""
+    feed = ScriptedFeed([Ok(changes(1, True, a=b"1"))], [Ok(changes(9, a=b"9"))])
+    reader = PeerChanges(changes(5, a=b"5"), age_s=7.9)
+    peers = FakePeers(reader=reader, is_reader=False)
+    mirror, _, _ = await follow(feed, peers=peers, wait_s=8.0)
+    assert mirror.rows["a"].value == b"5"
+    assert len(feed.feeds) == 1
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -172,6 +172,27 @@
     assert site.core.pool.runs["q1"] == 0
 
 
+@pytest.mark.parametrize(
+    "line",
+    [
+        "X-Deadline-Ms: nan",
+        "X-Deadline-Ms: inf",
+        "X-Deadline-Ms: -1",
+        "X-Deadline-Ms: 1e999",
+        "X-Length-Hint: inf",
+        "X-Length-Hint: -5",
+        "Last-Event-Id: \u00b2",
+        "Last-Event-Id: " + "9" * 5000,
+    ],
+)
+async def test_a_value_that_is_no_number_of_its_kind_is_as_if_it_were_absent(
+    site, line
+):
+    answer = await site.exchange(head("/stream/x", TOKENS, line, method="POST"))
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert answer.count(b"id: ") == 10
+
+
 async def test_a_caller_who_leaves_ends_the_run(site):
     slow = ReplicaModel(step_s=0.02)
     for name in ("d0", "d1"):
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -20,6 +20,7 @@
     MisdirectedError,
     NotExecutedError,
     NotSentError,
+    ReplicaError,
     SendOptions,
 )
 from tests.platform.support import HOST, raw_replica, replica, request, reset
@@ -123,6 +124,18 @@
         await call(client, script)
 
 
+@pytest.mark.parametrize("body", [b"{}", b"[]", b'"h"', b"null"])
+async def test_a_reservation_without_an_id_is_an_error_of_the_replica(client, body):
+    async def script(head, writer):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        )
+
+    async with raw_replica(script) as target:
+        with pytest.raises(ReplicaError):
+            await client.take_hold(target, 100, 1.0)
+
+
 async def test_method_target_headers_and_body_arrive_unchanged(client):
     seen = []
 
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,97 @@
+"""The client of the metadata store against answers that are wrong or failures."""
+
+import json
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp import ClientSession
+from hypothesis import given, strategies as st
+
+from marjoramstile.platform.store import PlatformStore, decode_page
+from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
+from marjoramstile.ports.tables import Condition, Write
+from tests.platform.support import raw_replica
+
+
+@asynccontextmanager
+async def store_that_answers(status: int, body: bytes):
+    """Run a store that gives the same answer to every call."""
+
+    async def script(head, writer):
+        writer.write(
+            b"HTTP/1.1 %d X\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
+            % (status, len(body), body)
+        )
+
+    async with raw_replica(script) as address, ClientSession() as session:
+        yield PlatformStore(session, address.address)
+
+
+def page(*rows, **fields) -> bytes:
+    """Return the store's answer with rows."""
+    return json.dumps({"rowVersion": 9, "rows": list(rows), **fields}).encode()
+
+
+ROW = {"key": "a", "rowVersion": 3, "value": "eA=="}
+
+
+async def test_a_table_is_read():
+    async with store_that_answers(200, page(ROW)) as store:
+        changes = (await store.read_table("t")).unwrap()
+    assert changes == Changes((StoredRow("a", 3, b"x"),), 9, complete=True)
+
+
+async def test_a_value_that_cannot_be_decoded_is_empty():
+    async with store_that_answers(200, page({**ROW, "value": "%"})) as store:
+        changes = (await store.read_table("t")).unwrap()
+    assert changes.rows == (StoredRow("a", 3, b""),)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"null",
+        b"[]",
+        b"{}",
+        page(rowVersion=None),
+        page({"rowVersion": 3}),
+        page({"key": "a"}),
+        page({**ROW, "rowVersion": "new"}),
+        page(rows=7),
+        page("row"),
+        page(hasMore=True),
+        page(nowMs="late"),
+    ],
+)
+async def test_an_answer_that_cannot_be_read_is_an_error(body):
+    async with store_that_answers(200, body) as store:
+        assert (await store.read_table("t")).is_err()
+        assert (await store.read_row("t", "a")).is_err()
+        assert (await store.wait_for_changes("t", 1, 0.1)).is_err()
+
+
+@given(st.binary(max_size=60))
+def test_bytes_are_a_page_or_an_error(answer):
+    try:
+        decode_page(answer)
+    except ValueError:
+        return
+
+
+async def test_lost_history_is_told_from_an_outage():
+    async with store_that_answers(410, b"") as store:
+        error = (await store.wait_for_changes("t", 1, 0.1)).unwrap_err()
+    assert error == HistoryLostError()
+    async with store_that_answers(503, b"") as store:
+        error = (await store.wait_for_changes("t", 1, 0.1)).unwrap_err()
+    assert error.status == 503
+
+
+async def test_a_condition_that_does_not_hold_is_no_error():
+    write = Write("t", "a", {})
+    async with store_that_answers(412, b"") as store:
+        answer = await store.transact([Condition("t", "a", 3)], [write])
+    assert answer.unwrap() is None
+    async with store_that_answers(503, b"") as store:
+        assert (await store.transact([], [write])).is_err()
--- a/tests/routes/test_decisions.py
+++ b/tests/routes/test_decisions.py
@@ -20,7 +20,7 @@
     LoadDigest,
     ReplicaLoad,
 )
-from marjoramstile.routes.replicas import Replica, ReplicaDirectory, ReplicaState
+from marjoramstile.routes.replicas import Replica, ReplicaDirectory, ReplicaState, Stage
 from marjoramstile.routes.stages import GenerationProfile, wanted_prefill_count
 
 
@@ -200,6 +200,20 @@
     assert directory.usable("ledger")
 
 
+def test_a_replica_that_changed_its_stage_is_used_in_the_new_one():
+    """421 came from a replica that had been ordered into another stage."""
+    directory = ReplicaDirectory()
+    before = plain("r", stage=Stage.PREFILL)
+    after = plain("r", stage=Stage.DECODE)
+    directory.put(before)
+    directory.note_misdirected(before)
+    assert not directory.usable("ledger", Stage.PREFILL)
+    directory.put(after)
+    assert directory.usable("ledger", Stage.DECODE)
+    directory.note_misdirected(before)
+    assert directory.usable("ledger", Stage.DECODE)
+
+
 @given(
     st.lists(
         st.tuples(
--- a/tests/routes/test_orders.py
+++ b/tests/routes/test_orders.py
@@ -1,7 +1,7 @@
 """Orders to replicas: one holder at a time, fencing tokens that only grow."""
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err, Ok
 
@@ -66,7 +66,7 @@
         self.orders.append((loop_time(), replica.id, order))
         if self.silent:
             raise NotSentError("timeout")
-        self.directory.note_stage(replica, order.stage)
+        self.directory.put(replace(self.directory.get(replica.id), stage=order.stage))
         return 202
 
 
