Shorter start: committed classes of peer messages, no argument parser

The IDL was parsed at each start (85 of about 490 ms of import time), typer with what it needs took 36 ms for a program without arguments. Ruled out: the library's cache of IDLs, which holds within one process only.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
 	touch $(STAMP)
 
-.PHONY: demo test lint format clean
+.PHONY: demo test lint format generate clean
 
 demo: $(STAMP)
 	$(BIN)/python -m demo
@@ -22,6 +22,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+generate: $(STAMP)
+	$(BIN)/python -m tools.generate_peer_types
+
 test: lint
 	$(BIN)/python -m pytest
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -31,8 +31,8 @@
 from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.prober import Probe
 from marjoramstile.membership.view import PeerState, Report, View
-from marjoramstile.peers.frames import IDL
 from marjoramstile.peers.messages import ask_to_wire, probe_from_wire, probe_to_wire
+from marjoramstile.peers.peer_types import WireSlotAnswer
 from marjoramstile.peers.transport import PeerConnection, PeerServer
 from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.routing.policies import create_policy
@@ -238,7 +238,7 @@
 
     async def ask_slot(self, ask):
         """Grant a slot."""
-        return IDL.SlotAnswer(
+        return WireSlotAnswer(
             outcome=0,
             expected_s=0.0,
             used_slots=1,
--- a/marjoramstile/peers/caller.py
+++ b/marjoramstile/peers/caller.py
@@ -7,13 +7,13 @@
 from marjoramstile.configuration.member import PrepareAnswer, Proposal
 from marjoramstile.configuration.store import MemberRow
 from marjoramstile.membership.view import Peer
-from marjoramstile.peers.frames import IDL
 from marjoramstile.peers.membership_caller import SLOT_TIMEOUT_S, MembershipCaller
 from marjoramstile.peers.messages import (
     ask_to_wire,
     freshness_from_wire,
     proposal_to_wire,
 )
+from marjoramstile.peers.peer_types import WirePrefillAsk, WireStrike
 from marjoramstile.slots.reservations import Ask
 
 PREPARE_TIMEOUT_S = 0.8
@@ -84,7 +84,7 @@
         max_wait_s: float,
     ):
         """Ask an owner for a place; the answer is a thrift PrefillAnswer."""
-        ask = IDL.PrefillAsk(
+        ask = WirePrefillAsk(
             engine=engine,
             tokens=tokens,
             service_class=str(service_class),
@@ -94,7 +94,7 @@
 
     async def strike(self, peer: Peer, content: str, endpoint: str) -> None:
         """Tell a daemon of an endpoint lost under a content."""
-        wire = IDL.Strike(content=content, endpoint=endpoint)
+        wire = WireStrike(content=content, endpoint=endpoint)
         await self._call(peer, "strike", wire, timeout_s=SLOT_TIMEOUT_S)
 
     async def clear(self, peer: Peer, content: str) -> None:
--- a/marjoramstile/peers/frames.py
+++ b/marjoramstile/peers/frames.py
@@ -6,10 +6,8 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from pathlib import Path
 from typing import Any
 
-from thriftpy2 import load
 from thriftpy2.protocol.binary import TBinaryProtocol
 from thriftpy2.protocol.cybin import TCyBinaryProtocol
 from thriftpy2.thrift import (
@@ -22,10 +20,7 @@
 from thriftpy2.transport.memory import TCyMemoryBuffer
 
 from marjoramstile.peers.checks import check_message
-
-IDL = load(
-    str(Path(__file__).with_name("peer.thrift")), module_name="marjoramstile_thrift"
-)
+from marjoramstile.peers.peer_types import PeerService
 
 
 @dataclass(frozen=True)
@@ -49,7 +44,7 @@
 
 def encode_call(method: str, *arguments: Any) -> bytes:
     """Return the message that calls ``method``."""
-    args_class = getattr(IDL.Peer, f"{method}_args")
+    args_class = getattr(PeerService, f"{method}_args")
     fields = args_to_kwargs(args_class.thrift_spec, *arguments)
     return _encode(method, TMessageType.CALL, args_class(**fields))
 
@@ -78,6 +73,6 @@
         error = TApplicationException()
         protocol.read_struct(error)
         raise error
-    result = getattr(IDL.Peer, f"{method}_result")()
+    result = getattr(PeerService, f"{method}_result")()
     protocol.read_struct(result)
     return result.success
--- a/marjoramstile/peers/handler.py
+++ b/marjoramstile/peers/handler.py
@@ -8,13 +8,13 @@
 from marjoramstile.configuration.documents import ServiceClass
 from marjoramstile.configuration.keeper import ConfigurationKeeper
 from marjoramstile.membership.prober import Prober
-from marjoramstile.peers.frames import IDL
 from marjoramstile.peers.membership_messages import probe_from_wire, probe_to_wire
 from marjoramstile.peers.messages import (
     ask_from_wire,
     freshness_to_wire,
     proposal_from_wire,
 )
+from marjoramstile.peers.peer_types import WirePrefillAnswer
 from marjoramstile.slots.broker import SlotBroker
 from marjoramstile.slots.service import OwnerService
 from marjoramstile.slots.wire import (
@@ -77,11 +77,11 @@
             ask.engine, ask.tokens, ServiceClass(ask.service_class), ask.max_wait_s
         )
         if answer is None:
-            return IDL.PrefillAnswer(
+            return WirePrefillAnswer(
                 accepted=False, start_in_s=0.0, backlog_tokens=0, tokens_per_s=1.0
             )
         places = self._owners.prefill_owners[ask.engine]
-        return IDL.PrefillAnswer(
+        return WirePrefillAnswer(
             accepted=answer.accepted,
             start_in_s=answer.start_in_s,
             backlog_tokens=places.backlog_tokens(loop_time()),
--- a/marjoramstile/peers/membership_messages.py
+++ b/marjoramstile/peers/membership_messages.py
@@ -3,17 +3,23 @@
 from marjoramstile.membership.prober import Probe
 from marjoramstile.membership.view import PeerState, Report
 from marjoramstile.mirrors.mirror import PeerChanges
-from marjoramstile.peers.frames import IDL
+from marjoramstile.peers.peer_types import (
+    WireMirrorChanges,
+    WireMirrorRow,
+    WireProbe,
+    WireReport,
+    WireStrike,
+)
 from marjoramstile.ports.feeds import Changes, StoredRow
 
 
 def probe_to_wire(probe: Probe):
     """Return the thrift form of a probe."""
-    return IDL.Probe(
+    return WireProbe(
         vm=probe.vm,
         incarnation=probe.incarnation,
         reports=[
-            IDL.Report(
+            WireReport(
                 vm=report.vm,
                 incarnation=report.incarnation,
                 counter=report.counter,
@@ -22,7 +28,7 @@
             for report in probe.reports
         ],
         strikes=[
-            IDL.Strike(content=content, endpoint=endpoint)
+            WireStrike(content=content, endpoint=endpoint)
             for content, endpoint in probe.strikes
         ],
     )
@@ -43,9 +49,9 @@
 
 def changes_to_wire(changes: Changes, age_s: float):
     """Return the thrift form of a mirror's changes, confirmed ``age_s`` ago."""
-    return IDL.MirrorChanges(
+    return WireMirrorChanges(
         rows=[
-            IDL.MirrorRow(
+            WireMirrorRow(
                 key=row.key,
                 version=row.version,
                 value=row.value or b"",
--- a/marjoramstile/peers/messages.py
+++ b/marjoramstile/peers/messages.py
@@ -4,7 +4,7 @@
 from marjoramstile.configuration.edits import edits_from_json, edits_to_json
 from marjoramstile.configuration.freshness import PeerFreshness
 from marjoramstile.configuration.member import Proposal
-from marjoramstile.peers.frames import IDL
+from marjoramstile.peers.peer_types import WireAsk, WireFreshness, WireProposal
 from marjoramstile.slots.reservations import Ask
 
 
@@ -12,7 +12,7 @@
     """Return the thrift form of an ask for a slot."""
     fields = dict(vars(ask))
     fields["service_class"] = str(ask.service_class)
-    return IDL.Ask(**fields)
+    return WireAsk(**fields)
 
 
 def ask_from_wire(wire) -> Ask:
@@ -24,7 +24,7 @@
 
 def proposal_to_wire(proposal: Proposal):
     """Return the thrift form of a proposal."""
-    return IDL.Proposal(
+    return WireProposal(
         change_id=proposal.change_id,
         version=proposal.version,
         base_id=proposal.base_id,
@@ -41,7 +41,7 @@
 
 def freshness_to_wire(freshness: PeerFreshness):
     """Return the thrift form of a freshness answer."""
-    return IDL.Freshness(**vars(freshness))
+    return WireFreshness(**vars(freshness))
 
 
 def freshness_from_wire(wire) -> PeerFreshness:
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -14,12 +14,12 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.loops import connect, listening_socket
 from marjoramstile.peers.frames import (
-    IDL,
     decode_answer,
     decode_call,
     encode_answer,
     encode_call,
 )
+from marjoramstile.peers.peer_types import PeerService
 
 FRAME_TIMEOUT_S = 10.0
 _FRAME_HEADER = struct.Struct("!i")
@@ -99,7 +99,7 @@
     """Serves the calls of other daemons through ``handler``."""
 
     def __init__(self, handler: object, max_bytes: int):
-        self._processor = TProcessor(IDL.Peer, handler)
+        self._processor = TProcessor(PeerService, handler)
         self._max_bytes = max_bytes
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task] = set()
--- a/marjoramstile/platform/__main__.py
+++ b/marjoramstile/platform/__main__.py
@@ -1,5 +1,7 @@
 """Starts the routing daemon: ``python -m marjoramstile.platform``."""
 
+import sys
+
 from marjoramstile.platform.daemon import main
 
-main()
+sys.exit(main())
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -5,7 +5,6 @@
 import signal
 import sys
 
-import typer
 from aiohttp import ClientSession, TCPConnector, web
 
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
@@ -208,13 +207,6 @@
     return 0
 
 
-def main(argv: list[str] | None = None) -> None:
-    """Entry point of the routing daemon."""
-    app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
-
-    @app.command()
-    def run() -> None:
-        """Run the routing daemon of one VM on the platform."""
-        raise typer.Exit(run_daemon())
-
-    app(args=argv)
+def main(argv: list[str] | None = None) -> int:
+    """Entry point of the routing daemon, which takes no arguments."""
+    return run_daemon()
--- a/marjoramstile/slots/wire.py
+++ b/marjoramstile/slots/wire.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from marjoramstile.peers.frames import IDL
+from marjoramstile.peers.peer_types import WireSlotAnswer
 from marjoramstile.slots.reservations import Ask, Granted, Refused, SlotOwner, Waiting
 
 GRANTED = 0
@@ -36,7 +36,7 @@
         outcome, expected_s = WAITING, reply.answer.expected_s
     elif isinstance(reply.answer, Refused):
         outcome, expected_s = REFUSED, reply.answer.expected_s
-    return IDL.SlotAnswer(
+    return WireSlotAnswer(
         outcome=outcome,
         expected_s=expected_s,
         used_slots=reply.used_slots,
@@ -48,7 +48,7 @@
 
 def unknown_engine_wire():
     """Return the answer for an engine that the owner doesn't know."""
-    return IDL.SlotAnswer(
+    return WireSlotAnswer(
         outcome=UNKNOWN_ENGINE,
         expected_s=0.0,
         used_slots=0,
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -9,19 +9,24 @@
 
 from marjoramstile.peers.checks import BrokenMessageError, check_message
 from marjoramstile.peers.frames import (
-    IDL,
     IncomingCall,
     decode_answer,
     decode_call,
     encode_answer,
     encode_call,
 )
+from marjoramstile.peers.peer_types import (
+    PeerService,
+    WireProbe,
+    WireReport,
+    WireStrike,
+)
 
-PROBE = IDL.Probe(
+PROBE = WireProbe(
     vm="vm-1",
     incarnation="i",
-    reports=[IDL.Report(vm="vm-2", incarnation="j", counter=3, state=1)],
-    strikes=[IDL.Strike(content="c", endpoint="e")],
+    reports=[WireReport(vm="vm-2", incarnation="j", counter=3, state=1)],
+    strikes=[WireStrike(content="c", endpoint="e")],
 )
 CALLS = [
     encode_call("probe", PROBE),
@@ -46,7 +51,7 @@
 
 
 def test_answers_pass():
-    result = IDL.Peer.probe_result(success=PROBE)
+    result = PeerService.probe_result(success=PROBE)
     message = encode_answer(IncomingCall("probe", result, None))
     assert decode_answer(message) == PROBE
 
@@ -66,7 +71,7 @@
 
 def test_broken_messages_end_in_bounded_time():
     rng = random.Random(5)
-    processor = TProcessor(IDL.Peer, object())
+    processor = TProcessor(PeerService, object())
     longest_s = 0.0
     for _ in range(20_000):
         data = bytearray(rng.choice(CALLS))
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers; nothing here runs in the product."""
--- /dev/null
+++ b/tools/generate_peer_types.py
@@ -0,0 +1,158 @@
+"""Writes the classes of peer.thrift's messages as Python source.
+
+Loading the IDL at each start took a fifth of the routing daemon's start; the classes
+written here are those that the library would make of it.
+"""
+
+from collections.abc import Iterator
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+from thriftpy2 import load
+from thriftpy2.thrift import TPayload, TType
+
+PACKAGE = Path(__file__).parents[1] / "marjoramstile" / "peers"
+IDL_PATH = PACKAGE / "peer.thrift"
+OUTPUT_PATH = PACKAGE / "peer_types.py"
+SERVICE = "Peer"
+
+_HEADER = '''"""Messages between daemons, as thriftpy2's classes.
+
+Written by ``make generate`` from peer.thrift; change that file, not this one.
+"""
+
+from thriftpy2.thrift import TPayload, TType
+'''
+_TYPE_NAMES = {
+    TType.BOOL: "TType.BOOL",
+    TType.I32: "TType.I32",
+    TType.I64: "TType.I64",
+    TType.DOUBLE: "TType.DOUBLE",
+    TType.STRING: "TType.STRING",
+    TType.BINARY: "TType.BINARY",
+    TType.STRUCT: "TType.STRUCT",
+    TType.LIST: "TType.LIST",
+}
+
+
+def generate() -> str:
+    """Return the source of the classes."""
+    idl = load(str(IDL_PATH), module_name="peer_idl_thrift")
+    parts = [_HEADER]
+    parts += [_struct(item) for item in _structs(idl)]
+    parts.append(_service(getattr(idl, SERVICE)))
+    return "\n\n".join(parts)
+
+
+def _structs(idl: ModuleType) -> Iterator[type[TPayload]]:
+    """Yield the structs in the IDL's order, in which each comes before its users."""
+    for value in vars(idl).values():
+        if isinstance(value, type) and issubclass(value, TPayload):
+            yield value
+
+
+def _struct(struct: type[TPayload]) -> str:
+    lines = [
+        f"class {_struct_name(struct)}(TPayload):",
+        f'    """See {struct.__name__} in peer.thrift."""',
+        "",
+        *_fields(struct),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _fields(struct: type[TPayload]) -> list[str]:
+    """Return the class attributes that the library reads."""
+    spec = [
+        f"        {number}: {_field(field)},"
+        for number, field in struct.thrift_spec.items()
+    ]
+    defaults = [f"        {item!r}," for item in struct.default_spec]
+    return [
+        f"    _ttype = {_TYPE_NAMES[TType.STRUCT]}",
+        "    thrift_spec = {",
+        *spec,
+        "    }",
+        "    default_spec = [",
+        *(line.replace("'", '"') for line in defaults),
+        "    ]",
+    ]
+
+
+def _field(field: tuple[Any, ...]) -> str:
+    """Return a field's type, name, element type if any, and whether it is required."""
+    kind, name, *element, required = field
+    parts = [_TYPE_NAMES[kind], f'"{name}"']
+    parts += [_element(item) for item in element]
+    return f"({', '.join([*parts, str(required)])})"
+
+
+def _element(element: Any) -> str:
+    if isinstance(element, tuple):
+        kind, struct = element
+        return f"({_TYPE_NAMES[kind]}, {_struct_name(struct)})"
+    if isinstance(element, type):
+        return _struct_name(element)
+    return _TYPE_NAMES[element]
+
+
+def _struct_name(struct: type[TPayload]) -> str:
+    """Return the class's name, which differs from those of the daemons' own types."""
+    return f"Wire{struct.__name__}"
+
+
+def _service(service: type) -> str:
+    """Return the service with a class of arguments and one of results a method."""
+    names = service.thrift_services
+    parts = [_payload(service, name) for name in names]
+    listed = [f'        "{name}",' for name in names]
+    attributes = [
+        f"    {name}_{part} = {_class_name(name, part)}"
+        for name in names
+        for part in ("args", "result")
+    ]
+    lines = [
+        f"class {service.__name__}Service:",
+        '    """The service that every daemon offers to its peers."""',
+        "",
+        "    thrift_services = [",
+        *listed,
+        "    ]",
+        *attributes,
+    ]
+    return "\n\n".join([*parts, "\n".join(lines) + "\n"])
+
+
+def _payload(service: type, name: str) -> str:
+    """Return the classes of one method's arguments and result."""
+    sources = []
+    for part in ("args", "result"):
+        payload = getattr(service, f"{name}_{part}")
+        lines = [
+            f"class {_class_name(name, part)}(TPayload):",
+            f'    """The {_PARTS[part]} of {name}."""',
+            "",
+            *_fields(payload),
+        ]
+        if part == "result":
+            lines.append("    oneway = False")
+        sources.append("\n".join(lines) + "\n")
+    return "\n\n".join(sources)
+
+
+_PARTS = {"args": "arguments", "result": "result"}
+
+
+def _class_name(method: str, part: str) -> str:
+    """Return a class name, such as AskSlotArgs of ask_slot and args."""
+    return "".join(word.capitalize() for word in [*method.split("_"), part])
+
+
+def main() -> None:
+    """Write the file."""
+    OUTPUT_PATH.write_text(generate())
+
+
+if __name__ == "__main__":
+    main()
