Another daemon orders when the first of them has lost the store

Cause: only the first serving daemon by name gave orders; while the store turned it away, nobody did. Now three daemons keep the split; each leaves a move to the one before for 3 s. The store's row still lets no two take turns within the pause (specification of orders unchanged).

--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -37,6 +37,10 @@
 ORDER_WITHIN_S = 1.0
 # Time for which a replica must have been too few or too many to be moved.
 STEADY_S = 1.5
+# Daemons, the first by name, that may give orders. Each leaves a move to the one before
+# for a while; that one may have lost the store.
+KEEPERS = 3
+TAKEOVER_S = 3.0
 # Time after an order, beyond the replica's own switch, in which its row must follow.
 SETTLE_S = 8.0
 # Pause after an order that could not be given.
@@ -90,19 +94,21 @@
 
     async def step(self, table: RoutingTable | None) -> None:
         """Give the orders that each service's split wants; run periodically."""
-        if table is None or not self._leads():
+        rank = self._rank()
+        if table is None or rank >= KEEPERS:
             return
+        steady_s = STEADY_S + rank * TAKEOVER_S
         for service in table.services.values():
             if service.engine is not None:
-                await self._keep(service.name, service.engine)
+                await self._keep(service.name, service.engine, steady_s)
 
-    def _leads(self) -> bool:
-        """Spare the store calls: usually only one daemon tries."""
-        own = self._view.own
-        serving = [peer.vm.name for peer in self._view.others if peer.serving]
-        return all(own.vm.name < name for name in serving)
+    def _rank(self) -> int:
+        """Return how many serving daemons come before this one, by name."""
+        own = self._view.own.vm.name
+        others = self._view.others
+        return sum(peer.serving and peer.vm.name < own for peer in others)
 
-    async def _keep(self, service: str, engine: EngineTraits) -> None:
+    async def _keep(self, service: str, engine: EngineTraits, steady_s: float) -> None:
         now = loop_time()
         if now < self._quiet_until.get(service, float("-inf")):
             return
@@ -114,7 +120,7 @@
             profile, len(prefill), len(decode), engine.kv_tokens
         )
         change = wanted - len(prefill)
-        if not self._steady(service, change, len(stages), now):
+        if self._wanted_for_s(service, change, len(stages), now) < steady_s:
             return
         logger.info(
             "split_wanted", service=service, prefill=len(prefill), wanted=wanted
@@ -155,17 +161,19 @@
             ),
         )
 
-    def _steady(self, service: str, change: int, pool_size: int, now: float) -> bool:
-        """Tell whether the same move of the same pool has been wanted for a while."""
+    def _wanted_for_s(
+        self, service: str, change: int, pool_size: int, now: float
+    ) -> float:
+        """Return for how long the same move of the same pool has been wanted."""
         if change == 0:
             self._wanted_since.pop(service, None)
-            return False
+            return 0.0
         wanted = (change > 0, pool_size)
         known = self._wanted_since.get(service)
         if known is None or known[0] != wanted:
             self._wanted_since[service] = (wanted, now)
-            return False
-        return now - known[1] >= STEADY_S
+            return 0.0
+        return now - known[1]
 
     async def _order(
         self, service: str, engine: EngineTraits, replica: Replica, stage: Stage
