Addresses of a large fleet are named evenly and by region; prefill near the place

Cause: each daemon named itself and the same 63 others, so that of 400 daemons 336 got callers only by their own answers; callers of another region were sent across regions. Each daemon now names a part of its own, stable while others come and go, the caller's region first. Among prefill replicas with equal work the one in the data centre of the decode place is taken, for cheaper and faster transfers; before, that of the daemon.

--- a/marjoramstile/membership/nodes.py
+++ b/marjoramstile/membership/nodes.py
@@ -1,12 +1,14 @@
 """Rows by which daemons find each other in the platform's store."""
 
 import json
+from collections.abc import Mapping
 from dataclasses import asdict, dataclass
 
 from result import Ok, Result
 
 from marjoramstile.logs import get_logger
 from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.ports.feeds import NOTHING_KNOWN
 from marjoramstile.ports.tables import StoreError
 from marjoramstile.ports.vms import ListedState, ListedVM
 
@@ -33,10 +35,14 @@
 def decode_node(value: bytes) -> NodeEntry | None:
     """Return the daemon that a row describes; None if it describes none."""
     try:
-        return NodeEntry(**json.loads(value))
+        entry = NodeEntry(**json.loads(value))
     except (ValueError, TypeError) as error:
         logger.warning("node_row_unreadable", reason=repr(error))
         return None
+    if not all(isinstance(field, str) for field in asdict(entry).values()):
+        logger.warning("node_row_unreadable", reason="a field is not text")
+        return None
+    return entry
 
 
 class MirrorVMList:
@@ -44,14 +50,20 @@
 
     def __init__(self, mirror: TableMirror):
         self._mirror = mirror
+        self._entries: dict[str, NodeEntry] = {}
+        self._entries_version = NOTHING_KNOWN
 
     @property
-    def entries(self) -> dict[str, NodeEntry]:
-        """Daemons by VM name."""
-        decoded = {
-            vm: decode_node(row.value or b"") for vm, row in self._mirror.rows.items()
-        }
-        return {vm: entry for vm, entry in decoded.items() if entry is not None}
+    def entries(self) -> Mapping[str, NodeEntry]:
+        """Daemons by VM name; the same object until a row changes."""
+        if self._entries_version != self._mirror.version:
+            self._entries_version = self._mirror.version
+            decoded = {
+                vm: decode_node(row.value or b"")
+                for vm, row in self._mirror.rows.items()
+            }
+            self._entries = {vm: entry for vm, entry in decoded.items() if entry}
+        return self._entries
 
     async def list_vms(self) -> Result[tuple[ListedVM, ...], StoreError]:
         """Return the VMs whose daemons have a row."""
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -194,7 +194,7 @@
 
     async def resolve(self, request: web.BaseRequest) -> web.Response:
         """Answer GET /v1/resolve with the daemons to connect to."""
-        addresses = self._addresses.current()
+        addresses = self._addresses.current(request.query.get("region", ""))
         if not addresses:
             return web.Response(status=503)
         body = {"addresses": addresses, "ttlS": self._addresses.ttl_s}
--- a/marjoramstile/routes/addresses.py
+++ b/marjoramstile/routes/addresses.py
@@ -4,8 +4,12 @@
 
 from marjoramstile.membership.nodes import NodeEntry
 from marjoramstile.membership.view import View
+from marjoramstile.ports.vms import ListedVM
+from marjoramstile.utils import rendezvous_weight
 
 ADDRESSES_MAX = 64
+# With fewer daemons of the caller's region than this, others are named too.
+REGION_MIN = 8
 
 
 class FrontAddresses:
@@ -24,20 +28,52 @@
         self._own_front = own_front
         self._own_ready = own_ready
         self._ttl_s = ttl_s
+        self._answered_for: tuple[int, Mapping[str, NodeEntry], bool] | None = None
+        self._answers: dict[str, list[str]] = {}
+        self._answer_elsewhere: list[str] = []
 
     @property
     def ttl_s(self) -> float:
         """How long callers may keep an answer, in seconds."""
         return self._ttl_s
 
-    def current(self) -> list[str]:
-        """Return up to ADDRESSES_MAX addresses."""
+    def current(self, region: str) -> list[str]:
+        """Return up to ADDRESSES_MAX addresses for a caller in ``region``.
+
+        Of a large fleet each daemon names a part of its own, which stays the same
+        while daemons come and go: callers close connections to what is not named.
+        """
+        state = (self._view.generation, self._entries(), self._own_ready())
+        if self._answered_for != state:
+            self._answered_for = state
+            fronts = self._serving_fronts()
+            regions = {vm.region for vm in fronts}
+            self._answers = {item: self._choose(fronts, item) for item in regions}
+            self._answer_elsewhere = self._choose(fronts, "")
+        return self._answers.get(region, self._answer_elsewhere)
+
+    def _choose(self, fronts: Mapping[ListedVM, str], region: str) -> list[str]:
+        near = [vm for vm in fronts if vm.region == region]
+        far = [vm for vm in fronts if vm.region != region]
+        chosen = self._ranked(near)
+        if len(near) < REGION_MIN:
+            rest = REGION_MIN - len(near) if near else ADDRESSES_MAX
+            chosen += self._ranked(far)[:rest]
+        return [fronts[vm] for vm in chosen[:ADDRESSES_MAX]]
+
+    def _serving_fronts(self) -> dict[ListedVM, str]:
+        """Return the front addresses of all daemons that serve."""
         entries = self._entries()
-        serving = [
-            entries[peer.vm.name].front
+        fronts = {
+            peer.vm: entries[peer.vm.name].front
             for peer in self._view.others
             if peer.serving and peer.vm.name in entries
-        ]
+        }
         if self._own_ready():
-            serving.insert(0, self._own_front)
-        return serving[:ADDRESSES_MAX]
+            fronts[self._view.own.vm] = self._own_front
+        return fronts
+
+    def _ranked(self, vms: list[ListedVM]) -> list[ListedVM]:
+        """Return VMs in an order of this daemon's own that doesn't change."""
+        own = self._view.own.vm.name
+        return sorted(vms, key=lambda vm: rendezvous_weight(own, vm.name))
--- a/marjoramstile/routes/balancing.py
+++ b/marjoramstile/routes/balancing.py
@@ -78,12 +78,14 @@
         )
 
     def choose_by_tokens(
-        self, replicas: list[Replica], loads: FleetLoads, now: float
+        self, replicas: list[Replica], loads: FleetLoads, near: str, now: float
     ) -> Replica | None:
         """Return the replica with the fewest prompt tokens of a few drawn at random.
 
-        What is known of the others' work is some time old; drawing keeps the daemons
-        from all choosing the same replica.
+        Among equals those in the data centre ``near`` come first, where the KV cache
+        is to go: links between data centres are slower and dearer. What is known of
+        the others' work is some time old; drawing keeps the daemons from all choosing
+        the same replica.
         """
         sound = [item for item in replicas if not self.is_doubtful(item, now)]
         candidates = sound or replicas
@@ -92,7 +94,7 @@
             drawn,
             key=lambda replica: (
                 loads.load_of(replica.id, now).prefill_tokens,
-                replica.data_centre != self._data_centre,
+                replica.data_centre != near,
             ),
             default=None,
         )
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -139,7 +139,9 @@
         handle = None
         try:
             if not place.prefills:
-                handle = await self._prefiller.prefill(request, failed)
+                handle = await self._prefiller.prefill(
+                    request, failed, place.replica.data_centre
+                )
             used = True
             return await self._decode(
                 request, engine, place, handle, responder, progress
--- a/marjoramstile/routes/prefiller.py
+++ b/marjoramstile/routes/prefiller.py
@@ -47,15 +47,16 @@
         self._failures = FailureNotes(directory, balancer)
 
     async def prefill(
-        self, request: RoutedRequest, avoid: frozenset[str]
+        self, request: RoutedRequest, avoid: frozenset[str], near: str
     ) -> KVHandle | None:
         """Return the prefilled KV cache; None if there is no replica to ask.
 
+        ``near`` is the data centre that the cache will go to.
         Raises RequestRefusedError when tries, time or the retry budget are used up.
         """
         tried: set[str] = set()
         while True:
-            replica = self._choose(request.service, avoid | tried)
+            replica = self._choose(request.service, avoid | tried, near)
             if replica is None:
                 return None
             self._check_may_try(request, len(tried))
@@ -65,10 +66,10 @@
             except ReplicaError as error:
                 self._failures.note(replica, request, error)
 
-    def _choose(self, service: str, avoid: frozenset[str]) -> Replica | None:
+    def _choose(self, service: str, avoid: frozenset[str], near: str) -> Replica | None:
         replicas = self._directory.usable(service, Stage.PREFILL)
         allowed = [replica for replica in replicas if replica.id not in avoid]
-        return self._balancer.choose_by_tokens(allowed, self._loads, loop_time())
+        return self._balancer.choose_by_tokens(allowed, self._loads, near, loop_time())
 
     def _check_may_try(self, request: RoutedRequest, tries: int) -> None:
         """Raise unless the request may be sent to one more replica."""
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -7,6 +7,7 @@
 import pytest
 import pytest_asyncio
 from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
 
 from marjoramstile.loops import listening_socket
 from marjoramstile.platform.front import FrontHandler, PlatformEndpoints
@@ -228,8 +229,9 @@
     class Addresses:
         ttl_s = 1.5
 
-        def current(self):
-            return ["10.0.0.1:80"]
+        def current(self, region):
+            return [f"{region}.0.0.1:80"]
 
-    answer = await PlatformEndpoints(site.entry, Addresses(), None).resolve(None)
+    request = make_mocked_request("GET", "/v1/resolve?name=h&region=10&zone=a")
+    answer = await PlatformEndpoints(site.entry, Addresses(), None).resolve(request)
     assert json.loads(answer.body) == {"addresses": ["10.0.0.1:80"], "ttlS": 1.5}
