Replicas that were ordered into another stage get nothing until they are there

Cause: from an order to its end (6 s and more) a replica grants reservations and refuses what was prefilled for it. Ruled out: lapsed handles (all within 0.5 s), full replicas (reservations held). The row in the store that each order writes first now names the moves under way; all daemons mirror it. The keeper's own list of pending orders is gone: the directory's serves both. The test of two daemons that both lead gives each its own directory, as daemons have; its bounds are unchanged.

--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -18,7 +18,7 @@
 from marjoramstile.peers.membership_caller import MembershipCaller
 from marjoramstile.peers.router_handler import RouterPeerHandler
 from marjoramstile.peers.transport import PeerServer
-from marjoramstile.ports.feeds import TableFeed
+from marjoramstile.ports.feeds import StoredRow, TableFeed
 from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.reports.exposition import exposition_text
 from marjoramstile.reports.metrics import Metrics
@@ -32,6 +32,11 @@
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.loads import FleetLoads
 from marjoramstile.routes.order_ports import OrderStore, StageClient
+from marjoramstile.routes.order_rows import (
+    ORDERS_TABLE,
+    UnreadableOrdersError,
+    decode_orders,
+)
 from marjoramstile.routes.orders import StageKeeper
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.ports import ReplicaClient
@@ -46,7 +51,8 @@
 # A connection to the store that went silent is noticed within this and a call's
 # timeout, sooner than the bounds on configuration and leaving.
 FEED_WAIT_S = 1.2
-NODES_FEED_WAIT_S = 8.0
+# Tables in which changes are rare and, if late, cost little.
+QUIET_FEED_WAIT_S = 8.0
 # Replicas write often; their changes are gathered for this long.
 REPLICAS_PAUSE_S = 0.3
 PROBE_PERIOD_S = 0.4
@@ -91,6 +97,8 @@
         self.configuration_mirror = TableMirror(configuration_table)
         self.replicas_mirror = TableMirror(replicas_table)
         self.nodes_mirror = TableMirror(NODES_TABLE)
+        self._orders_mirror = TableMirror(ORDERS_TABLE)
+        self._orders_mirror.subscribe(self._take_orders)
         self._build_membership()
         self._build_requests()
 
@@ -121,6 +129,20 @@
             keep_until = loop_time() + RETURN_WAIT_S
         self.directory.remove(replica_id, keep_until, loop_time())
 
+    def _take_orders(self, row: StoredRow) -> None:
+        """Note which replicas a daemon has ordered away, so that none is used."""
+        if row.value is None:
+            return
+        try:
+            orders = decode_orders(row.value)
+        except UnreadableOrdersError as error:
+            logger.warning("orders_row_unreadable", reason=str(error))
+            return
+        now = loop_time()
+        for move in orders.moves:
+            until = now + move.until_s - orders.at_s
+            self.directory.note_move(move.replica, move.stage, until)
+
     def metrics_text(self) -> str:
         """Return all measurements for a scrape."""
         return exposition_text(self.metrics.snapshot())
@@ -161,7 +183,8 @@
             for mirror, wait_s, pause_s in (
                 (self.configuration_mirror, FEED_WAIT_S, 0.0),
                 (self.replicas_mirror, FEED_WAIT_S, REPLICAS_PAUSE_S),
-                (self.nodes_mirror, NODES_FEED_WAIT_S, 0.0),
+                (self.nodes_mirror, QUIET_FEED_WAIT_S, 0.0),
+                (self._orders_mirror, QUIET_FEED_WAIT_S, 0.0),
             )
         }
         handler = RouterPeerHandler(self.prober, self._followers)
--- /dev/null
+++ b/marjoramstile/routes/order_rows.py
@@ -0,0 +1,55 @@
+"""Rows of the orders table: who ordered last, and which replicas are on the move."""
+
+import json
+from dataclasses import asdict, dataclass
+
+from marjoramstile.routes.replicas import Stage
+
+ORDERS_TABLE = "marjoramstile-orders"
+
+
+class UnreadableOrdersError(Exception):
+    """A row of the orders table is not what this module writes."""
+
+
+@dataclass(frozen=True)
+class StageMove:
+    """A replica that was ordered into a stage; it is given up at ``until_s``."""
+
+    replica: str
+    stage: Stage
+    until_s: float
+
+
+@dataclass(frozen=True)
+class OrdersRow:
+    """A service's last order, written by the incarnation ``holder`` at ``at_s``.
+
+    Times are seconds of the store's clock. ``moves`` are those under way, the one
+    just ordered included.
+    """
+
+    holder: str
+    at_s: float
+    moves: tuple[StageMove, ...]
+
+    def to_value(self) -> dict[str, object]:
+        """Return the row's value."""
+        return asdict(self)
+
+    def moves_at(self, now_s: float) -> tuple[StageMove, ...]:
+        """Return the moves that are not given up yet."""
+        return tuple(move for move in self.moves if move.until_s > now_s)
+
+
+def decode_orders(value: bytes) -> OrdersRow:
+    """Return what a row holds; raises UnreadableOrdersError."""
+    try:
+        body = json.loads(value)
+        moves = tuple(
+            StageMove(str(item["replica"]), Stage(item["stage"]), item["until_s"] + 0.0)
+            for item in body["moves"]
+        )
+        return OrdersRow(str(body["holder"]), body["at_s"] + 0.0, moves)
+    except (ValueError, KeyError, TypeError) as error:
+        raise UnreadableOrdersError(repr(error)) from error
--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -8,9 +8,7 @@
 never take turns within one.
 """
 
-import json
 import time
-from dataclasses import dataclass
 
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import View
@@ -26,13 +24,19 @@
     StageClient,
     StageOrder,
 )
+from marjoramstile.routes.order_rows import (
+    ORDERS_TABLE,
+    OrdersRow,
+    StageMove,
+    UnreadableOrdersError,
+    decode_orders,
+)
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
 from marjoramstile.routes.requests import ReplicaError
 from marjoramstile.routes.stages import GenerationProfile, wanted_prefill_count
 from marjoramstile.routes.table import EngineTraits, RoutingTable
 from marjoramstile.utils import loop_time
 
-ORDERS_TABLE = "marjoramstile-orders"
 # Longest time from reading the row to giving the order.
 ORDER_WITHIN_S = 1.0
 # Time for which a replica must have been too few or too many to be moved.
@@ -43,18 +47,14 @@
 TAKEOVER_S = 3.0
 # Time after an order, beyond the replica's own switch, in which its row must follow.
 SETTLE_S = 8.0
+# Answers to an order that is carried out, or already holds.
+ACCEPTED = (200, 202)
 # Pause after an order that could not be given.
 RETRY_S = 1.0
 
-logger = get_logger(__name__)
-
+NO_ORDERS = OrdersRow("", float("-inf"), ())
 
-@dataclass(frozen=True)
-class PendingOrder:
-    """The stage that a replica was ordered into; not believed after ``until``."""
-
-    stage: Stage
-    until: float
+logger = get_logger(__name__)
 
 
 def boot_time() -> float:
@@ -83,7 +83,6 @@
         self._profiles: dict[str, GenerationProfile] = {}
         self._wanted_since: dict[str, tuple[tuple[bool, int], float]] = {}
         self._quiet_until: dict[str, float] = {}
-        self._pending: dict[str, PendingOrder] = {}
 
     def note_generation(
         self, service: str, prompt: int, output: int, decode_s: float
@@ -112,7 +111,7 @@
         now = loop_time()
         if now < self._quiet_until.get(service, float("-inf")):
             return
-        stages = self._expected_stages(service, now)
+        stages = self._directory.expected_stages(service)
         prefill = [replica for replica, stage in stages if stage == Stage.PREFILL]
         decode = [replica for replica, stage in stages if stage == Stage.DECODE]
         profile = self._profiles.get(service, GenerationProfile())
@@ -131,28 +130,9 @@
         for replica in candidates[: abs(change)]:
             await self._order(service, engine, replica, stage)
 
-    def _expected_stages(self, service: str, now: float) -> list[tuple[Replica, Stage]]:
-        """Return usable replicas with the stage that orders under way will give."""
-        replicas = self._directory.usable(service, Stage.PREFILL)
-        replicas += self._directory.usable(service, Stage.DECODE)
-        for replica_id, pending in list(self._pending.items()):
-            replica = self._directory.get(replica_id)
-            arrived = replica is None or replica.stage == pending.stage
-            if arrived or now > pending.until:
-                del self._pending[replica_id]
-        return [
-            (
-                replica,
-                self._pending[replica.id].stage
-                if replica.id in self._pending
-                else replica.stage,
-            )
-            for replica in replicas
-        ]
-
     def _movable(self, replicas: list[Replica], now: float) -> list[Replica]:
         """Return replicas without an order under way, the least busy first."""
-        free = [replica for replica in replicas if replica.id not in self._pending]
+        free = [item for item in replicas if not self._directory.is_moving(item.id)]
         return sorted(
             free,
             key=lambda replica: (
@@ -193,13 +173,15 @@
             logger.warning("order_withheld", service=service, reason="too late")
             return
         until = loop_time() + engine.switch_s + SETTLE_S
-        self._pending[replica.id] = PendingOrder(stage, until)
+        self._directory.note_move(replica.id, stage, until)
         order = StageOrder(stage, self._view.own.vm.name, token, report.orders)
         await self._give(replica, order)
 
     async def _give(self, replica: Replica, order: StageOrder) -> None:
         try:
             status = await self._client.order_stage(replica, order)
+            if status not in ACCEPTED:
+                self._directory.forget_move(replica.id)
         except ReplicaError as error:
             status = repr(error)
         logger.info(
@@ -221,35 +203,38 @@
             )
             return None
         dated = read.unwrap()
-        if not self._may_write(dated, engine):
+        last = _last_orders(dated)
+        if not self._may_write(last, dated.now_s, engine):
             return None
-        value = {
-            "holder": self._view.own.incarnation,
-            "at_s": dated.now_s,
-            "replica": replica.id,
-            "stage": str(stage),
-        }
+        until_s = dated.now_s + engine.switch_s + SETTLE_S
+        move = StageMove(replica.id, stage, until_s)
+        row = OrdersRow(
+            self._view.own.incarnation, dated.now_s, (*last.moves_at(dated.now_s), move)
+        )
         version = dated.row.version if dated.row is not None else ABSENT
         written = await self._store.transact(
             [Condition(ORDERS_TABLE, service, version)],
-            [Write(ORDERS_TABLE, service, value)],
+            [Write(ORDERS_TABLE, service, row.to_value())],
         )
         if written.is_err() or written.unwrap() is None:
             logger.info("no_fencing_token", service=service, reason="row not written")
             return None
         return written.unwrap().version
 
-    def _may_write(self, dated: DatedRow, engine: EngineTraits) -> bool:
+    def _may_write(self, last: OrdersRow, now_s: float, engine: EngineTraits) -> bool:
         """Tell whether the last order is old enough for the next one."""
-        if dated.row is None or dated.row.value is None:
-            return True
-        try:
-            last = json.loads(dated.row.value)
-            last_s = float(last["at_s"])
-            if last["holder"] == self._view.own.incarnation:
-                return True
-        except (ValueError, KeyError, TypeError) as error:
-            logger.warning("orders_row_unreadable", reason=repr(error))
+        if last.holder == self._view.own.incarnation:
             return True
         pause_s = max(2 * self._lease_s, engine.switch_s + SETTLE_S)
-        return dated.now_s - last_s >= pause_s
+        return now_s - last.at_s >= pause_s
+
+
+def _last_orders(dated: DatedRow) -> OrdersRow:
+    """Return the last order; without a row that can be read, one of long ago."""
+    if dated.row is None or dated.row.value is None:
+        return NO_ORDERS
+    try:
+        return decode_orders(dated.row.value)
+    except UnreadableOrdersError as error:
+        logger.warning("orders_row_unreadable", reason=str(error))
+        return NO_ORDERS
--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -49,6 +49,14 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True)
+class ExpectedMove:
+    """The stage that a replica was ordered into; not believed after ``until``."""
+
+    stage: Stage
+    until: float
+
+
 class ReplicaDirectory:
     """Replicas by id, as their rows in the store say, with local evidence on top."""
 
@@ -56,12 +64,14 @@
         self._replicas: dict[str, Replica] = {}
         self._missing_until: dict[str, float] = {}
         self._misdirected: dict[str, tuple[int, Stage | None]] = {}
+        self._moves: dict[str, ExpectedMove] = {}
 
     def put(self, replica: Replica) -> None:
         """Take a replica's row."""
         known = self._replicas.get(replica.id)
         self._replicas[replica.id] = replica
         self._missing_until.pop(replica.id, None)
+        self._end_move(known, replica)
         if known is None or known.born_ms != replica.born_ms:
             logger.info(
                 "replica_appeared",
@@ -77,6 +87,24 @@
                 stage=replica.stage,
             )
 
+    def _end_move(self, known: Replica | None, replica: Replica) -> None:
+        """Forget a move that has arrived, or that a restart has ended."""
+        move = self._moves.get(replica.id)
+        restarted = known is not None and known.born_ms != replica.born_ms
+        if move is not None and (restarted or replica.stage == move.stage):
+            del self._moves[replica.id]
+
+    def note_move(self, replica_id: str, stage: Stage, until: float) -> None:
+        """Note that a replica was ordered into a stage and gets nothing meanwhile."""
+        replica = self._replicas.get(replica_id)
+        if replica is not None and replica.stage != stage:
+            self._moves[replica_id] = ExpectedMove(stage, until)
+            logger.info("replica_moves", replica=replica_id, stage=stage)
+
+    def forget_move(self, replica_id: str) -> None:
+        """Note that a replica was not ordered away after all."""
+        self._moves.pop(replica_id, None)
+
     def remove(self, replica_id: str, keep_until: float, now: float) -> None:
         """Drop a replica whose row is gone.
 
@@ -89,11 +117,16 @@
             self._missing_until[replica_id] = keep_until
             return
         del self._replicas[replica_id]
+        self._moves.pop(replica_id, None)
         self._misdirected.pop(replica_id, None)
         logger.info("replica_gone", replica=replica_id, service=replica.service)
 
     def expire(self, now: float) -> None:
-        """Drop replicas that stayed missing for too long."""
+        """Drop replicas that stayed missing for too long, and moves that never end."""
+        for replica_id, move in list(self._moves.items()):
+            if now >= move.until:
+                del self._moves[replica_id]
+                logger.warning("replica_not_moved", replica=replica_id)
         for replica_id, until in list(self._missing_until.items()):
             if now >= until:
                 del self._missing_until[replica_id]
@@ -117,11 +150,33 @@
             replica
             for replica in self._replicas.values()
             if replica.service == service
-            and replica.state == ReplicaState.READY
             and replica.stage == stage
-            and self._misdirected.get(replica.id) != _incarnation_and_stage(replica)
+            and replica.id not in self._moves
+            and self._is_sound(replica)
         ]
 
+    def expected_stages(self, service: str) -> list[tuple[Replica, Stage]]:
+        """Return the service's engines with the stages that orders will give them."""
+        return [
+            (replica, self._expected_stage(replica))
+            for replica in self._replicas.values()
+            if replica.service == service
+            and replica.stage is not None
+            and self._is_sound(replica)
+        ]
+
+    def _expected_stage(self, replica: Replica) -> Stage:
+        move = self._moves.get(replica.id)
+        return replica.stage if move is None else move.stage
+
+    def is_moving(self, replica_id: str) -> bool:
+        """Tell whether a replica was ordered into a stage that it is not in yet."""
+        return replica_id in self._moves
+
+    def _is_sound(self, replica: Replica) -> bool:
+        wrong = self._misdirected.get(replica.id) == _incarnation_and_stage(replica)
+        return replica.state == ReplicaState.READY and not wrong
+
     @property
     def all(self) -> Iterable[Replica]:
         """All replicas known."""
--- a/tests/routes/test_decisions.py
+++ b/tests/routes/test_decisions.py
@@ -200,6 +200,34 @@
     assert directory.usable("ledger")
 
 
+def test_a_replica_on_the_move_between_stages_gets_nothing_until_it_arrives():
+    directory = ReplicaDirectory()
+    directory.put(plain("r", stage=Stage.DECODE))
+    directory.note_move("r", Stage.PREFILL, until=9.0)
+    assert not directory.usable("ledger", Stage.DECODE)
+    assert directory.expected_stages("ledger") == [
+        (plain("r", stage=Stage.DECODE), Stage.PREFILL)
+    ]
+    directory.put(plain("r", stage=Stage.PREFILL))
+    assert directory.usable("ledger", Stage.PREFILL)
+    directory.note_move("r", Stage.PREFILL, until=9.0)
+    assert directory.usable("ledger", Stage.PREFILL)
+
+
+def test_a_move_is_given_up_in_time_and_forgotten_with_its_incarnation():
+    directory = ReplicaDirectory()
+    before = plain("r", stage=Stage.DECODE)
+    directory.put(before)
+    directory.note_move("r", Stage.PREFILL, until=9.0)
+    directory.expire(8.9)
+    assert not directory.usable("ledger", Stage.DECODE)
+    directory.expire(9.0)
+    assert directory.usable("ledger", Stage.DECODE)
+    directory.note_move("r", Stage.PREFILL, until=20.0)
+    directory.put(plain("r", stage=Stage.DECODE, born_ms=2))
+    assert directory.usable("ledger", Stage.DECODE)
+
+
 def test_a_replica_that_changed_its_stage_is_used_in_the_new_one():
     """421 came from a replica that had been ordered into another stage."""
     directory = ReplicaDirectory()
--- a/tests/routes/test_orders.py
+++ b/tests/routes/test_orders.py
@@ -4,6 +4,8 @@
 import json
 from dataclasses import dataclass, field, replace
 
+import pytest
+from hypothesis import given, strategies as st
 from result import Err, Ok
 
 from marjoramstile.membership.view import PeerState, Report, View
@@ -13,6 +15,7 @@
 from marjoramstile.routes import orders as orders_module
 from marjoramstile.routes.loads import FleetLoads
 from marjoramstile.routes.order_ports import DatedRow, StageReport
+from marjoramstile.routes.order_rows import UnreadableOrdersError, decode_orders
 from marjoramstile.routes.orders import StageKeeper
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, ReplicaState, Stage
 from marjoramstile.routes.requests import NotSentError
@@ -58,6 +61,7 @@
     directory: ReplicaDirectory
     orders: list = field(default_factory=list)
     silent: bool = False
+    answer: int = 202
     row_delay_s: float = 0.0
 
     async def stage_report(self, replica):
@@ -71,6 +75,8 @@
         self.orders.append((loop_time(), replica.id, order))
         if self.silent:
             raise NotSentError("timeout")
+        if self.answer != 202:
+            return self.answer
         moved = replace(self.directory.get(replica.id), stage=order.stage)
         asyncio.get_running_loop().call_later(
             self.row_delay_s, self.directory.put, moved
@@ -103,6 +109,7 @@
     """Let keepers step in turn."""
     for _ in range(seconds * 2):
         for item in keepers:
+            item._directory.expire(loop_time())
             await item.step(TABLE)
         await asyncio.sleep(0.5)
 
@@ -116,8 +123,9 @@
 
 async def test_two_daemons_that_both_lead_never_share_a_token_or_take_turns():
     stages = FakeStages(replicas(6, 3), silent=True)
+    others = FakeStages(replicas(6, 3), stages.orders, silent=True)
     store = FakeStore()
-    await run([keeper("a", store, stages), keeper("b", store, stages)], 60)
+    await run([keeper("a", store, stages), keeper("b", store, others)], 60)
     assert {order.holder for _, _, order in stages.orders} == {"a", "b"}
     tokens = [order.fencing_token for _, _, order in stages.orders]
     assert tokens == sorted(set(tokens))
@@ -211,3 +219,39 @@
         await run([item], 1)
     await run([item], 10)
     assert stages.orders == []
+
+
+async def test_a_replica_that_was_ordered_away_gets_no_new_requests_meanwhile():
+    """It grants reservations and then refuses the prompts that were prefilled."""
+    stages = FakeStages(replicas(4, 5), row_delay_s=ENGINE.switch_s)
+    await run([keeper("a", FakeStore(), stages)], 4)
+    ordered = {replica for _, replica, _ in stages.orders}
+    assert len(ordered) == 2
+    usable = stages.directory.usable(LLM, Stage.PREFILL)
+    assert not ordered & {replica.id for replica in usable}
+    await run([keeper("a", FakeStore(), stages)], 6)
+    usable = stages.directory.usable(LLM, Stage.DECODE)
+    assert ordered <= {replica.id for replica in usable}
+
+
+async def test_an_order_that_was_refused_moves_nothing():
+    stages = FakeStages(replicas(4, 5), answer=409)
+    await run([keeper("a", FakeStore(), stages)], 3)
+    assert stages.orders
+    assert len(stages.directory.usable(LLM, Stage.PREFILL)) == 4
+
+
+async def test_the_row_names_all_moves_under_way():
+    stages = FakeStages(replicas(4, 5), silent=True)
+    store = FakeStore()
+    await run([keeper("a", store, stages)], 4)
+    row = decode_orders(store.row.value)
+    assert {move.replica for move in row.moves} == {item[1] for item in stages.orders}
+    assert {move.stage for move in row.moves} == {Stage.DECODE}
+    assert row.moves_at(row.at_s + 60.0) == ()
+
+
+@given(st.binary(max_size=60))
+def test_a_row_of_another_writer_is_no_order(value):
+    with pytest.raises(UnreadableOrdersError):
+        decode_orders(value)
