Operators ask any routing daemon what all of them believe

marjoramstile fleet 'show SUBJECT ...' at a daemon's internal port: daemons, mirrors (which version, how old, store reached or lost), peers, replicas (used or why not, since when), routes, orders (holder, fencing token, moves), quarantine. The asked daemon asks the others over the peers' port, 32 at a time; those that do not answer are named. The tool parses, filters and sorts; daemons only send rows, so that they need no parser. Tests: tests/routes/test_status.py, a process test through the tool.

--- a/marjoramstile/cli/main.py
+++ b/marjoramstile/cli/main.py
@@ -4,7 +4,7 @@
 import json
 import os
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, NoReturn
 
 import typer
 import yaml
@@ -14,6 +14,9 @@
 from marjoramstile.cli.explain import explain
 from marjoramstile.cli.plots import plot_burn
 from marjoramstile.cli.tables import format_rows
+from marjoramstile.language.parser import parse_statements
+from marjoramstile.language.rows import select
+from marjoramstile.language.statements import Show
 from marjoramstile.settings import load_settings
 
 FAILED_EXIT = 1
@@ -60,6 +63,27 @@
     _print_answer(body, as_json)
 
 
+@app.command()
+def fleet(statement: str, daemon: DaemonOption, as_json: JSONOption = False) -> None:
+    """Ask a routing daemon, at its internal port, by a "show" statement."""
+    parsed = parse_statements(statement)
+    if parsed.is_err():
+        _end_with_usage(str(parsed.unwrap_err()))
+    (show, *others) = parsed.unwrap()
+    if others or not isinstance(show, Show):
+        _end_with_usage("routing daemons answer one show statement at a time")
+    body = _ask(daemon, "GET", f"/v1/rows/{show.subject}", None)
+    chosen = select(body["rows"], show)
+    if chosen.is_err():
+        _end_with_usage(str(chosen.unwrap_err()))
+    _print_answer({**body, "rows": chosen.unwrap()}, as_json)
+
+
+def _end_with_usage(message: str) -> NoReturn:
+    typer.echo(f"marjoramstile: {message}", err=True)
+    raise typer.Exit(USAGE_EXIT)
+
+
 @app.command()
 def apply(file: Path, daemon: DaemonOption, as_json: JSONOption = False) -> None:
     """Replace the whole configuration by a YAML or JSON file."""
--- a/marjoramstile/peers/caller.py
+++ b/marjoramstile/peers/caller.py
@@ -1,8 +1,5 @@
 """Calls to other daemons, in the terms of the roles that make them."""
 
-import json
-from typing import Any
-
 from marjoramstile.configuration.freshness import PeerFreshness
 from marjoramstile.configuration.member import PrepareAnswer, Proposal
 from marjoramstile.configuration.store import MemberRow
@@ -17,7 +14,6 @@
 from marjoramstile.slots.reservations import Ask
 
 PREPARE_TIMEOUT_S = 0.8
-QUERY_TIMEOUT_S = 2.0
 
 
 class PeerCaller(MembershipCaller):
@@ -100,10 +96,3 @@
     async def clear(self, peer: Peer, content: str) -> None:
         """Tell a daemon that a struck content has finished."""
         await self._call(peer, "clear", content, timeout_s=SLOT_TIMEOUT_S)
-
-    async def query(self, peer: Peer, request: dict[str, Any]) -> Any | None:
-        """Run a query on a daemon."""
-        answer = await self._call(
-            peer, "query", json.dumps(request), timeout_s=QUERY_TIMEOUT_S
-        )
-        return None if answer is None else json.loads(answer)
--- a/marjoramstile/peers/membership_caller.py
+++ b/marjoramstile/peers/membership_caller.py
@@ -1,5 +1,6 @@
-"""Calls that every daemon makes: probes, and changes of mirrored tables."""
+"""Calls that every daemon makes: probes, changes of mirrored tables, questions."""
 
+import json
 from typing import Any
 
 from marjoramstile.membership.prober import Probe
@@ -13,6 +14,7 @@
 )
 
 SLOT_TIMEOUT_S = 0.5
+QUERY_TIMEOUT_S = 2.0
 
 
 class MembershipCaller:
@@ -51,3 +53,10 @@
         """Ask a daemon for changes of a mirrored table."""
         wire = await self._call(peer, "changes", table, after, timeout_s=SLOT_TIMEOUT_S)
         return None if wire is None else changes_from_wire(wire)
+
+    async def query(self, peer: Peer, request: dict[str, Any]) -> Any | None:
+        """Ask a daemon an operator's question."""
+        answer = await self._call(
+            peer, "query", json.dumps(request), timeout_s=QUERY_TIMEOUT_S
+        )
+        return None if answer is None else json.loads(answer)
--- a/marjoramstile/peers/router_handler.py
+++ b/marjoramstile/peers/router_handler.py
@@ -1,6 +1,6 @@
 """Answers the calls that routing daemons make to each other."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from marjoramstile.membership.prober import Prober
 from marjoramstile.mirrors.follower import MirrorFollower
@@ -15,9 +15,15 @@
 class RouterPeerHandler:
     """One method for each call of peer.thrift that routing daemons make."""
 
-    def __init__(self, prober: Prober, followers: Mapping[str, MirrorFollower]):
+    def __init__(
+        self,
+        prober: Prober,
+        followers: Mapping[str, MirrorFollower],
+        answer_query: Callable[[str], str],
+    ):
         self._prober = prober
         self._followers = followers
+        self._answer_query = answer_query
 
     async def probe(self, message):
         """Exchange news with a daemon."""
@@ -33,3 +39,7 @@
         follower = self._followers[table]
         changes = follower.mirror.changes_after(after)
         return changes_to_wire(changes, follower.age_s(loop_time()))
+
+    async def query(self, request: str) -> str:
+        """Answer this daemon's part of an operator's question."""
+        return self._answer_query(request)
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -20,6 +20,7 @@
     decode_routing_table,
 )
 from marjoramstile.platform.front import FrontHandler, PlatformEndpoints
+from marjoramstile.platform.operators import OperatorEndpoints
 from marjoramstile.platform.replicas import HTTPReplicaClient, create_replica_session
 from marjoramstile.platform.settings import load_platform_settings, settings_path
 from marjoramstile.platform.store import PlatformStore
@@ -87,7 +88,7 @@
         except MalformedRowError as error:
             logger.warning("replica_row_unreadable", row=row.key, reason=str(error))
             return
-        self._node.directory.put(replica)
+        self._node.directory.put(replica, loop_time())
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -107,11 +108,12 @@
     async def _start(self) -> None:
         node = self._node
         listeners = self._settings.listeners
-        endpoints = PlatformEndpoints(node.entry, node.addresses, node.metrics_text)
+        endpoints = PlatformEndpoints(node.entry, node.addresses)
+        operators = OperatorEndpoints(node.metrics_text, node.status)
         await node.start()
         await self._listen(listeners.ready, endpoints.ready)
         await self._listen(listeners.addresses, endpoints.resolve)
-        await self._listen(listeners.metrics, endpoints.metrics)
+        await self._listen(listeners.metrics, operators.handle)
         await self._listen(listeners.front, FrontHandler(node.entry).handle)
         node.tasks.start(self._register(), "register")
         logger.info(
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -1,7 +1,6 @@
 """The callers' side on the platform: requests in, answers and streams out."""
 
 import json
-from collections.abc import Callable
 
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
@@ -182,11 +181,9 @@
         self,
         entry: Entry,
         addresses: FrontAddresses,
-        metrics_text: Callable[[], str],
     ):
         self._entry = entry
         self._addresses = addresses
-        self._metrics_text = metrics_text
 
     async def ready(self, request: web.BaseRequest) -> web.Response:
         """Answer GET /v1/readyz."""
@@ -199,7 +196,3 @@
             return web.Response(status=503)
         body = {"addresses": addresses, "ttlS": self._addresses.ttl_s}
         return web.json_response(body)
-
-    async def metrics(self, request: web.BaseRequest) -> web.Response:
-        """Answer a scrape."""
-        return web.Response(text=self._metrics_text())
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -44,6 +44,7 @@
 from marjoramstile.routes.prefills import PrefillMeter
 from marjoramstile.routes.replicas import RETURN_WAIT_S, ReplicaDirectory
 from marjoramstile.routes.settings import Address, RouterSettings
+from marjoramstile.routes.status import FleetStatus, StatusSources
 from marjoramstile.routes.table import RoutingTable
 from marjoramstile.utils import TaskGroupOwner, loop_time, new_token, run_every
 
@@ -101,6 +102,7 @@
         self._orders_mirror.subscribe(self._take_orders)
         self._build_membership()
         self._build_requests()
+        self._build_status()
 
     @property
     def table(self) -> RoutingTable | None:
@@ -187,8 +189,7 @@
                 (self._orders_mirror, QUIET_FEED_WAIT_S, 0.0),
             )
         }
-        handler = RouterPeerHandler(self.prober, self._followers)
-        self._peer_server = PeerServer(handler, FRAME_MAX_BYTES)
+        self._reads_store = peers.reads_store
 
     def _daemon_count(self) -> int | None:
         """Return how many daemons there are, None before their rows were read."""
@@ -258,6 +259,25 @@
             self.stages.note_generation,
         )
 
+    def _build_status(self) -> None:
+        sources = StatusSources(
+            view=self.view,
+            table=lambda: self._table,
+            followers=self._followers,
+            reads_store=self._reads_store,
+            orders=self._orders_mirror,
+            directory=self.directory,
+            balancer=self.balancer,
+            loads=self.loads,
+            quarantine=self.quarantine,
+            running=lambda: self.entry.running,
+        )
+        self.status = FleetStatus(sources, self.caller)
+        handler = RouterPeerHandler(
+            self.prober, self._followers, self.status.answer_peer
+        )
+        self._peer_server = PeerServer(handler, FRAME_MAX_BYTES)
+
     async def start(self) -> None:
         """Listen for peers and begin to follow the store."""
         peers = self.settings.listeners.peers
--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -18,6 +18,16 @@
     DRAINING = "draining"
 
 
+class Standing(StrEnum):
+    """Whether a daemon sends new requests to a replica, and if not, why."""
+
+    USED = "used"
+    DRAINING = "draining"
+    MOVING = "moving"
+    MISDIRECTED = "misdirected"
+    MISSING = "missing"
+
+
 class Stage(StrEnum):
     """Which part of a generation a replica runs."""
 
@@ -65,13 +75,16 @@
         self._missing_until: dict[str, float] = {}
         self._misdirected: dict[str, tuple[int, Stage | None]] = {}
         self._moves: dict[str, ExpectedMove] = {}
+        self._since: dict[str, float] = {}
 
-    def put(self, replica: Replica) -> None:
-        """Take a replica's row."""
+    def put(self, replica: Replica, now: float = 0.0) -> None:
+        """Take a replica's row at loop time ``now``."""
         known = self._replicas.get(replica.id)
         self._replicas[replica.id] = replica
         self._missing_until.pop(replica.id, None)
         self._end_move(known, replica)
+        if known != replica:
+            self._since[replica.id] = now
         if known is None or known.born_ms != replica.born_ms:
             logger.info(
                 "replica_appeared",
@@ -118,6 +131,7 @@
             return
         del self._replicas[replica_id]
         self._moves.pop(replica_id, None)
+        self._since.pop(replica_id, None)
         self._misdirected.pop(replica_id, None)
         logger.info("replica_gone", replica=replica_id, service=replica.service)
 
@@ -140,6 +154,22 @@
         self._misdirected[replica.id] = _incarnation_and_stage(replica)
         logger.warning("replica_misdirected", replica=replica.id, stage=replica.stage)
 
+    def since(self, replica_id: str) -> float:
+        """Return the loop time at which a replica's row last changed."""
+        return self._since[replica_id]
+
+    def standing(self, replica: Replica) -> Standing:
+        """Tell whether a known replica gets new requests, and if not, why."""
+        if replica.state != ReplicaState.READY:
+            return Standing.DRAINING
+        if self._misdirected.get(replica.id) == _incarnation_and_stage(replica):
+            return Standing.MISDIRECTED
+        if replica.id in self._moves:
+            return Standing.MOVING
+        if replica.id in self._missing_until:
+            return Standing.MISSING
+        return Standing.USED
+
     def get(self, replica_id: str) -> Replica | None:
         """Return a replica by id."""
         return self._replicas.get(replica_id)
--- /dev/null
+++ b/marjoramstile/routes/status.py
@@ -0,0 +1,258 @@
+"""What a routing daemon believes, as rows that operators ask for by subject."""
+
+import asyncio
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from marjoramstile.admission.quarantine import Quarantine
+from marjoramstile.logs import get_logger
+from marjoramstile.membership.view import Peer, View
+from marjoramstile.mirrors.follower import MirrorFollower
+from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.peers.membership_caller import MembershipCaller
+from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.loads import FleetLoads
+from marjoramstile.routes.order_rows import UnreadableOrdersError, decode_orders
+from marjoramstile.routes.replicas import Replica, ReplicaDirectory
+from marjoramstile.routes.table import RoutingTable
+from marjoramstile.utils import loop_time
+
+# Daemons asked at the same time for one question.
+ASKED_AT_ONCE = 32
+# Characters of a content's fingerprint that are shown.
+CONTENT_LENGTH = 16
+
+Row = dict[str, Any]
+
+logger = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class StatusSources:
+    """Parts of a routing daemon that rows are read from."""
+
+    view: View
+    table: Callable[[], RoutingTable | None]
+    followers: Mapping[str, MirrorFollower]
+    reads_store: Callable[[], bool]
+    orders: TableMirror
+    directory: ReplicaDirectory
+    balancer: Balancer
+    loads: FleetLoads
+    quarantine: Quarantine
+    running: Callable[[], int]
+
+
+RowSource = Callable[[StatusSources], list[Row]]
+
+
+@dataclass(frozen=True)
+class Subject:
+    """A source of rows; ``everywhere`` asks all daemons and joins their rows."""
+
+    source: RowSource
+    everywhere: bool
+
+
+SUBJECTS: dict[str, Subject] = {}
+
+
+def subject(name: str, everywhere: bool) -> Callable[[RowSource], RowSource]:
+    """Register a source of rows."""
+
+    def register(source: RowSource) -> RowSource:
+        SUBJECTS[name] = Subject(source, everywhere)
+        return source
+
+    return register
+
+
+@subject("daemons", everywhere=True)
+def daemon_rows(sources: StatusSources) -> list[Row]:
+    """Return this daemon and what it works with."""
+    own = sources.view.own
+    table = sources.table()
+    return [
+        {
+            "daemon": own.vm.name,
+            "data_centre": own.vm.data_centre,
+            "region": own.vm.region,
+            "state": own.state.name.lower(),
+            "configuration": table.version if table else None,
+            "requests": sources.running(),
+            "reads_store": sources.reads_store(),
+            "incarnation": own.incarnation,
+        }
+    ]
+
+
+@subject("mirrors", everywhere=True)
+def mirror_rows(sources: StatusSources) -> list[Row]:
+    """Return how current this daemon's copies of the store's tables are."""
+    now = loop_time()
+    return [
+        {
+            "daemon": sources.view.own.vm.name,
+            "table": table,
+            "version": follower.mirror.version,
+            "age_s": _seconds(follower.age_s(now)),
+            "store": "reached" if follower.reachable else "lost",
+        }
+        for table, follower in sources.followers.items()
+    ]
+
+
+@subject("peers", everywhere=True)
+def peer_rows(sources: StatusSources) -> list[Row]:
+    """Return how this daemon sees the others."""
+    now = loop_time()
+    return [
+        {
+            "daemon": sources.view.own.vm.name,
+            "peer": peer.vm.name,
+            "state": peer.state.name.lower(),
+            "serving": peer.serving,
+            "since_s": _seconds(now - peer.since),
+        }
+        for peer in sources.view.others
+    ]
+
+
+@subject("replicas", everywhere=True)
+def replica_rows(sources: StatusSources) -> list[Row]:
+    """Return what this daemon believes of each replica, and since when."""
+    return [_replica_row(sources, replica) for replica in sources.directory.all]
+
+
+def _replica_row(sources: StatusSources, replica: Replica) -> Row:
+    now = loop_time()
+    load = sources.loads.load_of(replica.id, now)
+    return {
+        "daemon": sources.view.own.vm.name,
+        "replica": replica.id,
+        "service": replica.service,
+        "data_centre": replica.data_centre,
+        "address": replica.address,
+        "state": str(replica.state),
+        "stage": None if replica.stage is None else str(replica.stage),
+        "standing": str(sources.directory.standing(replica)),
+        "since_s": _seconds(now - sources.directory.since(replica.id)),
+        "doubtful": sources.balancer.is_doubtful(replica, now),
+        "requests": load.requests,
+        "kv_tokens": load.kv_tokens,
+        "prefill_tokens": load.prefill_tokens,
+    }
+
+
+@subject("routes", everywhere=False)
+def route_rows(sources: StatusSources) -> list[Row]:
+    """Return the routes of the configuration in force on this daemon."""
+    table = sources.table()
+    if table is None:
+        return []
+    return [
+        {
+            "route": route.name,
+            "host": route.host,
+            "prefix": route.prefix,
+            "kind": str(route.kind),
+            "services": ", ".join(
+                f"{share.service}:{share.weight:g}" for share in route.shares
+            ),
+            "configuration": table.version,
+        }
+        for route in table.routes
+    ]
+
+
+@subject("orders", everywhere=False)
+def order_rows(sources: StatusSources) -> list[Row]:
+    """Return each service's last order, its holder, and the moves under way."""
+    rows = []
+    holders = {peer.incarnation: peer.vm.name for peer in sources.view.peers}
+    for service, row in sources.orders.rows.items():
+        try:
+            orders = decode_orders(row.value or b"")
+        except UnreadableOrdersError as error:
+            logger.warning("orders_row_unreadable", reason=str(error))
+            continue
+        rows.append(
+            {
+                "service": service,
+                "holder": holders.get(orders.holder, orders.holder),
+                "fencing_token": row.version,
+                "moves": ", ".join(
+                    f"{move.replica} to {move.stage}" for move in orders.moves
+                ),
+            }
+        )
+    return rows
+
+
+@subject("quarantine", everywhere=True)
+def quarantine_rows(sources: StatusSources) -> list[Row]:
+    """Return contents under which replicas were lost, as this daemon has heard."""
+    return [
+        {
+            "daemon": sources.view.own.vm.name,
+            "content": content[:CONTENT_LENGTH],
+            "replicas": ", ".join(sorted(replicas)),
+        }
+        for content, replicas in sources.quarantine.strikes.items()
+    ]
+
+
+def _seconds(duration_s: float) -> float | None:
+    """Return a duration for display; None if it has no beginning."""
+    return None if duration_s == float("inf") else round(duration_s, 3)
+
+
+@dataclass(frozen=True)
+class StatusAnswer:
+    """Rows of all daemons that answered, and the VMs of those that did not."""
+
+    rows: list[Row]
+    silent: list[str]
+
+
+class FleetStatus:
+    """Answers an operator's question with the rows of all daemons."""
+
+    def __init__(self, sources: StatusSources, caller: MembershipCaller):
+        self._sources = sources
+        self._caller = caller
+
+    def own_rows(self, name: str) -> list[Row]:
+        """Return this daemon's rows; none if the subject is unknown."""
+        known = SUBJECTS.get(name)
+        return known.source(self._sources) if known else []
+
+    def answer_peer(self, request: str) -> str:
+        """Answer another daemon's question; both are JSON."""
+        return json.dumps(self.own_rows(json.loads(request)["subject"]))
+
+    async def ask(self, name: str) -> StatusAnswer:
+        """Return the rows of a subject in SUBJECTS."""
+        rows = self.own_rows(name)
+        if not SUBJECTS[name].everywhere:
+            return StatusAnswer(rows, [])
+        at_once = asyncio.Semaphore(ASKED_AT_ONCE)
+        peers = self._sources.view.others
+        answers = await asyncio.gather(
+            *(self._ask_peer(peer, name, at_once) for peer in peers)
+        )
+        silent = []
+        for peer, answer in zip(peers, answers, strict=True):
+            if answer is None:
+                silent.append(peer.vm.name)
+            else:
+                rows += answer
+        return StatusAnswer(rows, silent)
+
+    async def _ask_peer(
+        self, peer: Peer, name: str, at_once: asyncio.Semaphore
+    ) -> list[Row] | None:
+        async with at_once:
+            return await self._caller.query(peer, {"subject": name})
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -9,7 +9,7 @@
 from tests.test_settings import GOOD
 
 RUNNER = CliRunner()
-COMMANDS = ("version", "check", "run", "apply", "configuration", "burn")
+COMMANDS = ("version", "check", "run", "fleet", "apply", "configuration", "burn")
 
 
 @pytest.mark.parametrize("command", COMMANDS)
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -219,7 +219,7 @@
 
 
 async def test_readiness_follows_the_entry(site):
-    endpoints = PlatformEndpoints(site.entry, None, None)
+    endpoints = PlatformEndpoints(site.entry, None)
     assert (await endpoints.ready(None)).status == 200
     site.entry.stop()
     assert (await endpoints.ready(None)).status == 503
@@ -233,5 +233,5 @@
             return [f"{region}.0.0.1:80"]
 
     request = make_mocked_request("GET", "/v1/resolve?name=h&region=10&zone=a")
-    answer = await PlatformEndpoints(site.entry, Addresses(), None).resolve(request)
+    answer = await PlatformEndpoints(site.entry, Addresses()).resolve(request)
     assert json.loads(answer.body) == {"addresses": ["10.0.0.1:80"], "ttlS": 1.5}
--- a/tests/processes/test_published.py
+++ b/tests/processes/test_published.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import itertools
+import json
 import signal
 from dataclasses import dataclass
 
 import pytest
 import pytest_asyncio
 from aiohttp import ClientError
+from typer.testing import CliRunner
 
 from demo.fleet import own_network
 from demo.published_fleet import (
@@ -16,6 +18,7 @@
     PublishedFleet,
     configuration,
 )
+from marjoramstile.cli.main import FAILED_EXIT, app
 
 EVENTS = 20
 pytestmark = pytest.mark.asyncio(loop_scope="module")
@@ -214,6 +217,25 @@
         assert await runs_of(fleet, answer.id) == 1
 
 
+def show(fleet, statement: str):
+    """Run the operators' tool against the first daemon; return its outcome."""
+    daemon = f"--daemon={fleet.vm_host(1)}:7675"
+    return CliRunner().invoke(app, ["fleet", statement, daemon, "--json"])
+
+
+async def test_operators_see_every_daemons_beliefs(fleet):
+    done = await asyncio.to_thread(show, fleet, "show daemons order by daemon")
+    answer = json.loads(done.stdout)
+    assert len(answer["rows"]) == 3
+    assert answer["silent"] == []
+    asked = "show replicas where standing = used and stage = decode"
+    rows = json.loads((await asyncio.to_thread(show, fleet, asked)).stdout)["rows"]
+    assert len({row["daemon"] for row in rows}) == 3
+    wrong = await asyncio.to_thread(show, fleet, "show weather")
+    assert wrong.exit_code == FAILED_EXIT
+    assert "replicas" in wrong.stderr
+
+
 async def test_the_metrics_can_be_scraped(fleet):
     url = f"http://{fleet.vm_host(1)}:7675/metrics"
     async with fleet.session.get(url) as response:
--- /dev/null
+++ b/tests/routes/test_status.py
@@ -0,0 +1,110 @@
+"""Rows that operators ask of a routing daemon, over the daemons that answer."""
+
+import json
+
+from marjoramstile.admission.quarantine import Quarantine
+from marjoramstile.membership.view import PeerState, Report, View
+from marjoramstile.mirrors.follower import MirrorFollower
+from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.ports.feeds import Changes, StoredRow
+from marjoramstile.ports.vms import ListedState, ListedVM
+from marjoramstile.routes.order_rows import OrdersRow, StageMove
+from marjoramstile.routes.replicas import Stage
+from marjoramstile.routes.status import (
+    SUBJECTS,
+    FleetStatus,
+    StatusAnswer,
+    StatusSources,
+)
+from marjoramstile.routes.table import EntryLimits, RouteKind, RoutingTable
+from tests.routes.support import Core, route
+
+
+def listed(vm: str) -> ListedVM:
+    """Return a VM of the list."""
+    return ListedVM(vm, "10.0.0.1", "a", "r", ListedState.LIVE)
+
+
+class FakeCaller:
+    """Daemons by VM; those without a status don't answer."""
+
+    def __init__(self, **daemons: FleetStatus):
+        self.daemons = daemons
+
+    async def query(self, peer, request):
+        """Return a daemon's rows as they come over the wire."""
+        daemon = self.daemons.get(peer.vm.name)
+        return daemon and json.loads(daemon.answer_peer(json.dumps(request)))
+
+
+def sources_of(vm: str, *others: str) -> StatusSources:
+    """Return one daemon's parts; it knows the others."""
+    core = Core(vm=vm)
+    core.add_engines(1, 2)
+    view = View(listed(vm), f"i-{vm}")
+    view.merge_list([listed(name) for name in (vm, *others)], 0.0)
+    for name in others:
+        view.merge_report(Report(name, f"i-{name}", 0, PeerState.ALIVE), 0.0)
+    orders = TableMirror("orders")
+    table = RoutingTable(7, (route(RouteKind.STREAM),), {}, EntryLimits(1))
+    follower = MirrorFollower(None, orders, None, 1.0, 0.0)
+    return StatusSources(
+        view=view,
+        table=lambda: table,
+        followers={"orders": follower},
+        reads_store=lambda: True,
+        orders=orders,
+        directory=core.directory,
+        balancer=core.balancer,
+        loads=core.loads,
+        quarantine=Quarantine(),
+        running=lambda: 3,
+    )
+
+
+async def test_every_subject_has_rows_that_can_be_sent():
+    sources = sources_of("a", "b")
+    sources.quarantine.strike("content", "d0/1")
+    row = OrdersRow("i-b", 5.0, (StageMove("d0", Stage.PREFILL, 9.0),))
+    value = json.dumps(row.to_value()).encode()
+    sources.orders.apply(Changes((StoredRow("llm", 4, value),), 4, complete=True))
+    status = FleetStatus(sources, FakeCaller())
+    for name in SUBJECTS:
+        assert json.loads(json.dumps(status.own_rows(name)))
+    assert status.own_rows("orders") == [
+        {
+            "service": "llm",
+            "holder": "b",
+            "fencing_token": 4,
+            "moves": "d0 to prefill",
+        }
+    ]
+
+
+async def test_what_a_daemon_believes_of_a_replica_is_told_with_its_reason():
+    sources = sources_of("a")
+    directory = sources.directory
+    directory.note_move("d0", Stage.PREFILL, until=9.0)
+    directory.note_misdirected(directory.get("d1"))
+    rows = FleetStatus(sources, FakeCaller()).own_rows("replicas")
+    standings = {row["replica"]: row["standing"] for row in rows}
+    assert standings == {"e0": "used", "d0": "moving", "d1": "misdirected"}
+
+
+async def test_rows_of_all_daemons_are_joined_and_silent_ones_named():
+    other = FleetStatus(sources_of("b"), FakeCaller())
+    status = FleetStatus(sources_of("a", "b", "c"), FakeCaller(b=other))
+    answer = await status.ask("daemons")
+    assert [row["daemon"] for row in answer.rows] == ["a", "b"]
+    assert answer.silent == ["c"]
+    assert {row["configuration"] for row in answer.rows} == {7}
+
+
+async def test_routes_are_those_of_the_daemon_that_was_asked():
+    status = FleetStatus(sources_of("a", "b"), FakeCaller())
+    answer = await status.ask("routes")
+    assert answer == StatusAnswer(status.own_rows("routes"), [])
+
+
+async def test_a_subject_that_a_peer_does_not_know_has_no_rows():
+    assert FleetStatus(sources_of("a"), FakeCaller()).own_rows("weather") == []
