--- a/marjoramstile/mirrors/follower.py
+++ b/marjoramstile/mirrors/follower.py
@@ -17,8 +17,6 @@
 from marjoramstile.utils import loop_time
 
 RETRY_S = 0.25
-# Pause between two questions to a reader.
-RELAY_PAUSE_S = 0.35
 # A reader's confirmation may be older than its feed calls wait by this; it is not taken
 # if it is older still.
 RELAY_MARGIN_S = 0.3
@@ -50,14 +48,19 @@
         peers: MirrorPeers,
         wait_s: float,
         pause_s: float,
+        relay_pause_s: float,
     ):
-        """Feed calls wait ``wait_s``; ``pause_s`` after each gathers changes."""
+        """Feed calls wait ``wait_s``; ``pause_s`` after each gathers changes.
+
+        A daemon that is no reader asks one every ``relay_pause_s``.
+        """
         self._feed = feed
         self._mirror = mirror
         self._peers = peers
         self._wait_s = wait_s
         self._relay_age_max_s = wait_s + RELAY_MARGIN_S
         self._pause_s = pause_s
+        self._relay_pause_s = relay_pause_s
         self._reload = False
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
@@ -86,7 +89,7 @@
         """Follow until cancelled."""
         while True:
             if await self._relayed():
-                await asyncio.sleep(RELAY_PAUSE_S)
+                await asyncio.sleep(self._relay_pause_s)
                 continue
             answer = await self._next_changes()
             if answer.is_ok():
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -54,6 +54,9 @@
 FEED_WAIT_S = 1.2
 # Tables in which changes are rare and, if late, cost little.
 QUIET_FEED_WAIT_S = 8.0
+QUIET_RELAY_PAUSE_S = 1.0
+# Pause between two questions to a reader about tables that must be current.
+RELAY_PAUSE_S = 0.35
 # Replicas write often; their changes are gathered for this long.
 REPLICAS_PAUSE_S = 0.3
 PROBE_PERIOD_S = 0.4
@@ -180,13 +183,13 @@
         peers = ViewPeers(self.view, self.caller, self._rng)
         self._followers = {
             mirror.table: MirrorFollower(
-                self._ports.feed, mirror, peers, wait_s, pause_s
+                self._ports.feed, mirror, peers, wait_s, pause_s, relay_pause_s
             )
-            for mirror, wait_s, pause_s in (
-                (self.configuration_mirror, FEED_WAIT_S, 0.0),
-                (self.replicas_mirror, FEED_WAIT_S, REPLICAS_PAUSE_S),
-                (self.nodes_mirror, QUIET_FEED_WAIT_S, 0.0),
-                (self._orders_mirror, QUIET_FEED_WAIT_S, 0.0),
+            for mirror, wait_s, pause_s, relay_pause_s in (
+                (self.configuration_mirror, FEED_WAIT_S, 0.0, RELAY_PAUSE_S),
+                (self.replicas_mirror, FEED_WAIT_S, REPLICAS_PAUSE_S, RELAY_PAUSE_S),
+                (self.nodes_mirror, QUIET_FEED_WAIT_S, 0.0, QUIET_RELAY_PAUSE_S),
+                (self._orders_mirror, QUIET_FEED_WAIT_S, 0.0, QUIET_RELAY_PAUSE_S),
             )
         }
         self._reads_store = peers.reads_store
--- a/tests/mirrors/test_mirrors.py
+++ b/tests/mirrors/test_mirrors.py
@@ -73,7 +73,9 @@
     seen: list[StoredRow] = []
     mirror.subscribe(seen.append)
 
-    follower = MirrorFollower(feed, mirror, peers or FakePeers(any_=peer), wait_s, 0.0)
+    follower = MirrorFollower(
+        feed, mirror, peers or FakePeers(any_=peer), wait_s, 0.0, 0.35
+    )
     task = asyncio.create_task(follower.run())
     await asyncio.sleep(for_s)
     task.cancel()
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -47,7 +47,7 @@
         view.merge_report(Report(name, f"i-{name}", 0, PeerState.ALIVE), 0.0)
     orders = TableMirror("orders")
     table = RoutingTable(7, (route(RouteKind.STREAM),), {}, EntryLimits(1))
-    follower = MirrorFollower(None, orders, None, 1.0, 0.0)
+    follower = MirrorFollower(None, orders, None, 1.0, 0.0, 0.35)
     return StatusSources(
         view=view,
         table=lambda: table,
