--- a/marjoramstile/membership/nodes.py
+++ b/marjoramstile/membership/nodes.py
@@ -8,7 +8,7 @@
 
 from marjoramstile.logs import get_logger
 from marjoramstile.mirrors.mirror import TableMirror
-from marjoramstile.ports.feeds import NOTHING_KNOWN
+from marjoramstile.ports.feeds import StoredRow
 from marjoramstile.ports.tables import StoreError
 from marjoramstile.ports.vms import ListedState, ListedVM
 
@@ -51,13 +51,17 @@
     def __init__(self, mirror: TableMirror):
         self._mirror = mirror
         self._entries: dict[str, NodeEntry] = {}
-        self._entries_version = NOTHING_KNOWN
+        self._stale = True
+        mirror.subscribe(self._note_change)
+
+    def _note_change(self, row: StoredRow) -> None:
+        self._stale = True
 
     @property
     def entries(self) -> Mapping[str, NodeEntry]:
         """Daemons by VM name; the same object until a row changes."""
-        if self._entries_version != self._mirror.version:
-            self._entries_version = self._mirror.version
+        if self._stale:
+            self._stale = False
             decoded = {
                 vm: decode_node(row.value or b"")
                 for vm, row in self._mirror.rows.items()
--- a/tests/membership/test_nodes.py
+++ b/tests/membership/test_nodes.py
@@ -37,3 +37,13 @@
     assert listed.entries is first
     mirror.apply(Changes((as_row("vm-2", 2), StoredRow("vm-3", 2, b"?")), 2, False))
     assert set(listed.entries) == {"vm-1", "vm-2"}
+
+
+def test_a_row_that_comes_without_a_new_version_counts():
+    """A table read in pages may hold rows newer than its version."""
+    mirror = TableMirror("t")
+    listed = MirrorVMList(mirror)
+    mirror.apply(Changes((as_row("vm-1", 1),), 1, complete=True))
+    assert set(listed.entries) == {"vm-1"}
+    mirror.apply(Changes((as_row("vm-2", 2),), 1, complete=False))
+    assert set(listed.entries) == {"vm-1", "vm-2"}
