--- a/marjoramstile/language/rows.py
+++ b/marjoramstile/language/rows.py
@@ -8,10 +8,9 @@
 from result import Err, Ok, Result
 
 from marjoramstile.language.parser import suggest
+from marjoramstile.language.registry import Row
 from marjoramstile.language.statements import Condition, Show, StatementError
 
-Row = dict[str, Any]
-
 
 def _like(value: Any, pattern: Any) -> bool:
     return fnmatchcase(str(value), str(pattern))
--- a/marjoramstile/language/subjects.py
+++ b/marjoramstile/language/subjects.py
@@ -1,13 +1,12 @@
 """Sources of the rows that queries show, by subject."""
 
-from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any
 
 from marjoramstile.admission.limits import WorkspaceLimiter
 from marjoramstile.admission.quarantine import Quarantine
 from marjoramstile.configuration.keeper import ConfigurationKeeper
-from marjoramstile.language.rows import Row
+from marjoramstile.language.registry import Row, SubjectRegistry
 from marjoramstile.membership.view import View
 from marjoramstile.reports.burn import BurnReport, burn_rate
 from marjoramstile.reports.metrics import Metrics
@@ -32,31 +31,10 @@
     burn: BurnReport
 
 
-RowSource = Callable[[Sources], list[Row]]
+SUBJECTS: SubjectRegistry[Sources] = SubjectRegistry()
 
 
-@dataclass(frozen=True)
-class Subject:
-    """A source of rows; ``everywhere`` asks all daemons and joins their rows."""
-
-    source: RowSource
-    everywhere: bool
-
-
-SUBJECTS: dict[str, Subject] = {}
-
-
-def subject(name: str, everywhere: bool) -> Callable[[RowSource], RowSource]:
-    """Register a source of rows."""
-
-    def register(source: RowSource) -> RowSource:
-        SUBJECTS[name] = Subject(source, everywhere)
-        return source
-
-    return register
-
-
-@subject("daemons", everywhere=True)
+@SUBJECTS.register("daemons", everywhere=True)
 def daemon_rows(sources: Sources) -> list[Row]:
     """Return this daemon."""
     own = sources.view.own
@@ -78,7 +56,7 @@
     ]
 
 
-@subject("peers", everywhere=True)
+@SUBJECTS.register("peers", everywhere=True)
 def peer_rows(sources: Sources) -> list[Row]:
     """Return how this daemon sees the others."""
     return [
@@ -93,7 +71,7 @@
     ]
 
 
-@subject("endpoints", everywhere=False)
+@SUBJECTS.register("endpoints", everywhere=False)
 def endpoint_rows(sources: Sources) -> list[Row]:
     """Return the configured endpoints and who owns them."""
     rows = []
@@ -105,7 +83,7 @@
     return rows
 
 
-@subject("slots", everywhere=True)
+@SUBJECTS.register("slots", everywhere=True)
 def slot_rows(sources: Sources) -> list[Row]:
     """Return the use of the engines that this daemon owns."""
     daemon = sources.view.own.vm.name
@@ -131,7 +109,7 @@
     return decode + prefill
 
 
-@subject("pools", everywhere=False)
+@SUBJECTS.register("pools", everywhere=False)
 def pool_rows(sources: Sources) -> list[Row]:
     """Return the configured pools."""
     return [
@@ -140,7 +118,7 @@
     ]
 
 
-@subject("services", everywhere=False)
+@SUBJECTS.register("services", everywhere=False)
 def service_rows(sources: Sources) -> list[Row]:
     """Return the configured services of both kinds."""
     configuration = sources.keeper.configuration
@@ -155,7 +133,7 @@
     return language + plain
 
 
-@subject("rules", everywhere=False)
+@SUBJECTS.register("rules", everywhere=False)
 def rule_rows(sources: Sources) -> list[Row]:
     """Return the rules that move traffic from the old system."""
     return [
@@ -169,7 +147,7 @@
     ]
 
 
-@subject("workspaces", everywhere=False)
+@SUBJECTS.register("workspaces", everywhere=False)
 def workspace_rows(sources: Sources) -> list[Row]:
     """Return the configured workspaces, without the hashes of their keys."""
     return [
@@ -183,14 +161,14 @@
     ]
 
 
-@subject("limits", everywhere=False)
+@SUBJECTS.register("limits", everywhere=False)
 def limit_rows(sources: Sources) -> list[Row]:
     """Return the limits that hold on every daemon."""
     limits = asdict(sources.keeper.configuration.limits)
     return [{"limit": name, "value": value} for name, value in limits.items()]
 
 
-@subject("requests", everywhere=True)
+@SUBJECTS.register("requests", everywhere=True)
 def request_rows(sources: Sources) -> list[Row]:
     """Return the completions that run on this daemon."""
     daemon = sources.view.own.vm.name
@@ -208,7 +186,7 @@
     ]
 
 
-@subject("quarantine", everywhere=True)
+@SUBJECTS.register("quarantine", everywhere=True)
 def quarantine_rows(sources: Sources) -> list[Row]:
     """Return contents under which endpoints were lost."""
     limit = sources.keeper.configuration.limits.crash_limit
@@ -223,14 +201,14 @@
     ]
 
 
-@subject("metrics", everywhere=True)
+@SUBJECTS.register("metrics", everywhere=True)
 def metric_rows(sources: Sources) -> list[Row]:
     """Return this daemon's counters and histograms."""
     daemon = sources.view.own.vm.name
     return [{"daemon": daemon, **row} for row in sources.metrics.snapshot()]
 
 
-@subject("burn", everywhere=True)
+@SUBJECTS.register("burn", everywhere=True)
 def burn_rows(sources: Sources) -> list[Row]:
     """Return this daemon's part of the service-level burn."""
     return [asdict(row) for row in sources.burn.rows(loop_time())]
--- a/marjoramstile/operators/desk.py
+++ b/marjoramstile/operators/desk.py
@@ -14,7 +14,8 @@
 from marjoramstile.entry.status import StatusHandler
 from marjoramstile.language.edits import to_edits
 from marjoramstile.language.parser import parse_statements, suggest
-from marjoramstile.language.rows import Row, select
+from marjoramstile.language.registry import Row
+from marjoramstile.language.rows import select
 from marjoramstile.language.statements import (
     OrderEngine,
     Show,
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -4,9 +4,9 @@
 import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
 
 from marjoramstile.admission.quarantine import Quarantine
+from marjoramstile.language.registry import Row, SubjectRegistry
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import Peer, View
 from marjoramstile.mirrors.follower import MirrorFollower
@@ -24,8 +24,6 @@
 # Characters of a content's fingerprint that are shown.
 CONTENT_LENGTH = 16
 
-Row = dict[str, Any]
-
 logger = get_logger(__name__)
 
 
@@ -45,31 +43,10 @@
     running: Callable[[], int]
 
 
-RowSource = Callable[[StatusSources], list[Row]]
-
-
-@dataclass(frozen=True)
-class Subject:
-    """A source of rows; ``everywhere`` asks all daemons and joins their rows."""
-
-    source: RowSource
-    everywhere: bool
-
-
-SUBJECTS: dict[str, Subject] = {}
-
-
-def subject(name: str, everywhere: bool) -> Callable[[RowSource], RowSource]:
-    """Register a source of rows."""
-
-    def register(source: RowSource) -> RowSource:
-        SUBJECTS[name] = Subject(source, everywhere)
-        return source
-
-    return register
+SUBJECTS: SubjectRegistry[StatusSources] = SubjectRegistry()
 
 
-@subject("daemons", everywhere=True)
+@SUBJECTS.register("daemons", everywhere=True)
 def daemon_rows(sources: StatusSources) -> list[Row]:
     """Return this daemon and what it works with."""
     own = sources.view.own
@@ -88,7 +65,7 @@
     ]
 
 
-@subject("mirrors", everywhere=True)
+@SUBJECTS.register("mirrors", everywhere=True)
 def mirror_rows(sources: StatusSources) -> list[Row]:
     """Return how current this daemon's copies of the store's tables are."""
     now = loop_time()
@@ -104,7 +81,7 @@
     ]
 
 
-@subject("peers", everywhere=True)
+@SUBJECTS.register("peers", everywhere=True)
 def peer_rows(sources: StatusSources) -> list[Row]:
     """Return how this daemon sees the others."""
     now = loop_time()
@@ -120,7 +97,7 @@
     ]
 
 
-@subject("replicas", everywhere=True)
+@SUBJECTS.register("replicas", everywhere=True)
 def replica_rows(sources: StatusSources) -> list[Row]:
     """Return what this daemon believes of each replica, and since when."""
     return [_replica_row(sources, replica) for replica in sources.directory.all]
@@ -146,7 +123,7 @@
     }
 
 
-@subject("routes", everywhere=False)
+@SUBJECTS.register("routes", everywhere=False)
 def route_rows(sources: StatusSources) -> list[Row]:
     """Return the routes of the configuration in force on this daemon."""
     table = sources.table()
@@ -167,7 +144,7 @@
     ]
 
 
-@subject("orders", everywhere=False)
+@SUBJECTS.register("orders", everywhere=False)
 def order_rows(sources: StatusSources) -> list[Row]:
     """Return each service's last order, its holder, and the moves under way."""
     rows = []
@@ -191,7 +168,7 @@
     return rows
 
 
-@subject("quarantine", everywhere=True)
+@SUBJECTS.register("quarantine", everywhere=True)
 def quarantine_rows(sources: StatusSources) -> list[Row]:
     """Return contents under which replicas were lost, as this daemon has heard."""
     return [
