A daemon that answers is never taken for one that has ended

Cause: a daemon that could not reach another which was still starting told all of its suspicion, of an empty incarnation; who knew the running one took this for a later incarnation and ended the running one for ten minutes. A report of the last incarnation did the same to a daemon that had started after it.

--- a/marjoramstile/membership/view.py
+++ b/marjoramstile/membership/view.py
@@ -114,9 +114,15 @@
             self._generation += 1
 
     def merge_report(self, report: Report, now: float) -> bool:
-        """Take a report; return whether it changed the view."""
+        """Take a report; return whether it changed the view.
+
+        Bad news of another incarnation than the known one is that of an older one, or
+        will come again from the daemon's own silence.
+        """
         known = self._peers.get(report.vm)
-        if known is None or report.incarnation in self._ended:
+        if known is None or not report.incarnation:
+            return False
+        if report.incarnation in self._ended:
             return False
         if report.vm == self._own_name:
             return self._merge_own(report, now)
@@ -124,7 +130,7 @@
             if (report.counter, report.state) <= (known.counter, known.state):
                 return False
         elif known.incarnation:
-            if report.state == PeerState.DEAD:
+            if report.state >= PeerState.SUSPECT:
                 return False
             self._end(known.incarnation, now)
         self._set(known, report, now)
@@ -146,18 +152,23 @@
             known.vm, report.incarnation, report.counter, report.state, now
         )
         self._generation += 1
-        self._vm_names[report.incarnation] = report.vm
-        self._news.put(report.vm, report)
+        if report.incarnation:
+            self._vm_names[report.incarnation] = report.vm
+            self._news.put(report.vm, report)
 
     def _end(self, incarnation: str, now: float) -> None:
         self._ended[incarnation] = now
         self._vm_names.pop(incarnation, None)
 
     def heard_from(self, vm: str, incarnation: str, now: float) -> None:
-        """Note that a daemon answered or called; ends its first silence."""
+        """Note that a daemon answered or called; ends its first silence.
+
+        What a daemon says itself counts for more than what old reports made of it.
+        """
         known = self._peers.get(vm)
         if known is None or known.incarnation == incarnation:
             return
+        self._ended.pop(incarnation, None)
         self.merge_report(Report(vm, incarnation, 0, PeerState.ALIVE), now)
 
     def suspect(self, vm: str, now: float) -> None:
