--- a/demo/published_fleet.py
+++ b/demo/published_fleet.py
@@ -48,7 +48,7 @@
         "version": version,
         "routes": [
             _route("stream", f"{prefix}stream/", STREAM_SERVICE, resumable=True),
-            _route("non_idempotent", f"{prefix}book/", PLAIN_SERVICE, attempts=1),
+            _route("non_idempotent", f"{prefix}book/", PLAIN_SERVICE),
             _route("idempotent", f"{prefix}look/", PLAIN_SERVICE),
         ],
         "services": [
@@ -75,7 +75,7 @@
 
 
 def _route(
-    kind: str, prefix: str, service: str, attempts: int = 2, resumable: bool = False
+    kind: str, prefix: str, service: str, resumable: bool = False
 ) -> dict[str, Any]:
     stream = kind == "stream"
     return {
@@ -87,7 +87,7 @@
         "targetLatencyMs": 900 if stream else 200,
         "priority": 1,
         "service": service,
-        "maxAttempts": attempts,
+        "maxAttempts": 2,
         "resumable": resumable,
         "gapTargetMs": 300 if stream else None,
     }
