A stream runs no more often than its route allows, also if answers are lost early

Cause: a run was counted when its answer began; one that was lost before that counted only if it was the first. Found by the first test of the crash quarantine on the platform's path (tests/routes/test_crashes.py); tests/routes/test_generations.py: resets before the answer, before an event and after some.

--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -186,6 +186,7 @@
             hold=place.hold, source=handle, resume_after=progress.last_event
         )
         left_s = request.deadline - loop_time()
+        runs_before = progress.runs
         own_prefill = ExitStack()
         if handle is None:
             load = ReplicaLoad(prefill_tokens=request.size.prompt)
@@ -214,8 +215,8 @@
             raise _SendFailedError(place.replica, error, ran=False) from error
         except ReplicaError as error:
             ran = isinstance(error, AnswerLostError)
-            if ran and progress.runs == 0:
-                progress.runs = 1
+            if ran and progress.runs == runs_before:
+                progress.runs += 1
             raise _SendFailedError(place.replica, error, ran) from error
         finally:
             own_prefill.close()
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -44,7 +44,10 @@
 
 @dataclass
 class Faults:
-    """What goes wrong at a replica; counts are used up one by one."""
+    """What goes wrong at a replica; counts are used up one by one.
+
+    A request with the body ``deadly_body`` ends the replica that runs it.
+    """
 
     refuse: bool = False
     full: bool = False
@@ -53,6 +56,7 @@
     break_after_events: int | None = None
     lose_handles: int = 0
     hang: bool = False
+    deadly_body: bytes | None = None
 
 
 @dataclass(eq=False)
@@ -125,9 +129,17 @@
         self.replicas[replica_id] = FakeReplica(born, old.model)
         return born
 
-    def _note_run(self, request: RoutedRequest) -> None:
+    def _note_run(self, fake: FakeReplica, request: RoutedRequest) -> None:
         self.runs[request.id] += 1
         self.on_run(request.id)
+        if fake.faults.deadly_body is not None:
+            self._crash_on(fake.faults.deadly_body, fake, request)
+
+    @staticmethod
+    def _crash_on(body: bytes, fake: FakeReplica, request: RoutedRequest) -> None:
+        if request.body == body:
+            fake.faults.refuse = True
+            raise AnswerLostError("reset")
 
     def _fake(self, replica: Replica) -> FakeReplica:
         fake = self.replicas[replica.id]
@@ -143,11 +155,13 @@
         self.arrivals[request.id] += 1
         if fake.faults.full:
             raise NotExecutedError(503)
-        self._note_run(request)
+        self._note_run(fake, request)
         if fake.faults.hang or fake.model.work_s > timeout_s:
             await asyncio.sleep(timeout_s)
             raise AnswerLostError("timeout")
         await asyncio.sleep(fake.model.work_s)
+        if fake.faults.refuse:
+            raise AnswerLostError("reset")
         if fake.faults.lose_answers:
             fake.faults.lose_answers -= 1
             raise AnswerLostError("reset")
@@ -229,8 +243,8 @@
             raise NotExecutedError(503)
         key = f"{request.id}/{self.arrivals[request.id]}"
         fake.running[key] = request.size.prompt
-        self._note_run(request)
         try:
+            self._note_run(fake, request)
             if options.source is None:
                 await self._prefill_here(fake, request)
             chunks = self._events(fake, key, request, options)
--- /dev/null
+++ b/tests/routes/test_crashes.py
@@ -0,0 +1,97 @@
+"""Requests that crash their replicas are found, refused, and told from neighbours."""
+
+import asyncio
+
+import pytest
+
+from marjoramstile.routes.crashes import STRIKES_MAX
+from marjoramstile.routes.requests import OutcomeUnknownError
+from marjoramstile.routes.table import RouteKind
+from tests.routes.support import Core, request, route
+
+DEADLY = b"the one that crashes"
+STREAM = route(RouteKind.STREAM)
+CALL = route(RouteKind.IDEMPOTENT)
+
+
+def core_that_crashes() -> Core:
+    """Return a core whose replicas all crash under one body."""
+    core = Core()
+    core.add_plain(4)
+    core.add_engines(1, 4)
+    make_mortal(core)
+    return core
+
+
+def make_mortal(core: Core) -> None:
+    """Let all replicas crash under the body, also those started anew."""
+    for fake in core.pool.replicas.values():
+        fake.faults.deadly_body = DEADLY
+
+
+async def restart_crashed(core: Core) -> None:
+    """Start the replicas again that are gone, after the daemon has looked."""
+    await asyncio.sleep(0.5)
+    for name, fake in list(core.pool.replicas.items()):
+        if fake.faults.refuse:
+            core.directory.put(core.pool.restart(name))
+    make_mortal(core)
+
+
+def deadly(used, number: int):
+    """Return one more copy of the request that crashes replicas."""
+    return request(f"q{number}", used, target="/p/x", body=DEADLY)
+
+
+async def send(core: Core, sent) -> None:
+    """Send a request that no replica survives."""
+    run = core.calls.run(sent) if sent.size is None else core.generate(sent)
+    with pytest.raises(OutcomeUnknownError):
+        await run
+
+
+@pytest.mark.parametrize("used", [CALL, STREAM], ids=["call", "stream"])
+async def test_a_content_is_refused_after_a_few_crashes(used):
+    core = core_that_crashes()
+    crashed = 0
+    for number in range(6):
+        sent = deadly(used, number)
+        if core.crashes.is_blocked(sent):
+            break
+        await send(core, sent)
+        await restart_crashed(core)
+        assert core.pool.runs[sent.id] <= used.max_attempts
+        crashed += core.pool.runs[sent.id]
+    assert core.crashes.is_blocked(deadly(used, 9))
+    assert crashed <= STRIKES_MAX + used.max_attempts - 1
+    other = request("other", used, target="/p/x", body=b"another")
+    assert not core.crashes.is_blocked(other)
+
+
+async def test_a_lost_answer_of_a_replica_that_lives_is_no_strike():
+    core = core_that_crashes()
+    for number in range(4):
+        core.pool.replicas[f"p{number}"].faults.lose_answers = 9
+    once = route(RouteKind.NON_IDEMPOTENT, max_attempts=1)
+    for number in range(6):
+        with pytest.raises(OutcomeUnknownError):
+            await core.calls.run(request(f"q{number}", once, target="/p/x"))
+        await asyncio.sleep(0.1)
+    assert core.quarantine.is_empty
+
+
+async def test_neighbours_of_a_crash_finish_elsewhere_and_are_cleared():
+    core = core_that_crashes()
+    patient = route(RouteKind.STREAM, max_attempts=3)
+    neighbours = [
+        asyncio.create_task(core.generate(request(f"n{number}", patient)))
+        for number in range(6)
+    ]
+    await asyncio.sleep(1.0)
+    await send(core, deadly(STREAM, 0))
+    for caller in await asyncio.gather(*neighbours):
+        assert caller.complete
+    await asyncio.sleep(0.5)
+    struck = set(core.quarantine.strikes)
+    assert len(struck) == 1
+    assert not any(core.crashes.is_blocked(request(f"n{n}", STREAM)) for n in range(6))
--- a/tests/routes/test_generations.py
+++ b/tests/routes/test_generations.py
@@ -57,6 +57,19 @@
     assert core.pool.runs["q"] == 2
 
 
+@pytest.mark.parametrize("events", [None, 0, 5])
+async def test_a_stream_runs_no_more_often_than_its_route_allows(events):
+    """Replicas reset it before their answer, before an event, or after some."""
+    core = core_with(decode=5)
+    for number in range(5):
+        faults = core.pool.replicas[f"d{number}"].faults
+        faults.break_after_events = events
+        faults.deadly_body = b"" if events is None else None
+    with pytest.raises((OutcomeUnknownError, StreamBrokenError)):
+        await core.generate(request("q", STREAM))
+    assert core.pool.runs["q"] == STREAM.max_attempts
+
+
 async def test_a_stream_that_may_not_be_resumed_breaks_off_and_runs_once():
     core = core_with(decode=1)
     core.pool.replicas["d0"].faults.break_after_events = 5
