A second prefill of a request counts in the retry budget, or is left to the decode replica

Cause: an attempt after a lost run sends the prompt to a prefill replica again. The platform counts each arrival beyond the first prefill and the first run; the daemon counted the second run only, so that failures of decode replicas drew twice on the budget for one repeat counted. Without budget for it the decode replica prefills itself, which is no arrival more. tests/routes/test_generations.py: two tests, both failed before.

--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -60,12 +60,17 @@
 
 @dataclass
 class Progress:
-    """What the caller of one stream has received."""
+    """What the caller of one stream has received, and what was done for it.
+
+    ``runs`` counts decode replicas that may have run it, ``prefills`` the attempts
+    that asked for one.
+    """
 
     last_event: int | None
     started: bool = False
     events: int = 0
     runs: int = 0
+    prefills: int = 0
 
 
 class GenerationRunner:
@@ -139,8 +144,10 @@
         handle = None
         try:
             if not place.prefills:
+                again = progress.prefills > 0
+                progress.prefills += 1
                 handle = await self._prefiller.prefill(
-                    request, failed, place.replica.data_centre
+                    request, failed, place.replica.data_centre, again
                 )
             used = True
             return await self._decode(
--- a/marjoramstile/routes/prefiller.py
+++ b/marjoramstile/routes/prefiller.py
@@ -47,13 +47,17 @@
         self._failures = FailureNotes(directory, balancer)
 
     async def prefill(
-        self, request: RoutedRequest, avoid: frozenset[str], near: str
+        self, request: RoutedRequest, avoid: frozenset[str], near: str, again: bool
     ) -> KVHandle | None:
-        """Return the prefilled KV cache; None if there is no replica to ask.
+        """Return the prefilled KV cache; None if its decode replica had better do it.
 
-        ``near`` is the data centre that the cache will go to.
+        ``near`` is the data centre that the cache will go to. ``again`` means that the
+        prompt was sent to a prefill replica before: this is a repeat then, and left
+        out if the budget has none. So it is if there is no replica to ask.
         Raises RequestRefusedError when tries, time or the retry budget are used up.
         """
+        if again and not self._budget.spend(request.service, loop_time()):
+            return None
         tried: set[str] = set()
         while True:
             replica = self._choose(request.service, avoid | tried, near)
--- a/tests/routes/test_generations.py
+++ b/tests/routes/test_generations.py
@@ -12,7 +12,7 @@
 )
 from marjoramstile.routes.table import RouteKind
 from standins.replica_pool import Faults, ReplicaModel
-from tests.routes.support import EVENTS, Caller, Core, request, route
+from tests.routes.support import EVENTS, LLM, Caller, Core, request, route
 
 STREAM = route(RouteKind.STREAM)
 ONCE = route(RouteKind.STREAM, resumable=False, max_attempts=1)
@@ -57,6 +57,35 @@
     assert core.pool.runs["q"] == 2
 
 
+def break_one_stream(core: Core) -> None:
+    """Let the first stream break off, at whichever replica it runs."""
+    once = Faults(break_after_events=5)
+    for name in ("d0", "d1"):
+        core.pool.replicas[name].faults = once
+
+
+def repeats(core: Core, service: str) -> int:
+    """Return the repeats that the budget has counted."""
+    return len(core.budget._repeats[service])
+
+
+async def test_every_arrival_beyond_the_first_prefill_and_run_is_in_the_budget():
+    core = core_with()
+    break_one_stream(core)
+    assert whole(await core.generate(request("q", STREAM)))
+    assert core.pool.arrivals["q"] == 4
+    assert repeats(core, LLM) == 2
+
+
+async def test_without_budget_for_a_second_prefill_the_decode_replica_prefills():
+    core = core_with()
+    core.budget.left = lambda service, now: 1.0 - repeats(core, service)
+    break_one_stream(core)
+    assert whole(await core.generate(request("q", STREAM)))
+    assert core.pool.arrivals["q"] == 3
+    assert core.pool.decoded_prompt_tokens == 3200
+
+
 @pytest.mark.parametrize("events", [None, 0, 5])
 async def test_a_stream_runs_no_more_often_than_its_route_allows(events):
     """Replicas reset it before their answer, before an event, or after some."""
