--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,10 @@
 PATIENCE_S = 6.0
 ADDRESS_LIFE_S = 1.5
 KINDS = ("stream", "book", "look")
+# Part of the calls whose caller leaves in the middle of a long stream.
+LEAVING_SHARE = 0.1
+LEAVES_AFTER_S = 0.4
+LONG_TOKENS = 22_000
 # Statuses of requests without a complete answer: never sent, and cut.
 UNSENT = -1
 CUT = 0
@@ -54,7 +58,9 @@
     async def _call_often(self, session: ClientSession, stopping: asyncio.Event):
         while not stopping.is_set():
             front = await self._front()
-            if front is not None:
+            if front is not None and self.rng.random() < LEAVING_SHARE:
+                await self._begin_and_leave(session, front)
+            elif front is not None:
                 kind = self.rng.choice(KINDS)
                 self.outcomes.append(await self.call(session, front, kind))
             await asyncio.sleep(self.rng.uniform(0.01, 0.1))
@@ -76,15 +82,33 @@
                     self._addresses = await self.fleet.addresses(number)
                     return
 
-    async def call(self, session: ClientSession, front: str, kind: str) -> Outcome:
-        """Send one request and judge its answer."""
+    def _headers(self) -> dict[str, str]:
+        """Return the headers of the next request, with an id of its own."""
         self._number += 1
-        request_id = f"s{self._number}"
-        headers = {
+        return {
             "Host": HOST_NAME,
-            "X-Request-Id": request_id,
+            "X-Request-Id": f"s{self._number}",
             "X-Deadline-Ms": str(round(PATIENCE_S * 1000)),
         }
+
+    async def _begin_and_leave(self, session: ClientSession, front: str) -> None:
+        """Leave a stream that would run on for a minute; its replica must be freed."""
+        headers = self._headers()
+        headers["X-Deadline-Ms"] = "120000"
+        headers["X-Token-Count"] = f"800,{LONG_TOKENS}"
+        headers["X-Length-Hint"] = str(11 * EVENTS)
+        url = f"http://{front}/first/stream/x"
+        with contextlib.suppress(ClientError, OSError, TimeoutError):
+            async with (
+                asyncio.timeout(LEAVES_AFTER_S),
+                session.post(url, headers=headers) as response,
+            ):
+                await response.read()
+
+    async def call(self, session: ClientSession, front: str, kind: str) -> Outcome:
+        """Send one request and judge its answer."""
+        headers = self._headers()
+        request_id = headers["X-Request-Id"]
         if kind == "stream":
             headers["X-Token-Count"] = f"800,{11 * EVENTS}"
         method = "POST" if kind != "look" else "GET"
