One rule for usable replicas, one for rows of orders, one question to all daemons

Found at the last reading of the change: - which replicas are usable stood in usable, expected_stages and standing: standing is the rule now (its page said wrongly that missing replicas get nothing). Behaviour is unchanged; a fake in tests/routes/test_status.py became a subclass.

--- a/marjoramstile/operators/desk.py
+++ b/marjoramstile/operators/desk.py
@@ -1,6 +1,5 @@
 """Runs operators' statements on one daemon."""
 
-import asyncio
 import json
 from collections.abc import Sequence
 from dataclasses import asdict
@@ -14,7 +13,6 @@
 from marjoramstile.entry.status import StatusHandler
 from marjoramstile.language.edits import to_edits
 from marjoramstile.language.parser import parse_statements, suggest
-from marjoramstile.language.registry import Row
 from marjoramstile.language.rows import select
 from marjoramstile.language.statements import (
     OrderEngine,
@@ -68,29 +66,15 @@
         rows = subject.source(self._sources)
         silent: list[str] = []
         if subject.everywhere:
-            others, silent = await self._ask_others(show.subject)
-            rows = join_rows(show.subject, rows + others)
+            question = {"kind": "rows", "subject": show.subject}
+            others = await self._caller.query_rows(self._sources.view.others, question)
+            rows = join_rows(show.subject, rows + others.rows)
+            silent = others.silent
         selected = select(rows, show)
         if selected.is_err():
             return Err(_bad_statement(selected.unwrap_err()))
         return Ok({"rows": selected.unwrap(), "silent": silent})
 
-    async def _ask_others(self, subject: str) -> tuple[list[Row], list[str]]:
-        """Return the rows of the other daemons and the VMs that didn't answer."""
-        peers = self._sources.view.others
-        question = {"kind": "rows", "subject": subject}
-        answers = await asyncio.gather(
-            *(self._caller.query(peer, question) for peer in peers)
-        )
-        rows: list[Row] = []
-        silent: list[str] = []
-        for peer, answer in zip(peers, answers, strict=True):
-            if answer is None:
-                silent.append(peer.vm.name)
-            else:
-                rows += answer
-        return rows, silent
-
     async def _order(self, statement: OrderEngine) -> Answer:
         given = await self._orders.order(
             statement.endpoint, statement.action, statement.argument
--- a/marjoramstile/peers/membership_caller.py
+++ b/marjoramstile/peers/membership_caller.py
@@ -1,6 +1,9 @@
 """Calls that every daemon makes: probes, changes of mirrored tables, questions."""
 
+import asyncio
 import json
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Any
 
 from marjoramstile.membership.prober import Probe
@@ -15,6 +18,16 @@
 
 SLOT_TIMEOUT_S = 0.5
 QUERY_TIMEOUT_S = 2.0
+# Daemons asked at the same time for one question.
+ASKED_AT_ONCE = 32
+
+
+@dataclass(frozen=True)
+class JoinedRows:
+    """Rows of all daemons that answered, and the VMs of those that did not."""
+
+    rows: list[dict[str, Any]]
+    silent: list[str]
 
 
 class MembershipCaller:
@@ -60,3 +73,22 @@
             peer, "query", json.dumps(request), timeout_s=QUERY_TIMEOUT_S
         )
         return None if answer is None else json.loads(answer)
+
+    async def query_rows(
+        self, peers: Sequence[Peer], request: dict[str, Any]
+    ) -> JoinedRows:
+        """Ask several daemons the same question, to which each answers with rows."""
+        at_once = asyncio.Semaphore(ASKED_AT_ONCE)
+
+        async def ask(peer: Peer) -> list[dict[str, Any]] | None:
+            async with at_once:
+                return await self.query(peer, request)
+
+        answers = await asyncio.gather(*(ask(peer) for peer in peers))
+        joined = JoinedRows([], [])
+        for peer, answer in zip(peers, answers, strict=True):
+            if answer is None:
+                joined.silent.append(peer.vm.name)
+            else:
+                joined.rows.extend(answer)
+        return joined
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -32,11 +32,7 @@
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.loads import FleetLoads
 from marjoramstile.routes.order_ports import OrderStore, StageClient
-from marjoramstile.routes.order_rows import (
-    ORDERS_TABLE,
-    UnreadableOrdersError,
-    decode_orders,
-)
+from marjoramstile.routes.order_rows import ORDERS_TABLE, orders_of
 from marjoramstile.routes.orders import StageKeeper
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.ports import ReplicaClient
@@ -136,13 +132,7 @@
 
     def _take_orders(self, row: StoredRow) -> None:
         """Note which replicas a daemon has ordered away, so that none is used."""
-        if row.value is None:
-            return
-        try:
-            orders = decode_orders(row.value)
-        except UnreadableOrdersError as error:
-            logger.warning("orders_row_unreadable", reason=str(error))
-            return
+        orders = orders_of(row)
         now = loop_time()
         for move in orders.moves:
             until = now + move.until_s - orders.at_s
--- a/marjoramstile/routes/order_rows.py
+++ b/marjoramstile/routes/order_rows.py
@@ -1,12 +1,17 @@
 """Rows of the orders table: who ordered last, and which replicas are on the move."""
 
 import json
+import math
 from dataclasses import asdict, dataclass
 
+from marjoramstile.logs import get_logger
+from marjoramstile.ports.feeds import StoredRow
 from marjoramstile.routes.replicas import Stage
 
 ORDERS_TABLE = "marjoramstile-orders"
 
+logger = get_logger(__name__)
+
 
 class UnreadableOrdersError(Exception):
     """A row of the orders table is not what this module writes."""
@@ -42,6 +47,20 @@
         return tuple(move for move in self.moves if move.until_s > now_s)
 
 
+NO_ORDERS = OrdersRow("", -math.inf, ())
+
+
+def orders_of(row: StoredRow | None) -> OrdersRow:
+    """Return what a row holds; without one that can be read, an order of long ago."""
+    if row is None or row.value is None:
+        return NO_ORDERS
+    try:
+        return decode_orders(row.value)
+    except UnreadableOrdersError as error:
+        logger.warning("orders_row_unreadable", row=row.key, reason=str(error))
+        return NO_ORDERS
+
+
 def decode_orders(value: bytes) -> OrdersRow:
     """Return what a row holds; raises UnreadableOrdersError."""
     try:
--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -19,7 +19,6 @@
 )
 from marjoramstile.routes.loads import FleetLoads
 from marjoramstile.routes.order_ports import (
-    DatedRow,
     OrderStore,
     StageClient,
     StageOrder,
@@ -28,8 +27,7 @@
     ORDERS_TABLE,
     OrdersRow,
     StageMove,
-    UnreadableOrdersError,
-    decode_orders,
+    orders_of,
 )
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory, Stage
 from marjoramstile.routes.requests import ReplicaError
@@ -52,8 +50,6 @@
 # Pause after an order that could not be given.
 RETRY_S = 1.0
 
-NO_ORDERS = OrdersRow("", float("-inf"), ())
-
 logger = get_logger(__name__)
 
 
@@ -203,7 +199,7 @@
             )
             return None
         dated = read.unwrap()
-        last = _last_orders(dated)
+        last = orders_of(dated.row)
         if not self._may_write(last, dated.now_s, engine):
             return None
         until_s = dated.now_s + engine.switch_s + SETTLE_S
@@ -227,14 +223,3 @@
             return True
         pause_s = max(2 * self._lease_s, engine.switch_s + SETTLE_S)
         return now_s - last.at_s >= pause_s
-
-
-def _last_orders(dated: DatedRow) -> OrdersRow:
-    """Return the last order; without a row that can be read, one of long ago."""
-    if dated.row is None or dated.row.value is None:
-        return NO_ORDERS
-    try:
-        return decode_orders(dated.row.value)
-    except UnreadableOrdersError as error:
-        logger.warning("orders_row_unreadable", reason=str(error))
-        return NO_ORDERS
--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -19,7 +19,10 @@
 
 
 class Standing(StrEnum):
-    """Whether a daemon sends new requests to a replica, and if not, why."""
+    """Whether a daemon sends new requests to a replica, and if not, why.
+
+    The row of a ``missing`` replica lapsed while the store was away: it is still used.
+    """
 
     USED = "used"
     DRAINING = "draining"
@@ -28,6 +31,11 @@
     MISSING = "missing"
 
 
+USABLE = frozenset({Standing.USED, Standing.MISSING})
+# Engines that count in a split.
+COUNTED = USABLE | {Standing.MOVING}
+
+
 class Stage(StrEnum):
     """Which part of a generation a replica runs."""
 
@@ -68,7 +76,11 @@
 
 
 class ReplicaDirectory:
-    """Replicas by id, as their rows in the store say, with local evidence on top."""
+    """Replicas by id, as their rows in the store say, with local evidence on top.
+
+    Usable replicas are asked for several times a request and change seldom: they are
+    listed once after each change.
+    """
 
     def __init__(self):
         self._replicas: dict[str, Replica] = {}
@@ -76,6 +88,7 @@
         self._misdirected: dict[str, tuple[int, Stage | None]] = {}
         self._moves: dict[str, ExpectedMove] = {}
         self._since: dict[str, float] = {}
+        self._usable: dict[tuple[str, Stage | None], list[Replica]] = {}
 
     def put(self, replica: Replica, now: float = 0.0) -> None:
         """Take a replica's row at loop time ``now``."""
@@ -85,6 +98,7 @@
         self._end_move(known, replica)
         if known != replica:
             self._since[replica.id] = now
+            self._usable.clear()
         if known is None or known.born_ms != replica.born_ms:
             logger.info(
                 "replica_appeared",
@@ -111,12 +125,15 @@
         """Note that a replica was ordered into a stage and gets nothing meanwhile."""
         replica = self._replicas.get(replica_id)
         if replica is not None and replica.stage != stage:
+            if replica_id not in self._moves:
+                logger.info("replica_moves", replica=replica_id, stage=stage)
             self._moves[replica_id] = ExpectedMove(stage, until)
-            logger.info("replica_moves", replica=replica_id, stage=stage)
+            self._usable.clear()
 
     def forget_move(self, replica_id: str) -> None:
         """Note that a replica was not ordered away after all."""
         self._moves.pop(replica_id, None)
+        self._usable.clear()
 
     def remove(self, replica_id: str, keep_until: float, now: float) -> None:
         """Drop a replica whose row is gone.
@@ -130,6 +147,7 @@
             self._missing_until[replica_id] = keep_until
             return
         del self._replicas[replica_id]
+        self._usable.clear()
         self._moves.pop(replica_id, None)
         self._since.pop(replica_id, None)
         self._misdirected.pop(replica_id, None)
@@ -139,7 +157,7 @@
         """Drop replicas that stayed missing for too long, and moves that never end."""
         for replica_id, move in list(self._moves.items()):
             if now >= move.until:
-                del self._moves[replica_id]
+                self.forget_move(replica_id)
                 logger.warning("replica_not_moved", replica=replica_id)
         for replica_id, until in list(self._missing_until.items()):
             if now >= until:
@@ -152,6 +170,7 @@
         ``replica`` is left out until its row tells of a new start or another stage.
         """
         self._misdirected[replica.id] = _incarnation_and_stage(replica)
+        self._usable.clear()
         logger.warning("replica_misdirected", replica=replica.id, stage=replica.stage)
 
     def since(self, replica_id: str) -> float:
@@ -159,7 +178,7 @@
         return self._since[replica_id]
 
     def standing(self, replica: Replica) -> Standing:
-        """Tell whether a known replica gets new requests, and if not, why."""
+        """Tell how a known replica stands: the first of what speaks against it."""
         if replica.state != ReplicaState.READY:
             return Standing.DRAINING
         if self._misdirected.get(replica.id) == _incarnation_and_stage(replica):
@@ -176,14 +195,16 @@
 
     def usable(self, service: str, stage: Stage | None = None) -> list[Replica]:
         """Return replicas of a service that may get new requests."""
-        return [
-            replica
-            for replica in self._replicas.values()
-            if replica.service == service
-            and replica.stage == stage
-            and replica.id not in self._moves
-            and self._is_sound(replica)
-        ]
+        group = (service, stage)
+        if group not in self._usable:
+            self._usable[group] = [
+                replica
+                for replica in self._replicas.values()
+                if replica.service == service
+                and replica.stage == stage
+                and self.standing(replica) in USABLE
+            ]
+        return list(self._usable[group])
 
     def expected_stages(self, service: str) -> list[tuple[Replica, Stage]]:
         """Return the service's engines with the stages that orders will give them."""
@@ -192,7 +213,7 @@
             for replica in self._replicas.values()
             if replica.service == service
             and replica.stage is not None
-            and self._is_sound(replica)
+            and self.standing(replica) in COUNTED
         ]
 
     def _expected_stage(self, replica: Replica) -> Stage:
@@ -203,10 +224,6 @@
         """Tell whether a replica was ordered into a stage that it is not in yet."""
         return replica_id in self._moves
 
-    def _is_sound(self, replica: Replica) -> bool:
-        wrong = self._misdirected.get(replica.id) == _incarnation_and_stage(replica)
-        return replica.state == ReplicaState.READY and not wrong
-
     @property
     def all(self) -> Iterable[Replica]:
         """All replicas known."""
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -1,31 +1,25 @@
 """What a routing daemon believes, as rows that operators ask for by subject."""
 
-import asyncio
 import json
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from marjoramstile.admission.quarantine import Quarantine
 from marjoramstile.language.registry import Row, SubjectRegistry
-from marjoramstile.logs import get_logger
-from marjoramstile.membership.view import Peer, View
+from marjoramstile.membership.view import View
 from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.mirrors.mirror import TableMirror
-from marjoramstile.peers.membership_caller import MembershipCaller
+from marjoramstile.peers.membership_caller import JoinedRows, MembershipCaller
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.loads import FleetLoads
-from marjoramstile.routes.order_rows import UnreadableOrdersError, decode_orders
+from marjoramstile.routes.order_rows import NO_ORDERS, orders_of
 from marjoramstile.routes.replicas import Replica, ReplicaDirectory
 from marjoramstile.routes.table import RoutingTable
 from marjoramstile.utils import loop_time
 
-# Daemons asked at the same time for one question.
-ASKED_AT_ONCE = 32
 # Characters of a content's fingerprint that are shown.
 CONTENT_LENGTH = 16
 
-logger = get_logger(__name__)
-
 
 @dataclass(frozen=True)
 class StatusSources:
@@ -150,10 +144,8 @@
     rows = []
     holders = {peer.incarnation: peer.vm.name for peer in sources.view.peers}
     for service, row in sources.orders.rows.items():
-        try:
-            orders = decode_orders(row.value or b"")
-        except UnreadableOrdersError as error:
-            logger.warning("orders_row_unreadable", reason=str(error))
+        orders = orders_of(row)
+        if orders == NO_ORDERS:
             continue
         rows.append(
             {
@@ -186,14 +178,6 @@
     return None if duration_s == float("inf") else round(duration_s, 3)
 
 
-@dataclass(frozen=True)
-class StatusAnswer:
-    """Rows of all daemons that answered, and the VMs of those that did not."""
-
-    rows: list[Row]
-    silent: list[str]
-
-
 class FleetStatus:
     """Answers an operator's question with the rows of all daemons."""
 
@@ -210,26 +194,12 @@
         """Answer another daemon's question; both are JSON."""
         return json.dumps(self.own_rows(json.loads(request)["subject"]))
 
-    async def ask(self, name: str) -> StatusAnswer:
+    async def ask(self, name: str) -> JoinedRows:
         """Return the rows of a subject in SUBJECTS."""
         rows = self.own_rows(name)
         if not SUBJECTS[name].everywhere:
-            return StatusAnswer(rows, [])
-        at_once = asyncio.Semaphore(ASKED_AT_ONCE)
-        peers = self._sources.view.others
-        answers = await asyncio.gather(
-            *(self._ask_peer(peer, name, at_once) for peer in peers)
+            return JoinedRows(rows, [])
+        others = await self._caller.query_rows(
+            self._sources.view.others, {"subject": name}
         )
-        silent = []
-        for peer, answer in zip(peers, answers, strict=True):
-            if answer is None:
-                silent.append(peer.vm.name)
-            else:
-                rows += answer
-        return StatusAnswer(rows, silent)
-
-    async def _ask_peer(
-        self, peer: Peer, name: str, at_once: asyncio.Semaphore
-    ) -> list[Row] | None:
-        async with at_once:
-            return await self._caller.query(peer, {"subject": name})
+        return JoinedRows(rows + others.rows, others.silent)
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -6,6 +6,7 @@
 from marjoramstile.membership.view import PeerState, Report, View
 from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.peers.membership_caller import JoinedRows, MembershipCaller
 from marjoramstile.ports.feeds import Changes, StoredRow
 from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.routes.order_rows import OrdersRow, StageMove
@@ -13,7 +14,6 @@
 from marjoramstile.routes.status import (
     SUBJECTS,
     FleetStatus,
-    StatusAnswer,
     StatusSources,
 )
 from marjoramstile.routes.table import EntryLimits, RouteKind, RoutingTable
@@ -25,7 +25,7 @@
     return ListedVM(vm, "10.0.0.1", "a", "r", ListedState.LIVE)
 
 
-class FakeCaller:
+class FakeCaller(MembershipCaller):
     """Daemons by VM; those without a status don't answer."""
 
     def __init__(self, **daemons: FleetStatus):
@@ -103,7 +103,7 @@
 async def test_routes_are_those_of_the_daemon_that_was_asked():
     status = FleetStatus(sources_of("a", "b"), FakeCaller())
     answer = await status.ask("routes")
-    assert answer == StatusAnswer(status.own_rows("routes"), [])
+    assert answer == JoinedRows(status.own_rows("routes"), [])
 
 
 async def test_a_subject_that_a_peer_does_not_know_has_no_rows():
