--- a/marjoramstile/platform/headers.py
+++ b/marjoramstile/platform/headers.py
@@ -19,6 +19,7 @@
 NOT_EXECUTED = "X-Not-Executed"
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
+LIMIT = "Server-Limit"
 
 # Longest whole number accepted, in digits; no field can hold a longer one.
 DIGITS_MAX = 15
@@ -120,6 +121,15 @@
     return None if time_left_ms is None else time_left_ms / MILLISECONDS_PER_S
 
 
+def request_limit(text: str | None) -> float | None:
+    """Parse a limit in requests a second; None if absent or not a number from 0 up."""
+    try:
+        per_s = float(text or "")
+    except ValueError:
+        return None
+    return per_s if 0 <= per_s < math.inf else None
+
+
 def _whole_number(text: str | None) -> int | None:
     """Parse a whole number of at most DIGITS_MAX digits; None for anything else."""
     digits = (text or "").strip()
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -173,17 +173,26 @@
             raise NotSentError("the replica wants nothing for now")
 
     def _record_response(self, replica: Replica, response: ClientResponse) -> None:
-        """Record leaving and pause headers; a 421 comes from another replica."""
+        """Record what the headers announce; a 421 comes from another replica."""
         if response.status == MISDIRECTED:
             return
         if response.headers.get(platform_headers.LEAVING, "").strip() == "1":
             self._notices.record_leaving(replica)
+        self._record_limit(replica, response.headers.get(platform_headers.LIMIT))
         retry_after = response.headers.get(platform_headers.RETRY_AFTER)
         if response.status == UNAVAILABLE and retry_after is not None:
             self._notices.record_pause(replica, retry_after, loop_time())
         else:
             self._notices.record_answered(replica)
 
+    def _record_limit(self, replica: Replica, named: str | None) -> None:
+        """Record the limit that a response names; one that can't be read is ignored."""
+        limit_per_s = platform_headers.request_limit(named)
+        if named is not None and limit_per_s is None:
+            logger.warning("limit_unreadable", replica=replica.id, named=named[:80])
+            return
+        self._notices.record_limit(replica, limit_per_s)
+
     async def stage_report(self, replica: Replica) -> StageReport:
         """Fetch a replica's report on its stage."""
         status, answer = await self._control(
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -94,6 +94,7 @@
             request=request.id,
             replica=replica.id,
             outstanding=stats.outstanding,
+            limit_per_s=self._directory.limit_per_s(replica),
             left_s=round(request.deadline - started, 3),
         )
         try:
--- a/marjoramstile/routes/notices.py
+++ b/marjoramstile/routes/notices.py
@@ -1,6 +1,6 @@
-"""Notices of replicas in their responses: that they leave, or ask for a pause.
+"""Notices of replicas in their responses: that they leave, want a pause, or a limit.
 
-Both apply to this daemon from the response on, whatever the replica's row contains and
+All apply to this daemon from the response on, whatever the replica's row contains and
 whether or not the store is reachable. They end with the incarnation that sent them.
 """
 
@@ -58,6 +58,7 @@
     def __init__(self):
         self._leaving: dict[Incarnation, None] = {}
         self._pauses: dict[Incarnation, _Pause] = {}
+        self._limits_per_s: dict[Incarnation, float] = {}
         self._listener: Callable[[], None] = lambda: None
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -95,6 +96,26 @@
             del self._pauses[incarnation(replica)]
             self._listener()
 
+    def record_limit(self, replica: Replica, limit_per_s: float | None) -> None:
+        """Record the requests a second that a response allows; None if it names none.
+
+        The limit is for all daemons together and ends with a response without one.
+        """
+        key = incarnation(replica)
+        known = self._limits_per_s.get(key)
+        if limit_per_s == known:
+            return
+        if limit_per_s is None:
+            del self._limits_per_s[key]
+            logger.info("replica_limit_ended", replica=replica.id, limit_per_s=known)
+            return
+        self._limits_per_s[key] = limit_per_s
+        logger.info("replica_named_limit", replica=replica.id, limit_per_s=limit_per_s)
+
+    def limit_per_s(self, replica: Replica) -> float | None:
+        """Return the limit that a replica's last response named, if any."""
+        return self._limits_per_s.get(incarnation(replica))
+
     def is_leaving(self, replica: Replica) -> bool:
         """Return whether a replica has announced that it is leaving."""
         return incarnation(replica) in self._leaving
@@ -126,9 +147,10 @@
                 )
                 self._listener()
 
-    def forget_pause(self, replica: Replica) -> None:
-        """Drop the pause of an incarnation that has ended; calls no listener."""
+    def forget_incarnation(self, replica: Replica) -> None:
+        """Drop the pause and limit of an ended incarnation; calls no listener."""
         self._pauses.pop(incarnation(replica), None)
+        self._limits_per_s.pop(incarnation(replica), None)
 
     def _pause(self, replica: Replica) -> _Pause:
         return self._pauses.get(incarnation(replica), _NO_PAUSE)
--- a/standins/published/replica.py
+++ b/standins/published/replica.py
@@ -1,8 +1,9 @@
 """Stand-in for one replica over the published protocol, simulated by FakePool.
 
 It writes its row into the store like a real replica. ``GET /control/runs`` returns how
-often each request id ran; ``POST /control/faults`` sets the replica's faults;
-``POST /control/drain`` marks it as draining.
+often each request id ran and how long ago each request arrived; ``POST
+/control/faults`` sets the replica's faults; ``POST /control/drain`` marks it as
+draining.
 """
 
 import asyncio
@@ -70,6 +71,7 @@
         self._orders = 0
         self._paused_at: dict[str, float] = {}
         self._in_pause: Counter[str] = Counter()
+        self._arrivals: list[float] = []
 
     @web.middleware
     async def refuse_during_pause(self, request: web.Request, handler):
@@ -81,12 +83,15 @@
             return self._refuse_with_pause(str(request.remote), faults.pause_s)
         return await handler(request)
 
-    async def add_leaving_header(
-        self, request: web.Request, response: web.StreamResponse
-    ):
-        """Add the Server-Leaving header to the answers of a leaving replica."""
-        if self._fake.faults.leaving and not request.path.startswith("/control/"):
+    async def add_notices(self, request: web.Request, response: web.StreamResponse):
+        """Add to an answer that the replica leaves, and the limit that it names."""
+        if request.path.startswith("/control/"):
+            return
+        faults = self._fake.faults
+        if faults.leaving:
             response.headers["Server-Leaving"] = "1"
+        if faults.limit_per_s:
+            response.headers["Server-Limit"] = str(faults.limit_per_s)
 
     def _refuse_with_pause(self, caller: str, pause_s: float) -> web.Response:
         """Refuse with Retry-After; count requests sent within that time."""
@@ -122,6 +127,7 @@
         expected = request.headers.get("X-Expect-Instance")
         if expected is not None and expected != self._identity.id:
             return web.Response(status=421, headers=NOT_EXECUTED)
+        self._arrivals.append(loop_time())
         routed = self._request(request, await request.read())
         left_s = routed.deadline - loop_time()
         replica = self._fake.replica
@@ -232,7 +238,9 @@
         """Return how often each request ran, and what is held at the moment."""
         held = {"running": len(self._fake.running), "tokens": self._fake.used_tokens}
         counts_by_id = {"runs": dict(self._pool.runs), "in_pause": dict(self._in_pause)}
-        return web.json_response({**counts_by_id, **held})
+        now = loop_time()
+        ages_s = [now - arrived for arrived in self._arrivals]
+        return web.json_response({**counts_by_id, **held, "ages_s": ages_s})
 
     async def set_faults(self, request: web.Request) -> web.Response:
         """Replace the replica's faults."""
@@ -283,7 +291,7 @@
     app = web.Application(
         client_max_size=8_388_608, middlewares=[replica.refuse_during_pause]
     )
-    app.on_response_prepare.append(replica.add_leaving_header)
+    app.on_response_prepare.append(replica.add_notices)
     router = app.router
     router.add_post("/v1/hold-take", replica.acquire_hold)
     router.add_delete("/v1/hold-drop/{id}", replica.release_hold)
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -53,7 +53,8 @@
     A request with the body ``deadly_body`` crashes the replica that runs it. Streams
     of a replica with ``dribble`` send that text every ``DRIBBLE_S`` instead of events.
     A ``leaving`` replica marks all its answers; one with ``pause_s`` refuses requests
-    and asks each caller to wait until ``pause_s`` after that caller's first one.
+    and asks each caller to wait until ``pause_s`` after that caller's first one. One
+    with ``limit_per_s`` names that limit in its answers and does not enforce it.
     """
 
     refuse: bool = False
@@ -66,6 +67,7 @@
     dribble: str = ""
     leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float = 0.0
     deadly_body: bytes | None = None
 
 
