--- a/marjoramstile/limits/client.py
+++ b/marjoramstile/limits/client.py
@@ -14,6 +14,7 @@
 from marjoramstile.membership.view import Peer
 from marjoramstile.pools.client import PoolSender
 from marjoramstile.pools.shards import SchedulerSelector
+from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.notices import Incarnation, incarnation
 from marjoramstile.routes.replica_types import Replica
 from marjoramstile.utils import loop_time
@@ -39,11 +40,13 @@
         selector: SchedulerSelector,
         coordinator: LimitCoordinator,
         sender: PoolSender,
+        metrics: Metrics,
     ):
         self._own_vm = own.vm.name
         self._selector = selector
         self._coordinator = coordinator
         self._sender = sender
+        self._metrics = metrics
         self._numbers = itertools.count()
         self._answers: dict[str, asyncio.Future[PermitAnswer]] = {}
         self._denied_until: dict[Incarnation, float] = {}
@@ -63,8 +66,10 @@
         else:
             decision = await self._decide(replica, limit_per_s)
             self._keep_denial(replica, decision)
+        outcome = "permit_granted" if decision.granted else "permit_denied"
+        self._metrics.count(outcome, replica.service)
         logger.info(
-            "permit_granted" if decision.granted else "permit_denied",
+            outcome,
             request=request_id,
             replica=replica.id,
             limit_per_s=limit_per_s,
--- a/marjoramstile/limits/coordinator.py
+++ b/marjoramstile/limits/coordinator.py
@@ -67,6 +67,8 @@
         self._daemon_count = daemon_count
         self._rng = rng
         self._table = LimitTable(rng)
+        self._generation = -1
+        self._reaches_majority = False
 
     def limit_per_s(self, replica: Replica) -> float | None:
         """Return the limit that a replica is known to name, if any."""
@@ -138,10 +140,18 @@
 
     def _coordinates(self, replica: LimitedReplica) -> bool:
         """Return whether this daemon may grant the permits of all daemons."""
-        if self._own_vm not in self.coordinators(replica):
+        if self._daemon_count() is None or not self._in_majority():
             return False
-        peers = self._view.peers
-        return 2 * sum(peer.presumed_alive for peer in peers) > len(peers)
+        return self._own_vm in self.coordinators(replica)
+
+    def _in_majority(self) -> bool:
+        """Return whether most daemons are alive to this one; counts once per change."""
+        if self._generation != self._view.generation:
+            self._generation = self._view.generation
+            peers = self._view.peers
+            alive = sum(peer.presumed_alive for peer in peers)
+            self._reaches_majority = 2 * alive > len(peers)
+        return self._reaches_majority
 
     def _wait_s(
         self, replica: LimitedReplica, limit: ReplicaLimit, now: float
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -78,8 +78,11 @@
 
     def _give_up(self, attempt: "_CallAttempts") -> Reply:
         """End a request for which no untried replica is usable."""
-        if attempt.permit_wait_s is not None:
-            return attempt.give_up(RefusalReason.LIMITED, attempt.permit_wait_s)
+        wait_s = attempt.permit_wait_s
+        if wait_s is not None:
+            if attempt.tried:
+                wait_s = min(wait_s, RETRY_AFTER_S)
+            return attempt.give_up(RefusalReason.LIMITED, wait_s)
         service = attempt.request.service
         pause_s = self._directory.pause_left_s(service, None, loop_time())
         if pause_s is None:
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -294,7 +294,9 @@
         self.limits = LimitCoordinator(
             self.view, selector, shards, self._sender, self._daemon_count, self._rng
         )
-        self._permits = PermitClient(self.view.own, selector, self.limits, self._sender)
+        self._permits = PermitClient(
+            self.view.own, selector, self.limits, self._sender, self.metrics
+        )
         self._ports.notices.record_limits_in(self.limits)
 
     def _engine_of(self, service: str) -> EngineTraits | None:
@@ -328,6 +330,7 @@
             directory=self.directory,
             balancer=self.balancer,
             schedulers=self.schedulers,
+            limits=self.limits,
             quarantine=self.quarantine,
             running=lambda: self.entry.running,
             burn=self.entry.burn,
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -6,6 +6,7 @@
 
 from marjoramstile.admission.quarantine import Quarantine
 from marjoramstile.language.registry import Row, SubjectRegistry
+from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.membership.view import View
 from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.mirrors.mirror import TableMirror
@@ -35,6 +36,7 @@
     directory: ReplicaDirectory
     balancer: Balancer
     schedulers: SchedulerHost
+    limits: LimitCoordinator
     quarantine: Quarantine
     running: Callable[[], int]
     burn: BurnReport
@@ -114,6 +116,7 @@
         "standing": str(sources.directory.standing(replica)),
         "since_s": _seconds(now - sources.directory.changed_at(replica.id)),
         "doubtful": sources.balancer.is_suspect(replica, now),
+        "limit_per_s": sources.limits.limit_per_s(replica),
         "leases": lease_totals.requests,
         "leased_tokens": lease_totals.tokens,
     }
--- a/tests/limits/support.py
+++ b/tests/limits/support.py
@@ -12,6 +12,7 @@
 from marjoramstile.peers.pool_datagrams import decode_message, encode_message
 from marjoramstile.pools.shards import PoolShards, SchedulerSelector
 from marjoramstile.ports.vms import ListedState, ListedVM
+from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.replica_types import Replica, ReplicaState
 from marjoramstile.routes.replicas import ReplicaDirectory
 from marjoramstile.utils import loop_time
@@ -80,21 +81,25 @@
         self.fleet = fleet
         self.start()
 
-    def start(self) -> None:
-        """Start, or start again without any state."""
+    def start(self, known: bool = True) -> None:
+        """Start, or start again without any state; ``known``: with the list of VMs."""
         self.view = View(self.vms[self.number], f"{self.vm}-{loop_time()}")
-        self.view.merge_list(self.vms, loop_time())
+        if known:
+            self.view.merge_list(self.vms, loop_time())
         directory = ReplicaDirectory()
         for model in self.fleet.models:
             directory.put(model.replica)
         shards = PoolShards(directory)
         selector = SchedulerSelector(self.view)
         rng = random.Random(self.number)
-        count = len(self.vms)
+        count = len(self.vms) if known else None
         self.coordinator = LimitCoordinator(
             self.view, selector, shards, self, lambda: count, rng
         )
-        self.client = PermitClient(self.view.own, selector, self.coordinator, self)
+        self.metrics = Metrics()
+        self.client = PermitClient(
+            self.view.own, selector, self.coordinator, self, self.metrics
+        )
 
     def send(self, peer, message) -> None:
         """Send a datagram."""
--- a/tests/limits/test_shared_limits.py
+++ b/tests/limits/test_shared_limits.py
@@ -173,6 +173,24 @@
     assert fleet.models[0].sent(since) >= 30
 
 
+async def test_a_daemon_that_knows_no_other_yet_grants_nothing():
+    """It would take itself for the only one, and the limit for its own."""
+    fleet = LimitFleet(9, 5.0)
+    alone = fleet.daemons[0]
+    alone.start(known=False)
+    alone.coordinator.record_limit(fleet.models[0].replica, 5.0)
+    await asyncio.sleep(2.0)
+    assert await alone.request(fleet.models[0]) > 0
+
+
+async def test_permits_are_counted_by_service():
+    fleet = LimitFleet(1, 1.0)
+    await overload(fleet, 5.0)
+    count = fleet.daemons[0].metrics.value
+    assert count("permit_granted", "ledger") == pytest.approx(5, abs=2)
+    assert count("permit_denied", "ledger") >= 20
+
+
 async def test_an_answer_to_a_request_from_before_a_limit_does_not_end_it():
     fleet = LimitFleet(3, 2.0)
     sent_at = loop_time()
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -12,6 +12,7 @@
 from marjoramstile.pools.host import SchedulerHost
 from marjoramstile.pools.shards import PoolShards, SchedulerSelector
 from marjoramstile.ports.vms import ListedState, ListedVM
+from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import BudgetLimits, WindowedRetryBudget
 from marjoramstile.routes.calls import PlainCallRunner
@@ -111,7 +112,7 @@
         self.limits = LimitCoordinator(
             view, selector, pool_shards, None, lambda: 1, rng
         )
-        self.permits = PermitClient(view.own, selector, self.limits, None)
+        self.permits = PermitClient(view.own, selector, self.limits, None, Metrics())
         self.schedulers = SchedulerHost(
             pool_shards,
             lambda service: self.engine if service == LLM else None,
--- a/tests/routes/test_limited_replicas.py
+++ b/tests/routes/test_limited_replicas.py
@@ -63,6 +63,16 @@
     assert (await core.calls.run(request("q2", CALL))).status == 200
 
 
+async def test_a_full_replica_beside_a_limited_one_is_worth_an_early_return():
+    core = RoutingCore()
+    core.add_plain(2)
+    core.pool.replicas["p0"].faults.full = True
+    name_limit(core, "p1", limit_per_s=0.2)
+    with pytest.raises(RequestRefusedError) as refused:
+        await core.calls.run(request("q1", CALL))
+    assert refused.value.retry_after_s <= 0.25
+
+
 async def test_retries_count_under_a_limit():
     core = RoutingCore()
     core.add_plain(2)
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -60,6 +60,7 @@
         directory=core.directory,
         balancer=core.balancer,
         schedulers=core.schedulers,
+        limits=core.limits,
         quarantine=Quarantine(),
         running=lambda: 3,
         burn=BurnReport(),
