Responses without end: heads are parsed in slices, up to 32 KiB

The new test fails on the code before. A lower FRAMING_MAX_BYTES for whole responses was tried and reverted: bytes that are read and not yet parsed count as framing, so a long sound stream was cut.

--- a/marjoramstile/platform/connections.py
+++ b/marjoramstile/platform/connections.py
@@ -15,10 +15,15 @@
 from marjoramstile.logs import get_logger
 
 # Bytes of a response besides its body: heads, interim responses, chunk sizes and
-# extensions, trailers.
+# extensions, trailers. It includes bytes that are read and not yet parsed.
 FRAMING_MAX_BYTES = 131_072
+# The same before the first byte of a body.
+HEAD_MAX_BYTES = 32_768
 # Framing allowed per byte of the body; a chunk of one byte has five bytes of framing.
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# Bytes that are parsed at a time until a body begins: a read may hold thousands of
+# interim responses.
+HEAD_SLICE_BYTES = 4096
 
 logger = get_logger(__name__)
 
@@ -33,18 +38,34 @@
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
         self._received_bytes = 0
+        self._endless = False
 
     def data_received(self, data: bytes) -> None:
-        """Receive bytes; abort the connection if there is too much framing."""
+        """Receive bytes; abort the connection if there is too much framing.
+
+        aiohttp calls this with no bytes to go on after a pause.
+        """
+        while len(data) > HEAD_SLICE_BYTES and not (self._body_bytes or self._endless):
+            self._parse(data[:HEAD_SLICE_BYTES])
+            data = data[HEAD_SLICE_BYTES:]
+        if not self._endless:
+            self._parse(data)
+
+    @property
+    def _body_bytes(self) -> int:
+        return 0 if self._payload is None else self._payload.total_bytes
+
+    def _parse(self, data: bytes) -> None:
         super().data_received(data)
         self._received_bytes += len(data)
-        payload = self._payload
-        body_bytes = 0 if payload is None else payload.total_bytes
+        body_bytes = self._body_bytes
         framing_bytes = self._received_bytes - body_bytes
-        if framing_bytes > FRAMING_MAX_BYTES + FRAMING_BYTES_PER_BODY_BYTE * body_bytes:
+        max_bytes = FRAMING_MAX_BYTES if body_bytes else HEAD_MAX_BYTES
+        if framing_bytes > max_bytes + FRAMING_BYTES_PER_BODY_BYTE * body_bytes:
             self._abort_endless_framing(framing_bytes)
 
     def _abort_endless_framing(self, framing_bytes: int) -> None:
+        self._endless = True
         if self.transport is None or self.transport.is_closing():
             return
         logger.warning("answer_without_end", framing_bytes=framing_bytes)
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -4,6 +4,7 @@
 import contextlib
 import resource
 import time
+from unittest.mock import Mock
 
 import pytest
 import pytest_asyncio
@@ -13,6 +14,11 @@
     BufferBudget,
     BufferBudgetExceededError,
 )
+from marjoramstile.platform.connections import (
+    HEAD_MAX_BYTES,
+    HEAD_SLICE_BYTES,
+    ReplicaConnection,
+)
 from marjoramstile.platform.replicas import HTTPReplicaClient, create_replica_session
 from marjoramstile.routes.events import (
     EVENT_MAX_BYTES,
@@ -106,6 +112,18 @@
     assert peak_memory_kb() - before_kb < MEMORY_MAX_KB
 
 
+async def test_only_a_part_of_a_read_without_end_is_parsed():
+    """A whole read of interim answers would hold the loop, times the connections."""
+    connection = ReplicaConnection(asyncio.get_running_loop())
+    transport = Mock()
+    transport.is_closing.return_value = False
+    connection.connection_made(transport)
+    connection.set_response_params(read_until_eof=True)
+    connection.data_received(b"HTTP/1.1 102 Processing\r\n\r\n" * 10_000)
+    transport.abort.assert_called_once()
+    assert len(connection._buffer) * 27 <= HEAD_MAX_BYTES + HEAD_SLICE_BYTES
+
+
 @pytest.mark.parametrize("kind", ["interim answers", "chunk size", "chunks"])
 async def test_control_responses_are_bounded(client, buffers, kind):
     async with raw_replica(endless_script(*ENDLESS_RESPONSES[kind])) as bad:
