--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -126,7 +126,6 @@
             self._missing_until[replica_id] = keep_until
             return
         del self._replicas[replica_id]
-        self._notices.forget_pause(replica)
         self._usable.clear()
         self._moves.pop(replica_id, None)
         self._changed_at.pop(replica_id, None)
--- a/tests/routes/test_notices.py
+++ b/tests/routes/test_notices.py
@@ -137,6 +137,17 @@
     assert notices.pause_left_s(replica(), 10.0) == pytest.approx(pause_s)
 
 
+def test_a_pause_outlives_the_row_of_its_replica():
+    """A row may expire while the store is away, and be written again."""
+    notices = ReplicaNotices()
+    directory = ReplicaDirectory(notices)
+    directory.put(replica())
+    notices.record_pause(replica(), "9", 0.0)
+    directory.remove("r0", keep_until=0.0, now=1.0)
+    directory.put(replica())
+    assert directory.usable(SERVICE) == []
+
+
 def test_an_unanswered_trial_is_followed_by_another():
     notices = ReplicaNotices()
     directory = ReplicaDirectory(notices)
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -97,6 +97,14 @@
     assert standings == {"e0": "used", "d0": "moving", "d1": "misdirected"}
 
 
+async def test_rows_of_replicas_show_the_limits_that_they_name():
+    sources = sources_of("a")
+    sources.limits.record_limit(sources.directory.get("d0"), 1.7)
+    rows = FleetStatus(sources, FakePeerClient()).own_rows("replicas")
+    limits = {row["replica"]: row["limit_per_s"] for row in rows}
+    assert limits == {"e0": None, "d0": 1.7, "d1": None}
+
+
 async def test_rows_of_all_daemons_are_joined_and_silent_ones_named():
     other = FleetStatus(sources_of("b"), FakePeerClient())
     status = FleetStatus(sources_of("a", "b", "c"), FakePeerClient(b=other))
