Limits: one name for the key of an incarnation; tests share the rule's window

The key of a limited replica was built in four places; it is a property of LimitedReplica now. tests/processes/test_limits.py had its own copy of the rule (window, what is allowed), which tests/limits/support.py has; same figures and assertions. No behaviour changes: 106 tests of limits, datagrams, limited replicas, status and the three processes pass.

--- a/marjoramstile/limits/coordinator.py
+++ b/marjoramstile/limits/coordinator.py
@@ -129,7 +129,7 @@
 
     def decide(self, replica: LimitedReplica) -> PermitDecision:
         """Grant or deny a permit for one request."""
-        limit = self._table.get((replica.id, replica.started_at_ms))
+        limit = self._table.get(replica.incarnation)
         if limit is None:
             return GRANTED
         now = loop_time()
@@ -213,7 +213,7 @@
         replica = message.replica
         self._table.adopt(replica, message.limit_per_s, loop_time())
         decision = self.decide(replica)
-        limit = self._table.get((replica.id, replica.started_at_ms))
+        limit = self._table.get(replica.incarnation)
         limit_per_s = None if limit is None else limit.limit_per_s
         reply(PermitAnswer(message.id, decision.granted, limit_per_s, decision.wait_s))
 
@@ -222,7 +222,7 @@
         replica = message.replica
         now = loop_time()
         self._table.adopt(replica, message.limit_per_s, now)
-        limit = self._table.get((replica.id, replica.started_at_ms))
+        limit = self._table.get(replica.incarnation)
         if limit is not None:
             limit.bucket.record_use(now)
 
--- a/marjoramstile/limits/messages.py
+++ b/marjoramstile/limits/messages.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from marjoramstile.routes.notices import Incarnation
+
 
 @dataclass(frozen=True)
 class LimitedReplica:
@@ -16,6 +18,11 @@
     service: str
     shard: int
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The key of this incarnation, as ``notices.incarnation`` returns it."""
+        return self.id, self.started_at_ms
+
 
 @dataclass(frozen=True)
 class PermitRequest:
--- a/marjoramstile/limits/table.py
+++ b/marjoramstile/limits/table.py
@@ -43,19 +43,19 @@
 
     def adopt(self, replica: LimitedReplica, limit_per_s: float, now: float) -> None:
         """Take over what another daemon knows, unless something is known here."""
-        if _key(replica) not in self._limits:
+        if replica.incarnation not in self._limits:
             self.record(replica, limit_per_s, now)
 
     def end(self, replica: LimitedReplica) -> None:
         """Record that a replica names no limit any more."""
-        known = self.get(_key(replica))
+        known = self.get(replica.incarnation)
         if known is not None:
             known.limit_per_s = None
             logger.info("replica_limit_ended", replica=replica.id)
 
     def record(self, replica: LimitedReplica, limit_per_s: float, now: float) -> bool:
         """Record a limit that a replica names; return whether it has begun."""
-        key = _key(replica)
+        key = replica.incarnation
         known = self.get(key)
         if known is None:
             self._limits[key] = ReplicaLimit(
@@ -74,7 +74,3 @@
         for key in self._limits.keys() - set(known):
             if now - self._limits[key].began_at > UNLISTED_KEPT_S:
                 del self._limits[key]
-
-
-def _key(replica: LimitedReplica) -> Incarnation:
-    return replica.id, replica.started_at_ms
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -8,18 +8,14 @@
 
 from demo.fleet import own_network
 from demo.published_fleet import HOST_NAME, PublishedFleet
+from tests.limits.support import CONTACT_S, allowed, most_in_a_window
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
 DAEMONS = 3
 REQUESTS_PER_S = 36
 LIMIT_PER_S = 2.0
-# Time after the first naming from which the limit holds, and its sliding window.
-CONTACT_S = 3.0
-WINDOW_S = 4.0
 LOAD_S = 9.0
-# Requests that the limit allows in a window, with what the platform concedes.
-ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 _ids = itertools.count()
 
 
@@ -56,14 +52,6 @@
     return sorted(age for age in ages if age <= seconds)
 
 
-def most_in_a_window(times: list[float]) -> int:
-    """Return the most of some sorted times that lie within one window."""
-    return max(
-        (sum(0 <= time - first <= WINDOW_S for time in times) for first in times),
-        default=0,
-    )
-
-
 async def test_requests_of_all_daemons_together_exceed_the_limit_that_a_replica_names(
     fleet,
 ):
@@ -72,7 +60,7 @@
     held_s = LOAD_S - CONTACT_S
     arrivals = await recent_arrivals(fleet, "service-1", held_s)
     assert set(statuses) == {200}
-    assert most_in_a_window(arrivals) <= ALLOWED
+    assert most_in_a_window(arrivals) <= allowed(LIMIT_PER_S)
     assert len(arrivals) >= 0.7 * LIMIT_PER_S * held_s
 
 
