--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -141,6 +141,7 @@
         time_left_s=platform_headers.time_left_s(headers),
         size=platform_headers.generation_size(headers),
         resume_after=platform_headers.resume_after(headers),
+        shared_parts=platform_headers.shared_parts(headers),
     )
 
 
--- a/marjoramstile/platform/headers.py
+++ b/marjoramstile/platform/headers.py
@@ -10,6 +10,7 @@
 DEADLINE_MS = "X-Deadline-Ms"
 TOKEN_COUNT = "X-Token-Count"
 LENGTH_HINT = "X-Length-Hint"
+PROMPT_PARTS = "X-Prefix-Hash"
 EXPECT_INSTANCE = "X-Expect-Instance"
 STAGE = "X-Stage"
 KV_SOURCE = "X-Kv-Source"
@@ -23,6 +24,9 @@
 
 # Longest whole number accepted, in digits; no field can hold a longer one.
 DIGITS_MAX = 15
+# Parts of a prompt that are read, and the longest id of one, in characters.
+PARTS_MAX = 64
+PART_ID_MAX = 64
 
 _HOP_BY_HOP = frozenset(
     {
@@ -110,6 +114,18 @@
     )
 
 
+def shared_parts(headers: Headers) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts in order, without the last, its own one.
+
+    The header lists ID:TOKENS entries. Returns nothing if one of them is malformed.
+    """
+    entries = (first_value(headers, PROMPT_PARTS) or "").split(",")[:-1]
+    ids = [entry.partition(":")[0].strip().lower() for entry in entries[:PARTS_MAX]]
+    if not all(0 < len(id_) <= PART_ID_MAX and id_.isalnum() for id_ in ids):
+        return ()
+    return tuple(dict.fromkeys(ids))
+
+
 def resume_after(headers: Headers) -> int | None:
     """Return the id of the last event that the caller received, if stated."""
     return _whole_number(first_value(headers, LAST_EVENT_ID))
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -44,6 +44,7 @@
     """A caller's request before its route is known.
 
     ``time_left_s`` is how long the caller waits; None if it set no limit.
+    ``shared_parts`` are as in RoutedRequest.
     """
 
     id: str
@@ -56,6 +57,7 @@
     time_left_s: float | None
     size: GenerationSize | None
     resume_after: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 class RequestDispatcher:
@@ -187,6 +189,7 @@
             deadline=now + time_left_s,
             size=incoming.size,
             resume_after=incoming.resume_after,
+            shared_parts=incoming.shared_parts,
         )
 
     async def _dispatch(
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -52,6 +52,7 @@
 class Progress:
     """What the caller of one stream has received, and the attempts made for it.
 
+    ``events`` counts all of them, ``replica_events`` those of the last replica alone.
     ``runs`` counts the decode replicas that may have run the request, ``prefills`` the
     attempts that requested a prefill.
     """
@@ -59,6 +60,7 @@
     last_event: int | None
     started: bool = False
     events: int = 0
+    replica_events: int = 0
     runs: int = 0
     prefills: int = 0
 
@@ -187,6 +189,7 @@
             raise _SendFailedError(placement.replica, error, ran=False)
         left_s = request.deadline - loop_time()
         runs_before = progress.runs
+        progress.replica_events = 0
         try:
             async with self._client.stream(
                 placement.replica, request, left_s, options
@@ -244,6 +247,7 @@
                     await responder.start(answer.status, answer.headers)
                 await responder.write(event.data)
                 progress.events += 1
+                progress.replica_events += 1
                 if event.id is not None:
                     progress.last_event = event.id
                     stalled_at = self._stalled_at(request)
@@ -291,7 +295,9 @@
             replica=failure.replica.id,
             may_have_run=failure.ran,
             events_sent=progress.events,
+            replica_events=progress.replica_events,
             runs=progress.runs,
+            shared_parts=" ".join(request.shared_parts),
         )
         self._failures.record(failure.replica, request, failure.error)
         if failure.ran:
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -25,7 +25,8 @@
     ``arrived`` and ``deadline`` are loop times; at the deadline the caller's or the
     route's timeout ends. ``target`` is the raw path with its query. ``size`` is None
     if the request is not a generation. ``resume_after`` is the id of the last event
-    that the caller has received.
+    that the caller has received. ``shared_parts`` are the ids of the prompt's parts in
+    order, without the last one, which belongs to the request or its session.
     """
 
     id: str
@@ -39,6 +40,7 @@
     deadline: float
     size: GenerationSize | None = None
     resume_after: int | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def content(self) -> str:
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -190,6 +190,26 @@
     assert platform_headers.generation_size((("X-Token-Count", "many"),)) is None
 
 
+@pytest.mark.parametrize(
+    ("sent", "parts"),
+    [
+        ("5c1e07a2:800,91BD3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (" a1:1 , b2:2,c3:3", ("a1", "b2")),
+        ("a1:1,a1:1,c3:3", ("a1",)),
+        ("a1:1", ()),
+        ("", ()),
+        (None, ()),
+        ("a1:1,,c3:3", ()),
+        ("a 1:1,c3:3", ()),
+        ("f" * 65 + ":1,c3:3", ()),
+        (",".join(f"{n:x}:1" for n in range(200)), tuple(f"{n:x}" for n in range(64))),
+    ],
+)
+def test_shared_parts_are_all_but_the_last(sent, parts):
+    headers = () if sent is None else (("X-Prefix-Hash", sent),)
+    assert platform_headers.shared_parts(headers) == parts
+
+
 def write(tmp_path, document) -> str:
     """Write a settings file and return its path."""
     path = tmp_path / "settings.yaml"
