--- a/demo/published_fleet.py
+++ b/demo/published_fleet.py
@@ -152,9 +152,9 @@
             await self.wait_for_ready(number)
 
     def launch_replica(
-        self, kind: str, number: int, service: str, stage: str
+        self, kind: str, number: int, service: str, stage: str, **faults: Any
     ) -> ReplicaAddress:
-        """Start one replica; it is not awaited."""
+        """Start one replica with faults; it is not awaited."""
         name = f"{kind}-{number}"
         host = self._host(kind, number)
         self.launch(
@@ -168,6 +168,7 @@
             f"--port={REPLICA_PORT}",
             f"--zone={ZONES[number % len(ZONES)]}",
             f"--store={self.store}",
+            f"--faults={json.dumps(faults)}",
         )
         self._replicas[name] = ReplicaAddress(name, host)
         return self._replicas[name]
--- a/standins/published/replica.py
+++ b/standins/published/replica.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import json
+import os
 import time
 from collections import Counter
 from dataclasses import asdict, dataclass, replace
@@ -17,6 +18,7 @@
 import typer
 from aiohttp import ClientError, ClientSession, web
 
+from marjoramstile.platform.headers import shared_parts
 from marjoramstile.routes.replica_types import Stage
 from marjoramstile.routes.requests import (
     AnswerLostError,
@@ -37,6 +39,8 @@
 ROW_TTL_S = 3 * HEARTBEAT_S
 # Requests in flight arrive for up to this long after a refusal; they don't count.
 PAUSE_GRACE_S = 0.5
+# Exit code of a replica that a request has crashed.
+CRASHED_EXIT = 70
 NOT_EXECUTED = {"X-Not-Executed": "1"}
 _ROUTE = Route("r", "", "/", RouteKind.STREAM, 60.0, 1.0, 1, (), 9, True, None)
 
@@ -57,15 +61,17 @@
 class PublishedReplica:
     """HTTP handlers of one replica."""
 
-    def __init__(self, identity: Identity, model: ReplicaModel):
+    def __init__(self, identity: Identity, model: ReplicaModel, faults: Faults):
         self._identity = identity
         self._pool = FakePool()
         # Runs are printed, so that they can be counted after the replica was killed.
         self._pool.on_run = lambda request_id: print("run", request_id, flush=True)
+        self._pool.on_crash = lambda: os._exit(CRASHED_EXIT)
         stage = Stage(identity.stage) if identity.stage else None
         self._fake = self._pool.add(identity.id, identity.service, stage, model)
         address = replace(self._fake.replica, host=identity.host, port=identity.port)
         self._fake.replica = address
+        self._fake.faults = faults
         self._started_at_ms = round(time.time() * 1000)
         self._state = "ready"
         self._orders = 0
@@ -120,6 +126,7 @@
             arrived=loop_time(),
             deadline=loop_time() + int(headers.get("X-Deadline-Ms", 10_000)) / 1000,
             size=size,
+            shared_parts=shared_parts(tuple(headers.items())),
         )
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
@@ -285,9 +292,11 @@
                 await asyncio.sleep(HEARTBEAT_S)
 
 
-def create_app(identity: Identity, model: ReplicaModel) -> web.Application:
+def create_app(
+    identity: Identity, model: ReplicaModel, faults: Faults
+) -> web.Application:
     """Return the replica's application."""
-    replica = PublishedReplica(identity, model)
+    replica = PublishedReplica(identity, model, faults)
     app = web.Application(
         client_max_size=8_388_608, middlewares=[replica.refuse_during_pause]
     )
@@ -322,10 +331,12 @@
     zone: str = typer.Option("a"),
     store: str = typer.Option(...),
     work_s: float = typer.Option(0.03),
+    faults: str = typer.Option("{}", help="Faults from the start, as JSON."),
 ) -> None:
     """Serve one replica."""
     identity = Identity(replica_id, service, stage, host, port, zone, store)
-    run(lambda: create_app(identity, ReplicaModel(work_s=work_s)), host, port)
+    model = ReplicaModel(work_s=work_s)
+    run(lambda: create_app(identity, model, Faults(**json.loads(faults))), host, port)
 
 
 if __name__ == "__main__":
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -54,7 +54,9 @@
     of a replica with ``dribble`` send that text every ``DRIBBLE_S`` instead of events.
     A ``leaving`` replica marks all its answers; one with ``pause_s`` refuses requests
     and asks each caller to wait until ``pause_s`` after that caller's first one. One
-    with ``limit_per_s`` names that limit in its answers and does not enforce it.
+    with ``limit_per_s`` names that limit in its answers and does not enforce it. A
+    request whose prompt shares the part ``deadly_part`` crashes the replica when it
+    begins to write the answer.
     """
 
     refuse: bool = False
@@ -69,6 +71,7 @@
     pause_s: float = 0.0
     limit_per_s: float = 0.0
     deadly_body: bytes | None = None
+    deadly_part: str | None = None
 
 
 @dataclass(eq=False)
@@ -111,6 +114,8 @@
         self.decoded_prompt_tokens = 0
         self._last_number = 0
         self.on_run: Callable[[str], None] = lambda request_id: None
+        self.on_crash: Callable[[], None] = lambda: None
+        self.crashes: list[float] = []
 
     def add(
         self,
@@ -152,11 +157,15 @@
         if fake.faults.deadly_body is not None:
             self._crash_on(fake.faults.deadly_body, fake, request)
 
-    @staticmethod
-    def _crash_on(body: bytes, fake: FakeReplica, request: RoutedRequest) -> None:
+    def _crash_on(self, body: bytes, fake: FakeReplica, request: RoutedRequest) -> None:
         if request.body == body:
-            fake.faults.refuse = True
-            raise AnswerLostError("reset")
+            self._crash(fake)
+
+    def _crash(self, fake: FakeReplica) -> None:
+        self.crashes.append(loop_time())
+        fake.faults.refuse = True
+        self.on_crash()
+        raise AnswerLostError("reset")
 
     def _fake(self, replica: Replica) -> FakeReplica:
         fake = self.replicas[replica.id]
@@ -285,6 +294,8 @@
                 await asyncio.sleep(DRIBBLE_S)
                 yield fake.faults.dribble.encode()
             await asyncio.sleep(fake.model.step_s * fake.model.stride)
+            if fake.faults.deadly_part in request.shared_parts:
+                self._crash(fake)
             if fake.faults.refuse or number - first == fake.faults.break_after_events:
                 fake.faults.break_after_events = None
                 yield b"id: %d\nda" % number
--- a/tests/routes/test_crashes.py
+++ b/tests/routes/test_crashes.py
@@ -95,3 +95,23 @@
     struck = set(core.quarantine.strikes)
     assert len(struck) == 1
     assert not any(core.crashes.is_blocked(request(f"n{n}", STREAM)) for n in range(6))
+
+
+async def test_requests_that_share_a_deadly_part_crash_replica_after_replica():
+    core = RoutingCore()
+    core.add_engines(1, 4)
+    refused = 0
+    for number in range(12):
+        for fake in core.pool.replicas.values():
+            fake.faults.deadly_part = "dead"
+        deadly = request(f"q{number}", STREAM, shared_parts=("first", "dead"))
+        if core.crashes.is_blocked(deadly):
+            refused += 1
+            continue
+        await send(core, deadly)
+        await restart_crashed(core)
+    assert len(core.pool.crashes) <= 5
+    assert refused >= 7
+    sound = request("sound", STREAM, shared_parts=("first", "other"))
+    assert not core.crashes.is_blocked(sound)
+    assert (await core.generate(sound)).complete
