--- a/marjoramstile/membership/prober.py
+++ b/marjoramstile/membership/prober.py
@@ -24,13 +24,15 @@
 class Probe:
     """A probe or its answer: the sender, and reports and strikes to merge.
 
-    A strike is a pair of content and endpoint.
+    A strike is a pair of content and endpoint. ``blocklist`` is the digest of the
+    sender's blocklist; empty if it has none.
     """
 
     vm: str
     incarnation: str
     reports: tuple[Report, ...]
     strikes: tuple[tuple[str, str], ...] = ()
+    blocklist: str = ""
 
 
 class ProbePeers(Protocol):
@@ -65,6 +67,8 @@
         self._next_list_at = float("-inf")
         self._strike_source: Callable[[int], tuple] = lambda limit: ()
         self._strike_sink: Callable[[str, str], None] = lambda content, endpoint: None
+        self._digest_source: Callable[[], str] = lambda: ""
+        self._digest_sink: Callable[[str, str], None] = lambda vm, digest: None
 
     def carry_strikes(
         self,
@@ -79,6 +83,16 @@
         self._strike_source = source
         self._strike_sink = sink
 
+    def carry_digest(
+        self, source: Callable[[], str], sink: Callable[[str, str], None]
+    ) -> None:
+        """Exchange digests of blocklists along with probes.
+
+        ``source`` returns this daemon's, ``sink`` is called with a VM and its digest.
+        """
+        self._digest_source = source
+        self._digest_sink = sink
+
     async def refresh_list(self) -> None:
         """Read the platform's VM list; if that fails, the last one stays in use.
 
@@ -157,6 +171,7 @@
             own.incarnation,
             reports,
             self._strike_source(REPORTS_PER_MESSAGE),
+            self._digest_source(),
         )
 
     def _merge_probe(self, probe: Probe) -> None:
@@ -166,6 +181,7 @@
             self._view.merge_report(report, now)
         for content, endpoint in probe.strikes:
             self._strike_sink(content, endpoint)
+        self._digest_sink(probe.vm, probe.blocklist)
 
     async def announce(self) -> None:
         """Send this daemon's state to all others at once, when it starts or leaves."""
--- a/marjoramstile/peers/membership_messages.py
+++ b/marjoramstile/peers/membership_messages.py
@@ -31,6 +31,7 @@
             WireStrike(content=content, endpoint=endpoint)
             for content, endpoint in probe.strikes
         ],
+        blocklist=probe.blocklist,
     )
 
 
@@ -44,6 +45,7 @@
             for item in wire.reports
         ),
         strikes=tuple((item.content, item.endpoint) for item in wire.strikes),
+        blocklist=wire.blocklist or "",
     )
 
 
--- a/marjoramstile/peers/peer.thrift
+++ b/marjoramstile/peers/peer.thrift
@@ -17,6 +17,7 @@
   2: string incarnation,
   3: list<Report> reports,
   4: list<Strike> strikes,
+  5: string blocklist,
 }
 
 struct Ask {
--- a/marjoramstile/peers/peer_types.py
+++ b/marjoramstile/peers/peer_types.py
@@ -47,12 +47,14 @@
         2: (TType.STRING, "incarnation", False),
         3: (TType.LIST, "reports", (TType.STRUCT, WireReport), False),
         4: (TType.LIST, "strikes", (TType.STRUCT, WireStrike), False),
+        5: (TType.STRING, "blocklist", False),
     }
     default_spec = [
         ("vm", None),
         ("incarnation", None),
         ("reports", None),
         ("strikes", None),
+        ("blocklist", None),
     ]
 
 
--- a/marjoramstile/peers/pool_datagrams.py
+++ b/marjoramstile/peers/pool_datagrams.py
@@ -1,4 +1,4 @@
-"""Messages about pools and about replicas' limits, as UDP datagrams.
+"""Messages about pools, replicas' limits and crashes, as UDP datagrams.
 
 Lost datagrams are tolerated: requests are repeated and leases renewed. The format is
 JSON, as thrift's parsers may never return on malformed input.
@@ -12,6 +12,16 @@
 
 import orjson
 
+from marjoramstile.crashes.blocklist import BlockEntry
+from marjoramstile.crashes.coordinator import CrashCoordinator
+from marjoramstile.crashes.messages import (
+    BeginAnswer,
+    BeginCount,
+    BeginQuery,
+    BlockUpdate,
+    CrashMessage,
+    CrashReport,
+)
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.limits.messages import (
@@ -53,14 +63,19 @@
     "permitted": PermitAnswer,
     "permit-used": PermitUse,
     "limit": LimitReport,
+    "crash": CrashReport,
+    "begins?": BeginQuery,
+    "begins": BeginAnswer,
+    "blocked": BlockUpdate,
 }
 _KIND_NAMES = {kind: name for name, kind in _KINDS.items()}
 _ANSWERS = (PlacementGrant, PlacementQueued, PlacementRefusal)
 _LIMIT_MESSAGES = (PermitRequest, PermitUse, LimitReport)
-Message = PoolMessage | LimitMessage
+_CRASH_MESSAGES = (CrashReport, BeginQuery, BeginAnswer, BlockUpdate)
+Message = PoolMessage | LimitMessage | CrashMessage
+_PARTS = (LeaseUsage, GenerationProfile, LimitedReplica, BeginCount, BlockEntry)
 _FIELD_TYPES = {
-    kind: typing.get_type_hints(kind)
-    for kind in (*_KINDS.values(), LeaseUsage, GenerationProfile, LimitedReplica)
+    kind: typing.get_type_hints(kind) for kind in (*_KINDS.values(), *_PARTS)
 }
 _MALFORMED = (ValueError, TypeError, KeyError, IndexError)
 
@@ -133,9 +148,11 @@
         client: PoolClient,
         coordinator: LimitCoordinator,
         permits: PermitClient,
+        crashes: CrashCoordinator,
     ):
         self._host = host
         self._client = client
+        self._crashes = crashes
         self._coordinator = coordinator
         self._permits = permits
         self._transport: asyncio.DatagramTransport | None = None
@@ -161,6 +178,8 @@
             self._permits.handle_answer(message)
         elif isinstance(message, _LIMIT_MESSAGES):
             self._coordinator.handle_message(message, reply)
+        elif isinstance(message, _CRASH_MESSAGES):
+            self._crashes.handle_message(message, reply)
         else:
             self._host.handle_message(message, reply)
 
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -1,11 +1,11 @@
 """Runs requests to plain services."""
 
+from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import PermitDecision
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowedRetryBudget
-from marjoramstile.routes.crashes import CrashDetector
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replica_types import Replica
@@ -62,15 +62,19 @@
             replica = await self._next_replica(attempt)
             if replica is None:
                 return self._give_up(attempt)
+            suspect = self._crashes.is_suspect(request)
+            sent_at = loop_time()
             try:
                 reply = await self._send(replica, request)
             except ReplicaError as error:
                 attempt.record_failure(replica, error)
                 if isinstance(error, AnswerLostError):
                     self._crashes.check_for_crash(request, replica)
+                    if suspect:
+                        return attempt.give_up(RefusalReason.QUARANTINED)
             else:
                 attempt.record_reply(replica, reply)
-                self._crashes.clear_strikes(request)
+                self._crashes.record_begin(request, sent_at)
                 if reply.status < SERVER_ERROR:
                     return reply
             if not self._may_retry(attempt):
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -4,15 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.logs import get_logger
 from marjoramstile.reports.burn import BurnReport
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.budget import WindowedRetryBudget
 from marjoramstile.routes.calls import PlainCallRunner
-from marjoramstile.routes.crashes import (
-    RETRY_AFTER_S as CRASH_RETRY_AFTER_S,
-    CrashDetector,
-)
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.ports import Responder
 from marjoramstile.routes.requests import (
@@ -165,6 +162,7 @@
             reason = str(error)
             raise
         finally:
+            self._crashes.end(request)
             self._record_end(request, table, outcome, reason)
             if outcome != "caller_gone":
                 kind = str(route.kind)
@@ -196,8 +194,7 @@
         self, request: RoutedRequest, table: RoutingTable, responder: Responder
     ) -> Reply | None:
         self._budget.record_request(request.service, request.arrived)
-        if self._crashes.is_blocked(request):
-            raise RequestRefusedError(RefusalReason.QUARANTINED, CRASH_RETRY_AFTER_S)
+        await self._crashes.check(request)
         service = table.services.get(request.service)
         engine = service.engine if service else None
         if engine is None or request.size is None:
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.logs import get_logger
 from marjoramstile.pools.messages import LeaseOutcome
 from marjoramstile.routes.budget import WindowedRetryBudget
-from marjoramstile.routes.crashes import CrashDetector
 from marjoramstile.routes.events import Event, EventSplitter, EventTooLongError
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.placement import DecodePlacer, Placement
@@ -43,6 +43,9 @@
 # before MIN_STALL_S.
 STALL_GAPS = 5
 MIN_STALL_S = 1.5
+# Events after which a replica counts as having begun to answer: one that crashes while
+# it begins may have sent the first.
+BEGUN_EVENTS = 2
 OK = 200
 
 logger = get_logger(__name__)
@@ -52,7 +55,8 @@
 class Progress:
     """What the caller of one stream has received, and the attempts made for it.
 
-    ``events`` counts all of them, ``replica_events`` those of the last replica alone.
+    ``events`` counts all of them, ``replica_events`` those of the last replica alone,
+    to which the request was sent at ``sent_at``.
     ``runs`` counts the decode replicas that may have run the request, ``prefills`` the
     attempts that requested a prefill.
     """
@@ -61,6 +65,7 @@
     started: bool = False
     events: int = 0
     replica_events: int = 0
+    sent_at: float = 0.0
     runs: int = 0
     prefills: int = 0
 
@@ -105,7 +110,7 @@
             except _SendFailedError as failure:
                 failed.add(failure.replica.id)
                 self._record_failure(request, progress, failure)
-                if not self._may_retry(request, progress):
+                if not await self._may_retry(request, progress, failure):
                     raise self._final_error(progress, failure) from failure
             except RequestRefusedError as refusal:
                 if progress.runs == 0:
@@ -190,12 +195,15 @@
         left_s = request.deadline - loop_time()
         runs_before = progress.runs
         progress.replica_events = 0
+        progress.sent_at = loop_time()
         try:
             async with self._client.stream(
                 placement.replica, request, left_s, options
             ) as answer:
                 if answer.status != OK:
-                    return await self._read_whole_reply(answer, progress)
+                    reply = await self._read_whole_reply(answer, progress)
+                    self._crashes.record_begin(request, progress.sent_at)
+                    return reply
                 progress.runs += 1
                 lease = placement.lease
                 await self._relay(
@@ -205,7 +213,8 @@
                     progress,
                     lambda: lease.record_tokens(engine.stride),
                 )
-                self._crashes.clear_strikes(request)
+                if progress.replica_events < BEGUN_EVENTS:
+                    self._crashes.record_begin(request, progress.sent_at)
                 return None
         except NotExecutedError as error:
             raise _SendFailedError(placement.replica, error, ran=False) from error
@@ -248,6 +257,8 @@
                 await responder.write(event.data)
                 progress.events += 1
                 progress.replica_events += 1
+                if progress.replica_events == BEGUN_EVENTS:
+                    self._crashes.record_begin(request, progress.sent_at)
                 if event.id is not None:
                     progress.last_event = event.id
                     stalled_at = self._stalled_at(request)
@@ -300,10 +311,18 @@
             shared_parts=" ".join(request.shared_parts),
         )
         self._failures.record(failure.replica, request, failure.error)
-        if failure.ran:
-            self._crashes.check_for_crash(request, failure.replica)
 
-    def _may_retry(self, request: RoutedRequest, progress: Progress) -> bool:
+    async def _may_retry(
+        self, request: RoutedRequest, progress: Progress, failure: "_SendFailedError"
+    ) -> bool:
+        """Return whether a request may be sent to another replica.
+
+        One whose replica has crashed before the answer had begun may be the cause.
+        """
+        if failure.ran and progress.events < BEGUN_EVENTS:
+            crashed = await self._crashes.has_crashed(request, failure.replica)
+            if crashed or self._crashes.is_suspect(request):
+                return False
         now = loop_time()
         if now > request.deadline - MIN_ATTEMPT_S:
             return False
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -4,7 +4,10 @@
 import random
 from dataclasses import dataclass
 
-from marjoramstile.admission.quarantine import Quarantine
+from marjoramstile.crashes.blocklist import Blocklist
+from marjoramstile.crashes.coordinator import CrashCoordinator
+from marjoramstile.crashes.detector import CrashDetector
+from marjoramstile.crashes.sharing import BlocklistSharing
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.logs import get_logger
@@ -31,7 +34,6 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowedRetryBudget
 from marjoramstile.routes.calls import PlainCallRunner
-from marjoramstile.routes.crashes import CrashDetector
 from marjoramstile.routes.entry import RequestDispatcher
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
@@ -179,17 +181,8 @@
             SUSPICION_S,
             self._rng,
         )
-        self._build_quarantine()
         self._build_followers()
 
-    def _build_quarantine(self) -> None:
-        """Build the quarantine, whose strikes are spread by probes."""
-        self.quarantine = Quarantine()
-        self.prober.carry_strikes(
-            lambda limit: self.quarantine.take_gossip(limit, len(self.view.peers)),
-            self.quarantine.strike,
-        )
-
     def _build_followers(self) -> None:
         """Build a follower of each table, with its own wait and pauses."""
         peers = PeerChangeSource(self.view, self.peer_client, self.tasks, self._rng)
@@ -232,7 +225,7 @@
         self.budget = WindowedRetryBudget(
             settings.bounds.retries, self._daemon_count, loop_time()
         )
-        crashes = CrashDetector(self.quarantine, client, self.tasks)
+        crashes = self._build_crashes(client)
         self.stages = StageRebalancer(
             self.view,
             self.directory,
@@ -284,6 +277,42 @@
             self._rng,
         )
 
+    def _build_crashes(self, client: ReplicaClient) -> CrashDetector:
+        """Build what finds and keeps out requests that crash replicas.
+
+        Probes carry the digest of what is blocked.
+        """
+        self.blocklist = Blocklist()
+        self.block_sharing = BlocklistSharing(
+            self.blocklist,
+            self.view,
+            self._sender,
+            self._ports.feed,
+            self._ports.orders,
+            self.tasks,
+            self._rng,
+        )
+        self.prober.carry_digest(
+            lambda: self.block_sharing.digest, self.block_sharing.handle_digest
+        )
+        self._crash_coordinator = CrashCoordinator(
+            self.view,
+            SchedulerSelector(self.view),
+            self.directory,
+            client,
+            self.blocklist,
+            self.block_sharing,
+            self._sender,
+            self.tasks,
+        )
+        return CrashDetector(
+            self.blocklist,
+            self.block_sharing,
+            self._crash_coordinator,
+            client,
+            self.tasks,
+        )
+
     def _build_limits(self, shards: PoolShards) -> None:
         """Build the coordinator of replicas' limits, and the client of permits.
 
@@ -315,6 +344,7 @@
             self.budget,
             PrefillLoads(),
             self._permits,
+            crashes,
         )
         return GenerationRunner(
             client, placer, prefiller, self.budget, failures, crashes, self.tasks
@@ -331,7 +361,7 @@
             balancer=self.balancer,
             schedulers=self.schedulers,
             limits=self.limits,
-            quarantine=self.quarantine,
+            blocklist=self.blocklist,
             running=lambda: self.entry.running,
             burn=self.entry.burn,
         )
@@ -348,6 +378,7 @@
         await self._start_datagrams(peers)
         for table, follower in self._followers.items():
             self.tasks.start(follower.run(), f"follow {table}")
+        self.tasks.start(self.block_sharing.load(), "load the blocklist")
         self._every(LIST_PERIOD_S, self.prober.refresh_list, "list")
         self._every(PROBE_PERIOD_S, self.prober.step, "probe")
         self._every(EXPIRY_PERIOD_S, self._expire, "expire")
@@ -357,7 +388,11 @@
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
             lambda: PoolProtocol(
-                self.schedulers, self.pool, self.limits, self._permits
+                self.schedulers,
+                self.pool,
+                self.limits,
+                self._permits,
+                self._crash_coordinator,
             ),
             local_addr=(address.host, address.port),
         )
--- a/marjoramstile/routes/prefiller.py
+++ b/marjoramstile/routes/prefiller.py
@@ -1,5 +1,6 @@
 """Prefills prompts, with a retry at another replica if one fails."""
 
+from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.balancing import Balancer
@@ -10,6 +11,7 @@
 from marjoramstile.routes.replica_types import Replica, Stage
 from marjoramstile.routes.replicas import ReplicaDirectory
 from marjoramstile.routes.requests import (
+    AnswerLostError,
     KVHandle,
     RefusalReason,
     ReplicaError,
@@ -38,6 +40,7 @@
         budget: WindowedRetryBudget,
         loads: PrefillLoads,
         permits: PermitClient,
+        crashes: CrashDetector,
     ):
         self._directory = directory
         self._client = client
@@ -45,6 +48,7 @@
         self._budget = budget
         self._loads = loads
         self._permits = permits
+        self._crashes = crashes
         self._failures = FailureRecorder(directory, balancer)
 
     async def prefill(
@@ -73,10 +77,17 @@
                 return None
             self._check_may_try(request, len(tried))
             tried.add(replica.id)
+            suspect = self._crashes.is_suspect(request)
             try:
                 return await self._prefill_at(replica, request)
             except ReplicaError as error:
                 self._failures.record(replica, request, error)
+                if isinstance(error, AnswerLostError):
+                    self._crashes.check_for_crash(request, replica)
+                    if suspect:
+                        raise RequestRefusedError(
+                            RefusalReason.QUARANTINED, RETRY_AFTER_S
+                        ) from error
 
     async def _choose(
         self, request: RoutedRequest, avoid: frozenset[str], preferred: str, near: str
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
 
 from marjoramstile.routes.table import Route
 from marjoramstile.utils import content_fingerprint
@@ -42,7 +43,7 @@
     resume_after: int | None = None
     shared_parts: tuple[str, ...] = ()
 
-    @property
+    @cached_property
     def content(self) -> str:
         """Fingerprint of the request; the same when a caller retries it."""
         return content_fingerprint(self.method, self.route.host, self.target, self.body)
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import asdict, dataclass
 
-from marjoramstile.admission.quarantine import Quarantine
+from marjoramstile.crashes.blocklist import BlockEntry, Blocklist
 from marjoramstile.language.registry import Row, SubjectRegistry
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.membership.view import View
@@ -20,9 +20,6 @@
 from marjoramstile.routes.table import RoutingTable
 from marjoramstile.utils import loop_time
 
-# Number of characters shown of a content's fingerprint.
-FINGERPRINT_CHARACTERS = 16
-
 
 @dataclass(frozen=True)
 class StatusSources:
@@ -37,7 +34,7 @@
     balancer: Balancer
     schedulers: SchedulerHost
     limits: LimitCoordinator
-    quarantine: Quarantine
+    blocklist: Blocklist
     running: Callable[[], int]
     burn: BurnReport
 
@@ -167,17 +164,32 @@
 
 @SUBJECTS.register("quarantine", on_all_daemons=True)
 def quarantine_rows(sources: StatusSources) -> list[Row]:
-    """Return contents that crashed replicas, as known to this daemon."""
+    """Return the contents and parts of prompts that this daemon refuses or has refused.
+
+    ``trial_in_s`` is the time until one request may show whether the key is sound.
+    """
+    now = loop_time()
     return [
         {
             "daemon": sources.view.own.vm.name,
-            "content": content[:FINGERPRINT_CHARACTERS],
-            "replicas": ", ".join(sorted(replicas)),
+            "service": entry.service,
+            "key": entry.key,
+            "blocked": entry.blocked,
+            "by": entry.by,
+            "since": entry.since_s,
+            "crashes": ", ".join(entry.crashes),
+            "trials": entry.trials,
+            "trial_in_s": _trial_in_s(sources.blocklist, entry, now),
         }
-        for content, replicas in sources.quarantine.strikes.items()
+        for entry in sources.blocklist.entries
     ]
 
 
+def _trial_in_s(blocklist: Blocklist, entry: BlockEntry, now: float) -> float | None:
+    wait_s = blocklist.trial_wait_s(entry, now) if entry.blocked else None
+    return None if wait_s is None else _seconds(wait_s)
+
+
 @SUBJECTS.register("burn", on_all_daemons=True, join=merge_burn_rows)
 def burn_rows(sources: StatusSources) -> list[Row]:
     """Return this daemon's share of the service-level burn."""
--- a/tests/peers/test_pool_datagrams.py
+++ b/tests/peers/test_pool_datagrams.py
@@ -5,6 +5,14 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from marjoramstile.crashes.blocklist import BlockEntry
+from marjoramstile.crashes.messages import (
+    BeginAnswer,
+    BeginCount,
+    BeginQuery,
+    BlockUpdate,
+    CrashReport,
+)
 from marjoramstile.limits.messages import (
     LimitedReplica,
     LimitReport,
@@ -35,6 +43,7 @@
 from tests.support import captured_logs
 
 LIMITED = LimitedReplica("p0", 1_764_000_000_000, "ledger", 0)
+ENTRY = BlockEntry("llm", "part/a", 2, True, 1, 5.5, ("d0",), "crashes")
 LEASE_USAGE = LeaseUsage("q", "d0", 3200, 800, 44, 0.19, 0.096)
 MESSAGES = [
     request("q", avoid=("d0", "d1")),
@@ -53,6 +62,11 @@
     PermitUse(LIMITED, 1.7),
     LimitReport(LIMITED, 1.7),
     LimitReport(LIMITED, None),
+    CrashReport("llm", "d0", 1_764_000_000_000, 0.2, "content/c", ("part/a", "part/b")),
+    BeginQuery("q", "llm", ("part/a", "")),
+    BeginAnswer("q", "vm-1", (BeginCount("part/a", 3, 0.2), BeginCount("", 9, 0.1))),
+    BlockUpdate((ENTRY, ENTRY), "digest"),
+    BlockUpdate(()),
 ]
 
 
@@ -72,7 +86,7 @@
         def handle_answer(self, answer, send_reply=None):
             received.append(answer)
 
-    roles = [Role() for _ in range(4)]
+    roles = [Role() for _ in range(5)]
     PoolProtocol(*roles).datagram_received(data, ("10.0.0.1", 1))
     return received
 
@@ -80,7 +94,19 @@
 @given(
     st.binary(max_size=80)
     | st.lists(
-        st.sampled_from(["ask", "grant", "renew", "end", "means", "permit", "limit"])
+        st.sampled_from(
+            [
+                "ask",
+                "grant",
+                "renew",
+                "end",
+                "means",
+                "permit",
+                "limit",
+                "crash",
+                "blocked",
+            ]
+        )
         | st.none()
         | st.integers()
         | st.floats(allow_nan=False)
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -4,7 +4,10 @@
 import random
 from dataclasses import dataclass, field, replace
 
-from marjoramstile.admission.quarantine import Quarantine
+from marjoramstile.crashes.blocklist import Blocklist
+from marjoramstile.crashes.coordinator import CrashCoordinator
+from marjoramstile.crashes.detector import CrashDetector
+from marjoramstile.crashes.sharing import BlocklistSharing
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.membership.view import View
@@ -16,7 +19,6 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import BudgetLimits, WindowedRetryBudget
 from marjoramstile.routes.calls import PlainCallRunner
-from marjoramstile.routes.crashes import CrashDetector
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.loads import PrefillLoads
@@ -32,6 +34,7 @@
 from marjoramstile.routes.table import EngineTraits, Route, RouteKind, ServiceShare
 from marjoramstile.utils import BackgroundTasks, loop_time
 from standins.replica_pool import FakePool, ReplicaModel
+from tests.support import MemoryStore
 
 LLM = "llm"
 PLAIN = "ledger"
@@ -85,27 +88,57 @@
         self.tasks = BackgroundTasks()
         self.directory = ReplicaDirectory()
         self.balancer = Balancer("a", random.Random(1))
-        self.quarantine = Quarantine()
         limits = BudgetLimits(0.2, 10.0, self.slack)
         self.budget = WindowedRetryBudget(limits, lambda: 1, started=-10.0)
         common = (self.directory, self.pool, self.balancer)
-        self.crashes = CrashDetector(self.quarantine, self.pool, self.tasks)
+        own = ListedVM(self.vm, "10.0.0.1", "a", "r", ListedState.LIVE)
+        self.view = View(own, "i1")
+        self._build_crashes()
         self._build_pools()
         self.calls = PlainCallRunner(*common, self.budget, self.crashes, self.permits)
         failures = FailureRecorder(self.directory, self.balancer)
         self.generations = GenerationRunner(
             self.pool,
             DecodePlacer(self.directory, self.pool, self.pool_client, failures),
-            Prefiller(*common, self.budget, PrefillLoads(), self.permits),
+            Prefiller(*common, self.budget, PrefillLoads(), self.permits, self.crashes),
             self.budget,
             failures,
             self.crashes,
             self.tasks,
         )
 
+    def _build_crashes(self) -> None:
+        self.store = MemoryStore()
+        self.blocklist = Blocklist()
+        self.sharing = BlocklistSharing(
+            self.blocklist,
+            self.view,
+            None,
+            self.store,
+            self.store,
+            self.tasks,
+            random.Random(5),
+        )
+        self.crash_coordinator = CrashCoordinator(
+            self.view,
+            SchedulerSelector(self.view),
+            self.directory,
+            self.pool,
+            self.blocklist,
+            self.sharing,
+            None,
+            self.tasks,
+        )
+        self.crashes = CrashDetector(
+            self.blocklist,
+            self.sharing,
+            self.crash_coordinator,
+            self.pool,
+            self.tasks,
+        )
+
     def _build_pools(self) -> None:
-        own = ListedVM(self.vm, "10.0.0.1", "a", "r", ListedState.LIVE)
-        view = View(own, "i1")
+        view = self.view
         pool_shards = PoolShards(self.directory)
         selector = SchedulerSelector(view)
         rng = random.Random(4)
--- a/tests/routes/test_crashes.py
+++ b/tests/routes/test_crashes.py
@@ -4,10 +4,11 @@
 
 import pytest
 
-from marjoramstile.routes.crashes import STRIKES_MAX
+from marjoramstile.crashes.evidence import CONTENT_CRASHES
 from marjoramstile.routes.requests import OutcomeUnknownError
 from marjoramstile.routes.table import RouteKind
 from tests.routes.support import RoutingCore, request, route
+from tests.support import captured_logs
 
 CRASHING_BODY = b"the one that crashes"
 STREAM = route(RouteKind.STREAM)
@@ -38,6 +39,12 @@
     set_crash_fault(core)
 
 
+def counted_crashes(lines) -> list[str]:
+    """Return the log lines that count a crash against a request."""
+    text = lines.getvalue()
+    return [line for line in text.splitlines() if "event=crash_counted" in line]
+
+
 def crashing_request(on_route, number: int):
     """Return one more copy of the request that crashes replicas."""
     return request(f"q{number}", on_route, target="/p/x", body=CRASHING_BODY)
@@ -63,7 +70,7 @@
         assert core.pool.runs[sent.id] <= on_route.max_attempts
         crashed += core.pool.runs[sent.id]
     assert core.crashes.is_blocked(crashing_request(on_route, 9))
-    assert crashed <= STRIKES_MAX + on_route.max_attempts - 1
+    assert crashed <= CONTENT_CRASHES + on_route.max_attempts - 1
     other = request("other", on_route, target="/p/x", body=b"another")
     assert not core.crashes.is_blocked(other)
 
@@ -73,11 +80,13 @@
     for number in range(4):
         core.pool.replicas[f"p{number}"].faults.lose_answers = 9
     once = route(RouteKind.NON_IDEMPOTENT, max_attempts=1)
-    for number in range(6):
-        with pytest.raises(OutcomeUnknownError):
-            await core.calls.run(request(f"q{number}", once, target="/p/x"))
-        await asyncio.sleep(0.1)
-    assert core.quarantine.is_empty
+    with captured_logs() as lines:
+        for number in range(6):
+            with pytest.raises(OutcomeUnknownError):
+                await core.calls.run(request(f"q{number}", once, target="/p/x"))
+            await asyncio.sleep(0.1)
+    assert core.blocklist.is_empty
+    assert counted_crashes(lines) == []
 
 
 async def test_streams_beside_a_crash_finish_elsewhere_and_are_not_blocked():
@@ -88,12 +97,12 @@
         for number in range(6)
     ]
     await asyncio.sleep(1.0)
-    await send(core, crashing_request(STREAM, 0))
-    for caller in await asyncio.gather(*neighbours):
-        assert caller.complete
-    await asyncio.sleep(0.5)
-    struck = set(core.quarantine.strikes)
-    assert len(struck) == 1
+    with captured_logs() as lines:
+        await send(core, crashing_request(STREAM, 0))
+        for caller in await asyncio.gather(*neighbours):
+            assert caller.complete
+        await asyncio.sleep(0.5)
+    assert len(counted_crashes(lines)) == 1
     assert not any(core.crashes.is_blocked(request(f"n{n}", STREAM)) for n in range(6))
 
 
--- a/tests/routes/test_generations.py
+++ b/tests/routes/test_generations.py
@@ -97,9 +97,12 @@
     assert core.pool.decoded_prompt_tokens == 3200
 
 
-@pytest.mark.parametrize("events", [None, 0, 5])
-async def test_a_stream_runs_no_more_often_than_its_route_allows(events):
-    """Replicas reset the stream before the answer, before an event, or after five."""
+@pytest.mark.parametrize(
+    ("events", "runs"),
+    [(None, 1), (0, STREAM.max_attempts), (5, STREAM.max_attempts)],
+)
+async def test_a_stream_runs_no_more_often_than_its_route_allows(events, runs):
+    """Replicas crash at once, or reset the stream before an event or after five."""
     core = core_with(decode=5)
     for number in range(5):
         faults = core.pool.replicas[f"d{number}"].faults
@@ -107,7 +110,7 @@
         faults.deadly_body = b"" if events is None else None
     with pytest.raises((OutcomeUnknownError, StreamBrokenError)):
         await core.generate(request("q", STREAM))
-    assert core.pool.runs["q"] == STREAM.max_attempts
+    assert core.pool.runs["q"] == runs
 
 
 async def test_a_stream_that_is_not_resumable_breaks_off_and_runs_once():
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -3,7 +3,7 @@
 import json
 import random
 
-from marjoramstile.admission.quarantine import Quarantine
+from marjoramstile.crashes.blocklist import BlockEntry, Blocklist
 from marjoramstile.membership.view import PeerState, Report, View
 from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.mirrors.mirror import TableMirror
@@ -61,7 +61,7 @@
         balancer=core.balancer,
         schedulers=core.schedulers,
         limits=core.limits,
-        quarantine=Quarantine(),
+        blocklist=Blocklist(),
         running=lambda: 3,
         burn=BurnReport(),
     )
@@ -69,7 +69,8 @@
 
 async def test_every_subject_has_rows_that_can_be_sent():
     sources = sources_of("a", "b")
-    sources.quarantine.strike("content", "d0/1")
+    entry = BlockEntry("llm", "part/a1", 1, True, 0, 5.0, ("d0", "d1"), "crashes")
+    sources.blocklist.merge(entry, loop_time())
     row = OrdersRow("i-b", 5.0, (StageMove("d0", Stage.PREFILL, 9.0),))
     value = json.dumps(row.to_value()).encode()
     sources.burn.record("llm", "stream", good=False, now=loop_time())
