--- a/marjoramstile/cli/main.py
+++ b/marjoramstile/cli/main.py
@@ -79,6 +79,27 @@
     _print_response({**body, "rows": chosen.unwrap()}, as_json)
 
 
+@app.command()
+def block(service: str, key: str, daemon: DaemonOption) -> None:
+    """Let all routing daemons refuse a service's requests with a key.
+
+    The key is part/ID for a part of a prompt, or content/FINGERPRINT for a request.
+    """
+    _set_block(daemon, service, key, blocked=True)
+
+
+@app.command()
+def unblock(service: str, key: str, daemon: DaemonOption) -> None:
+    """Lift a block, which "fleet 'show quarantine'" lists, on all routing daemons."""
+    _set_block(daemon, service, key, blocked=False)
+
+
+def _set_block(daemon: str, service: str, key: str, blocked: bool) -> None:
+    sent = {"service": service, "key": key, "blocked": blocked}
+    body = _request_or_exit(daemon, "POST", "/v1/blocklist", sent)
+    _print_response(body, as_json=False)
+
+
 def _exit_with_usage_error(message: str) -> NoReturn:
     typer.echo(f"marjoramstile: {message}", err=True)
     raise typer.Exit(USAGE_EXIT)
--- a/marjoramstile/completions/errors.py
+++ b/marjoramstile/completions/errors.py
@@ -7,7 +7,11 @@
 from typing import Any
 
 from marjoramstile.fronts.buffers import BufferFullError
-from marjoramstile.routes.requests import OutcomeUnknownError, RequestRefusedError
+from marjoramstile.routes.requests import (
+    OutcomeUnknownError,
+    RefusalReason,
+    RequestRefusedError,
+)
 
 REQUEST_ID = "x-request-id"
 BAD_REQUEST = 400
@@ -82,13 +86,16 @@
 
 
 def request_refused_error(error: RequestRefusedError) -> CompletionError:
-    """Return the error for a request that has not run and will not run."""
+    """Return the error for a request that has not run and will not run.
+
+    One that crashes replicas is of no use before operators have looked at it.
+    """
     return CompletionError(
         UNAVAILABLE,
         str(error.reason),
         "the request has not run; it may be sent again",
         retry_after_s=error.retry_after_s,
-        should_retry=True,
+        should_retry=error.reason != RefusalReason.QUARANTINED,
     )
 
 
--- a/marjoramstile/crashes/keys.py
+++ b/marjoramstile/crashes/keys.py
@@ -41,3 +41,11 @@
 def is_part(key: str) -> bool:
     """Return whether a key is that of a prompt's part."""
     return key.startswith(_PART)
+
+
+def is_key(text: object) -> bool:
+    """Return whether a text that an operator has sent is a key."""
+    if not isinstance(text, str) or not text.startswith((_PART, _CONTENT)):
+        return False
+    name = text.partition("/")[2]
+    return 0 < len(name) <= KEY_CHARACTERS and name.isalnum()
--- a/marjoramstile/crashes/sharing.py
+++ b/marjoramstile/crashes/sharing.py
@@ -10,11 +10,12 @@
 import asyncio
 import json
 import random
+import time
 from dataclasses import asdict
 
 from result import Result
 
-from marjoramstile.crashes.blocklist import BlockEntry, Blocklist
+from marjoramstile.crashes.blocklist import BY_OPERATOR, BlockEntry, Blocklist
 from marjoramstile.crashes.messages import BlockUpdate
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import Peer, View
@@ -133,6 +134,22 @@
             self._broadcast(entry)
             self._tasks.start(self._persist(entry), "store a block")
 
+    def set_block(self, service: str, key: str, blocked: bool) -> BlockEntry:
+        """Block a key, or lift its block, as an operator has asked."""
+        known = self._blocklist.find(service, key)
+        entry = BlockEntry(
+            service=service,
+            key=key,
+            revision=1 if known is None else known.revision + 1,
+            blocked=blocked,
+            trials=0,
+            since_s=round(time.time(), 3),
+            crashes=() if known is None else known.crashes,
+            by=BY_OPERATOR,
+        )
+        self.publish(entry)
+        return entry
+
     def _broadcast(self, entry: BlockEntry) -> None:
         for peer in self._view.others:
             if peer.presumed_alive:
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -123,7 +123,9 @@
         node = self._node
         listeners = self._settings.listeners
         endpoints = PlatformEndpoints(node.entry, node.addresses)
-        operators = OperatorEndpoints(node.metrics_text, node.status)
+        operators = OperatorEndpoints(
+            node.metrics_text, node.status, node.block_sharing
+        )
         bodies = BodyReader(self._buffers)
         await node.start()
         await self._listen(listeners.ready, endpoints.ready)
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -1,24 +1,35 @@
 """HTTP front for callers on the platform, with its readiness and address endpoints."""
 
-import json
-
 from aiohttp import web
 from multidict import CIMultiDict
 
 from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
 from marjoramstile.platform import headers as platform_headers
+from marjoramstile.results import Failure, Ran, ResultCode
 from marjoramstile.routes.addresses import FrontAddresses
 from marjoramstile.routes.entry import IncomingRequest, RequestDispatcher
 from marjoramstile.routes.requests import (
     Headers,
     OutcomeUnknownError,
+    RefusalReason,
     Reply,
     RequestRefusedError,
     StreamBrokenError,
 )
 
-NO_RETRY_AFTER = None
+BAD_REQUEST = 400
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+RETRY_AFTER_START_S = 0.5
+# Result codes of refusals; those that aren't listed are for lack of capacity.
+_REFUSAL_CODES = {
+    RefusalReason.NOT_CONFIGURED: ResultCode.FENCED,
+    RefusalReason.NO_REPLICA: ResultCode.NO_ENDPOINT,
+    RefusalReason.QUARANTINED: ResultCode.QUARANTINED,
+    RefusalReason.STOPPING: ResultCode.LEAVING,
+}
 
 
 class FrontHandler:
@@ -32,49 +43,54 @@
         """Return the response to one request."""
         limits = self._entry.limits
         if limits is None:
-            return self._error_response(503, "no configuration is known yet", 0.5)
+            return self._refusal_response(
+                RequestRefusedError(RefusalReason.NOT_CONFIGURED, RETRY_AFTER_START_S)
+            )
         reading = self._bodies.read_body(request, limits.body_max_bytes)
         try:
             async with reading as body:
                 return await self._run(request, body)
         except BodyRefusedError as error:
-            return self._error_response(
-                error.status, str(error), error.retry_after_s, close=True
+            failure = Failure(
+                ResultCode.BAD_BODY, str(error), retry_after_s=error.retry_after_s
             )
+            return self._error_response(error.status, failure, close=True)
 
     async def _run(self, request: web.BaseRequest, body: bytes) -> web.StreamResponse:
         """Route one request whose body is complete."""
         incoming = _decode_request(request, body)
         if incoming is None:
-            return self._error_response(400, "X-Request-Id is missing", NO_RETRY_AFTER)
+            failure = Failure(ResultCode.BAD_BODY, "X-Request-Id is missing")
+            return self._error_response(BAD_REQUEST, failure)
         responder = HTTPResponder(request, self._entry)
         try:
             reply = await self._entry.handle(incoming, responder)
         except RequestRefusedError as refusal:
-            return self._error_response(503, str(refusal), refusal.retry_after_s)
+            return self._refusal_response(refusal)
         except OutcomeUnknownError as error:
-            status = 504 if error.timed_out else 502
-            return self._error_response(status, str(error), NO_RETRY_AFTER)
+            status = GATEWAY_TIMEOUT if error.timed_out else BAD_GATEWAY
+            failure = Failure(ResultCode.OUTCOME_UNKNOWN, str(error), Ran.UNKNOWN)
+            return self._error_response(status, failure)
         except (StreamBrokenError, CallerDisconnectedError):
             return responder.abort()
         if reply is not None:
             return await responder.reply(reply)
         return responder.response
 
+    def _refusal_response(self, refusal: RequestRefusedError) -> web.Response:
+        code = _REFUSAL_CODES.get(refusal.reason, ResultCode.OVERLOADED)
+        failure = Failure(
+            code, str(refusal.reason), retry_after_s=refusal.retry_after_s
+        )
+        return self._error_response(UNAVAILABLE, failure)
+
     def _error_response(
-        self,
-        status: int,
-        message: str,
-        retry_after_s: float | None,
-        close: bool = False,
+        self, status: int, failure: Failure, close: bool = False
     ) -> web.Response:
-        response = web.Response(
-            status=status,
-            body=json.dumps({"error": message}).encode(),
-            content_type="application/json",
-        )
-        if retry_after_s is not None:
-            response.headers[platform_headers.RETRY_AFTER] = f"{retry_after_s:.3f}"
+        response = web.json_response(failure.to_body(), status=status)
+        if failure.retry_after_s is not None:
+            retry_after = f"{failure.retry_after_s:.3f}"
+            response.headers[platform_headers.RETRY_AFTER] = retry_after
         if close or self._entry.stopping:
             response.force_close()
         return response
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -9,7 +9,17 @@
 from tests.test_settings import VALID_SETTINGS
 
 RUNNER = CliRunner()
-COMMANDS = ("version", "check", "run", "fleet", "apply", "configuration", "burn")
+COMMANDS = (
+    "version",
+    "check",
+    "run",
+    "fleet",
+    "block",
+    "unblock",
+    "apply",
+    "configuration",
+    "burn",
+)
 
 
 @pytest.mark.parametrize("command", COMMANDS)
--- a/tests/processes/test_deadly_parts.py
+++ b/tests/processes/test_deadly_parts.py
@@ -7,9 +7,17 @@
 import pytest
 import pytest_asyncio
 from aiohttp import ClientError
+from typer.testing import CliRunner
 
 from demo.fleet import own_network
-from demo.published_fleet import HOST_NAME, STREAM_SERVICE, PublishedFleet
+from demo.published_fleet import (
+    HOST_NAME,
+    METRICS_PORT,
+    STREAM_SERVICE,
+    PublishedFleet,
+)
+from marjoramstile.cli.explain import explain
+from marjoramstile.cli.main import app
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -121,3 +129,50 @@
     assert crashes <= CRASHES_KNOWN + REQUESTS_LATER
     sound = [status for id_, at, status in outcomes if "sound" in id_]
     assert sound[-len(sound) // 2 :].count(200) >= 0.5 * len(sound) / 2
+
+
+async def operate(fleet, *arguments: str) -> None:
+    """Run the operators' tool against the first daemon."""
+    option = f"--daemon={fleet.vm_host(1)}:{METRICS_PORT}"
+    done = await asyncio.to_thread(CliRunner().invoke, app, [*arguments, option])
+    assert done.exit_code == 0, done.output
+
+
+async def refusals(fleet) -> list[dict]:
+    """Send a generation with the part to each daemon; return the bodies of refusals."""
+    bodies = []
+    for number in range(1, DAEMONS + 1):
+        headers = {
+            "Host": HOST_NAME,
+            "X-Request-Id": f"refused-{number}",
+            "X-Token-Count": "400,33",
+            "X-Prefix-Hash": f"{FIRST_PART}:100,{DEADLY_PART}:100,{number}:200",
+        }
+        url = f"http://{fleet.front(number)}/first/stream/{number}"
+        async with fleet.session.post(url, headers=headers, data=b"x") as response:
+            if response.status == 503:
+                assert float(response.headers["Retry-After"]) > 0
+                bodies.append(await response.json())
+            else:
+                await response.read()
+    return bodies
+
+
+async def test_a_block_by_operators_is_not_in_force_or_not_lifted_everywhere(fleet):
+    key = f"part/{DEADLY_PART}"
+    await operate(fleet, "block", STREAM_SERVICE, key)
+    await asyncio.sleep(CONTACT_S)
+    bodies = await refusals(fleet)
+    assert [body["error"]["code"] for body in bodies] == [2005] * DAEMONS
+    assert {body["error"]["ran"] for body in bodies} == {"not run"}
+    log = fleet.get("router-2").log
+    steps = explain("refused-2", [log]).steps
+    assert any(f"key={key} by=operator" in step.text for step in steps)
+    fleet.get("router-2").process.kill()
+    fleet.launch_router(2)
+    await fleet.wait_for_ready(2)
+    await asyncio.sleep(CONTACT_S)
+    assert len(await refusals(fleet)) == DAEMONS
+    await operate(fleet, "unblock", STREAM_SERVICE, key)
+    await asyncio.sleep(CONTACT_S)
+    assert await refusals(fleet) == []
