--- a/marjoramstile/crashes/sharing.py
+++ b/marjoramstile/crashes/sharing.py
@@ -3,8 +3,7 @@
 A change is sent to all daemons at once. Daemons compare the digests of their lists with
 each probe and send each other their entries if these differ; so a daemon that starts or
 was cut off learns what the others know. Entries are stored when they change, and read
-by a daemon that has found no other which knows them, as after a start of the whole
-fleet.
+by each daemon that starts: after a start of the whole fleet nobody else knows them.
 """
 
 import asyncio
@@ -32,10 +31,8 @@
 UNKNOWN_DIGEST = "?"
 # Least time between two lists that are sent to the same daemon.
 RESEND_S = 0.3
-# A daemon that starts waits this long, and a random time more, for other daemons'
-# lists before it reads the store.
-LOAD_WAIT_S = 1.0
-LOAD_SPREAD_S = 0.8
+# Time over which the daemons of a fleet that starts read the store.
+LOAD_SPREAD_S = 0.1
 RETRY_S = 0.5
 RETRY_MAX_S = 8.0
 
@@ -76,8 +73,8 @@
         return self._blocklist.digest if self._loaded else UNKNOWN_DIGEST
 
     async def load(self) -> None:
-        """Read the store unless another daemon's list arrives first."""
-        await asyncio.sleep(LOAD_WAIT_S + self._rng.uniform(0.0, LOAD_SPREAD_S))
+        """Read the store, retrying until another daemon's list has arrived."""
+        await asyncio.sleep(self._rng.uniform(0.0, LOAD_SPREAD_S))
         pause_s = RETRY_S
         while not self._loaded:
             answer = await self._feed.read_table(BLOCKLIST_TABLE)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,9 @@
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Kinds that callers retry after an answer that says that nothing was executed.
 RETRIED_KINDS = ("book", "completion")
+# Replicas that one part of a prompt may crash: the five after which it is known, and
+# three requests.
+CRASHES_MAX = 8
 
 
 class Soak:
@@ -49,6 +52,8 @@
             await calling
             await self._check_recovery(context, callers)
             self._check_outcomes(callers, fleet.runs_by_id())
+            if context.crashes > CRASHES_MAX:
+                self._violations.append(f"one part crashed {context.crashes} replicas")
             self._report(callers)
             if self._violations:
                 fleet.keep_logs()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,10 @@
 CALL_TIMEOUT_S = 6.0
 ADDRESS_TTL_S = 1.5
 KINDS = ("stream", "book", "look", "completion")
+# Share of the streams whose prompt has the part that crashes replicas at times.
+DEADLY_SHARE = 0.15
+DEADLY_PART = "dead01"
+SHARED_PART = "f1f1"
 # Share of the calls whose caller disconnects in the middle of a long stream.
 DISCONNECT_SHARE = 0.1
 DISCONNECT_AFTER_S = 0.4
@@ -123,6 +127,7 @@
         request_id = headers["X-Request-Id"]
         if kind == "stream":
             headers["X-Token-Count"] = f"800,{11 * EVENTS}"
+            headers["X-Prefix-Hash"] = self._parts()
         method = "POST" if kind != "look" else "GET"
         status, body = CUT, b""
         try:
@@ -139,6 +144,11 @@
         ended = asyncio.get_running_loop().time()
         return Outcome(request_id, kind, front, status, good, ended)
 
+    def _parts(self) -> str:
+        deadly = self.rng.random() < DEADLY_SHARE
+        second = DEADLY_PART if deadly else f"{self._number:x}"
+        return f"{SHARED_PART}:200,{second}:200,{self._number:x}ff:400"
+
     async def _complete(self, session: ClientSession, front: str) -> Outcome:
         """Request a streamed completion; one that the daemon aborts counts as CUT."""
         host = front.partition(":")[0]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,22 +4,28 @@
 """
 
 import asyncio
+import contextlib
 import random
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from aiohttp import ClientError
+
 from demo.published_fleet import (
     PLAIN_SERVICE,
     STREAM_SERVICE,
     PublishedFleet,
     configuration,
 )
+from soak.callers import DEADLY_PART
 from soak.proxy import LinkProxy
 
 DECODE = 2
 PLAIN = 2
 LONGEST_S = 2.5
+# Time for which a replica that a request has crashed is gone.
+DOWN_S = 1.0
 
 
 @dataclass
@@ -31,6 +37,7 @@
     links: dict[int, LinkProxy]
     rng: random.Random
     version: int = 1
+    crashes: int = 0
     in_use: set[str] = field(default_factory=set)
 
     def duration_s(self) -> float:
@@ -190,6 +197,36 @@
     await _with_process(context, name, act, lambda: asyncio.sleep(0))
 
 
+@fault()
+async def poison_replicas(context: FaultContext) -> None:
+    """Let a part of a prompt crash decode replicas, and start these again."""
+    names = [f"decode-{number}" for number in range(1, DECODE + 1)]
+    if context.in_use.intersection(names):
+        return
+    context.in_use.update(names)
+    until = asyncio.get_running_loop().time() + 2 * context.duration_s()
+    try:
+        await asyncio.gather(*(_poison(context, name, until) for name in names))
+    finally:
+        context.in_use.difference_update(names)
+
+
+async def _poison(context: FaultContext, name: str, until: float) -> None:
+    """Let a part crash one replica until a loop time."""
+    await context.fleet.fail_replica(name, deadly_part=DEADLY_PART)
+    while asyncio.get_running_loop().time() < until:
+        await asyncio.sleep(0.05)
+        if context.fleet.get(name).process.poll() is not None:
+            context.crashes += 1
+            await asyncio.sleep(DOWN_S)
+            number = int(name.rpartition("-")[2])
+            context.fleet.launch_replica(
+                "decode", number, STREAM_SERVICE, "decode", deadly_part=DEADLY_PART
+            )
+    with contextlib.suppress(ClientError, OSError):
+        await context.fleet.fail_replica(name)
+
+
 @fault()
 async def fail_store(context: FaultContext) -> None:
     """Let the store refuse, hang, slow down, or lose answers or history."""
