--- a/marjoramstile/crashes/coordinator.py
+++ b/marjoramstile/crashes/coordinator.py
@@ -227,16 +227,18 @@
         if self._coordinators(service)[:1] != (self._own_vm,):
             await asyncio.sleep(SECOND_RANK_S)
         while suspects := self._suspects(service)[:SUSPECTS_MAX]:
-            begins = await self._query(service, [item.key for item in suspects])
+            asked = [item.key for item in suspects]
+            begins = await self._query(service, asked)
             evidence = self._evidence[service]
             for key, found in begins.items():
                 evidence.record_begin(key, found.last_sent_at)
             service_begins = begins.get(ANY_KEY, NO_BEGINS)
-            chosen = choose_suspect(self._suspects(service), begins, service_begins)
+            still = [item for item in self._suspects(service) if item.key in asked]
+            chosen = choose_suspect(still, begins, service_begins)
             logger.info(
                 "crashes_judged",
                 service=service,
-                suspects=" ".join(item.key for item in suspects),
+                suspects=" ".join(asked),
                 blocked=chosen.key if chosen else "",
             )
             if chosen is None:
--- a/marjoramstile/crashes/evidence.py
+++ b/marjoramstile/crashes/evidence.py
@@ -18,9 +18,11 @@
 CONTENT_CRASHES = 3
 # Moments with crashes after which a part is blocked that few requests have. One more is
 # needed for each of these counts of recent begins that the part has, and one while no
-# request of the service begins at all.
+# request of the service begins at all, unless there were enough before to know that
+# none of them had the part.
 PART_MOMENTS = 2
 POPULAR_BEGINS = (5, 50)
+BEGINS_COMPARED = 20
 # Different contents that must have crashed replicas before a part is blocked.
 PART_CONTENTS = 2
 # Crashes within this time count as one moment.
@@ -217,6 +219,7 @@
     if not is_part(suspect.key):
         return 1
     needed = PART_MOMENTS + sum(begins.recent >= count for count in POPULAR_BEGINS)
-    if service_begins.last_sent_at < suspect.first_at:
+    is_rare = begins.recent == 0 and service_begins.recent >= BEGINS_COMPARED
+    if not is_rare and service_begins.last_sent_at < suspect.first_at:
         needed += 1
     return needed
