--- a/marjoramstile/crashes/detector.py
+++ b/marjoramstile/crashes/detector.py
@@ -69,10 +69,18 @@
         When a trial of its only blocked key is due, it is let through as that trial.
         """
         entries = self._blocking(request)
-        if not entries:
-            return
         if len(entries) == 1 and await self._starts_trial(request, entries[0]):
             return
+        self.check_again(request)
+
+    def check_again(self, request: RoutedRequest) -> None:
+        """Raise RequestRefusedError if a request that is no trial has a blocked key.
+
+        The key may have been blocked while the request waited.
+        """
+        entries = self._blocking(request)
+        if not entries or request.id in self._trials:
+            return
         entry = entries[0]
         logger.info(
             "request_blocked",
--- a/marjoramstile/crashes/sharing.py
+++ b/marjoramstile/crashes/sharing.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import json
-import random
 import time
 from dataclasses import asdict
 
@@ -31,8 +30,6 @@
 UNKNOWN_DIGEST = "?"
 # Least time between two lists that are sent to the same daemon.
 RESEND_S = 0.3
-# Time over which the daemons of a fleet that starts read the store.
-LOAD_SPREAD_S = 0.1
 RETRY_S = 0.5
 RETRY_MAX_S = 8.0
 
@@ -50,7 +47,6 @@
         feed: TableFeed,
         store: OrderStore,
         tasks: BackgroundTasks,
-        rng: random.Random,
     ):
         self._blocklist = blocklist
         self._view = view
@@ -58,7 +54,6 @@
         self._feed = feed
         self._store = store
         self._tasks = tasks
-        self._rng = rng
         self._loaded = False
         self._sent_at: dict[str, float] = {}
 
@@ -74,7 +69,6 @@
 
     async def load(self) -> None:
         """Read the store, retrying until another daemon's list has arrived."""
-        await asyncio.sleep(self._rng.uniform(0.0, LOAD_SPREAD_S))
         pause_s = RETRY_S
         while not self._loaded:
             answer = await self._feed.read_table(BLOCKLIST_TABLE)
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -193,6 +193,7 @@
             error = NotSentError("the replica took the place back")
             raise _SendFailedError(placement.replica, error, ran=False)
         left_s = request.deadline - loop_time()
+        self._crashes.check_again(request)
         runs_before = progress.runs
         progress.replica_events = 0
         progress.sent_at = loop_time()
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -290,7 +290,6 @@
             self._ports.feed,
             self._ports.orders,
             self.tasks,
-            self._rng,
         )
         self.prober.carry_digest(
             lambda: self.block_sharing.digest, self.block_sharing.handle_digest
--- a/tests/crashes/support.py
+++ b/tests/crashes/support.py
@@ -115,10 +115,9 @@
         self.view = View(self._vms[self.number], f"{self.vm}-{loop_time()}")
         self.view.merge_list(self._vms, loop_time())
         self.directory = ReplicaDirectory()
-        rng = random.Random(self.number)
         self.blocklist = Blocklist()
         self.sharing = BlocklistSharing(
-            self.blocklist, self.view, self, fleet.store, fleet.store, self.tasks, rng
+            self.blocklist, self.view, self, fleet.store, fleet.store, self.tasks
         )
         self.coordinator = CrashCoordinator(
             self.view,
--- a/tests/crashes/test_fleet.py
+++ b/tests/crashes/test_fleet.py
@@ -359,9 +359,10 @@
             await asyncio.sleep(4.0)
 
     await asyncio.gather(
-        crash_a_fifth(), fleet.load(16.0, (100.0, constant("first", "own"), sound))
+        crash_a_fifth(), fleet.load(16.0, (400.0, constant("first", "own"), sound))
     )
     seconds = loop_time() - began
+    assert sound.lost >= 8
     most = max(fleet.bytes_received.values()) / seconds
     assert most <= 20_000
     assert max(fleet.received.values()) / seconds <= 200
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -117,7 +117,6 @@
             self.store,
             self.store,
             self.tasks,
-            random.Random(5),
         )
         self.crash_coordinator = CrashCoordinator(
             self.view,
--- a/tests/routes/test_crashes.py
+++ b/tests/routes/test_crashes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marjoramstile.crashes.evidence import CONTENT_CRASHES
-from marjoramstile.routes.requests import OutcomeUnknownError
+from marjoramstile.routes.requests import OutcomeUnknownError, RequestRefusedError
 from marjoramstile.routes.table import RouteKind
 from tests.routes.support import RoutingCore, request, route
 from tests.support import captured_logs
@@ -106,6 +106,19 @@
     assert not any(core.crashes.is_blocked(request(f"n{n}", STREAM)) for n in range(6))
 
 
+async def test_a_part_that_is_blocked_during_a_prefill_is_not_sent_to_decode():
+    core = RoutingCore()
+    core.add_engines(1, 2)
+    deadly = request("q", STREAM, shared_parts=("first", "dead"))
+    running = asyncio.create_task(core.generate(deadly))
+    await asyncio.sleep(0.05)
+    core.sharing.set_block(deadly.service, "part/dead", blocked=True)
+    with pytest.raises(RequestRefusedError):
+        await running
+    assert core.pool.prefilled_tokens > 0
+    assert core.pool.runs["q"] == 0
+
+
 async def test_requests_that_share_a_deadly_part_crash_replica_after_replica():
     core = RoutingCore()
     core.add_engines(1, 4)
