--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -121,6 +121,12 @@
             state=ReplicaState(body["state"]),
             started_at_ms=born,
             stage=Stage(stage) if stage else None,
+            version=_version(body.get("version")),
         )
     except _DECODE_ERRORS as error:
         raise MalformedRowError(repr(error)) from error
+
+
+def _version(value: object) -> str:
+    """Return the version of a replica's software, empty if it is no text."""
+    return value if isinstance(value, str) else ""
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -158,6 +158,7 @@
         size=platform_headers.generation_size(headers),
         resume_after=platform_headers.resume_after(headers),
         shared_parts=platform_headers.shared_parts(headers),
+        resumes=platform_headers.resumed_id(headers),
     )
 
 
--- a/marjoramstile/platform/headers.py
+++ b/marjoramstile/platform/headers.py
@@ -17,11 +17,14 @@
 KV_HOLD = "X-Kv-Hold"
 PRIORITY = "X-Request-Priority"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
 NOT_EXECUTED = "X-Not-Executed"
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
 LIMIT = "Server-Limit"
 
+# Longest id of a request that is read, in characters.
+REQUEST_ID_MAX = 128
 # Longest whole number accepted, in digits; no field can hold a longer one.
 DIGITS_MAX = 15
 # Parts of a prompt that are read, and the longest id of one, in characters.
@@ -131,6 +134,17 @@
     return _whole_number(first_value(headers, LAST_EVENT_ID))
 
 
+def resumed_id(headers: Headers) -> str | None:
+    """Return the id of the attempt that brought the first event of a stream.
+
+    None if the caller names none, or what can't be one.
+    """
+    named = (first_value(headers, RESUMES) or "").strip()
+    if not 0 < len(named) <= REQUEST_ID_MAX or not named.isprintable():
+        return None
+    return named
+
+
 def time_left_s(headers: Headers) -> float | None:
     """Return how long the caller waits for the response, in seconds, if stated."""
     time_left_ms = _positive_number(first_value(headers, DEADLINE_MS))
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -41,7 +41,7 @@
     """A caller's request before its route is known.
 
     ``time_left_s`` is how long the caller waits; None if it set no limit.
-    ``shared_parts`` are as in RoutedRequest.
+    ``shared_parts`` and ``resumes`` are as in RoutedRequest.
     """
 
     id: str
@@ -55,6 +55,7 @@
     size: GenerationSize | None
     resume_after: int | None
     shared_parts: tuple[str, ...] = ()
+    resumes: str | None = None
 
 
 class RequestDispatcher:
@@ -148,6 +149,13 @@
         responder: Responder,
     ) -> Reply | None:
         request = self._build_routed_request(incoming, route)
+        if request.is_take_up:
+            logger.info(
+                "stream_taken_up",
+                request=request.id,
+                resumes=request.resumes,
+                last_event=request.resume_after,
+            )
         outcome = "caller_gone"
         reason = ""
         good = False
@@ -188,6 +196,7 @@
             size=incoming.size,
             resume_after=incoming.resume_after,
             shared_parts=incoming.shared_parts,
+            resumes=incoming.resumes,
         )
 
     async def _dispatch(
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -196,6 +196,7 @@
             "place_not_reserved" if hold is None else "placed",
             request=request.id,
             replica=replica.id,
+            version=replica.version,
             place=lease.grant.id,
             tokens=lease.request.tokens,
             urgency=lease.grant.urgency.name,
--- a/marjoramstile/routes/replica_types.py
+++ b/marjoramstile/routes/replica_types.py
@@ -23,7 +23,8 @@
     """One incarnation of a replica.
 
     ``started_at_ms`` is its start in Unix milliseconds and distinguishes incarnations
-    with the same id. ``stage`` is None for plain services.
+    with the same id. ``stage`` is None for plain services. ``version`` is that of its
+    software, empty if it names none; versions have no order.
     """
 
     id: str
@@ -35,6 +36,7 @@
     state: ReplicaState
     started_at_ms: int
     stage: Stage | None = None
+    version: str = ""
 
     @property
     def address(self) -> str:
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -28,6 +28,8 @@
     if the request is not a generation. ``resume_after`` is the id of the last event
     that the caller has received. ``shared_parts`` are the ids of the prompt's parts in
     order, without the last one, which belongs to the request or its session.
+    ``resumes`` is the id of the caller's attempt that brought the first event of a
+    stream that this one takes up; None if it names none.
     """
 
     id: str
@@ -42,6 +44,12 @@
     size: GenerationSize | None = None
     resume_after: int | None = None
     shared_parts: tuple[str, ...] = ()
+    resumes: str | None = None
+
+    @property
+    def is_take_up(self) -> bool:
+        """Whether the caller has events of this stream from an earlier attempt."""
+        return self.resume_after is not None or self.resumes is not None
 
     @cached_property
     def content(self) -> str:
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -110,6 +110,7 @@
         "address": replica.address,
         "state": str(replica.state),
         "stage": None if replica.stage is None else str(replica.stage),
+        "version": replica.version,
         "standing": str(sources.directory.standing(replica)),
         "since_s": _seconds(now - sources.directory.changed_at(replica.id)),
         "doubtful": sources.balancer.is_suspect(replica, now),
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -210,6 +210,22 @@
     assert platform_headers.shared_parts(headers) == parts
 
 
+@pytest.mark.parametrize(
+    ("sent", "resumed"),
+    [
+        ("9c41d07be2a35f68", "9c41d07be2a35f68"),
+        (" 9c41 ", "9c41"),
+        ("", None),
+        (None, None),
+        ("x" * 129, None),
+        ("a\x01b", None),
+    ],
+)
+def test_the_id_of_a_resumed_stream_is_read(sent, resumed):
+    headers = () if sent is None else (("Resumes", sent),)
+    assert platform_headers.resumed_id(headers) == resumed
+
+
 def write(tmp_path, document) -> str:
     """Write a settings file and return its path."""
     path = tmp_path / "settings.yaml"
