--- a/demo/published_fleet.py
+++ b/demo/published_fleet.py
@@ -152,9 +152,15 @@
             await self.wait_for_ready(number)
 
     def launch_replica(
-        self, kind: str, number: int, service: str, stage: str, **faults: Any
+        self,
+        kind: str,
+        number: int,
+        service: str,
+        stage: str,
+        version: str = "v1",
+        **faults: Any,
     ) -> ReplicaAddress:
-        """Start one replica with faults; it is not awaited."""
+        """Start one replica of a software version with faults; it is not awaited."""
         name = f"{kind}-{number}"
         host = self._host(kind, number)
         self.launch(
@@ -168,6 +174,7 @@
             f"--port={REPLICA_PORT}",
             f"--zone={ZONES[number % len(ZONES)]}",
             f"--store={self.store}",
+            f"--version={version}",
             f"--faults={json.dumps(faults)}",
         )
         self._replicas[name] = ReplicaAddress(name, host)
--- a/standins/published/replica.py
+++ b/standins/published/replica.py
@@ -47,7 +47,7 @@
 
 @dataclass(frozen=True)
 class Identity:
-    """Name and location of the replica, and the address of its store."""
+    """Name, location and software version of the replica, and its store's address."""
 
     id: str
     service: str
@@ -56,6 +56,7 @@
     port: int
     zone: str
     store: str
+    version: str
 
 
 class PublishedReplica:
@@ -68,7 +69,9 @@
         self._pool.on_run = lambda request_id: print("run", request_id, flush=True)
         self._pool.on_crash = lambda: os._exit(CRASHED_EXIT)
         stage = Stage(identity.stage) if identity.stage else None
-        self._fake = self._pool.add(identity.id, identity.service, stage, model)
+        self._fake = self._pool.add(
+            identity.id, identity.service, stage, model, identity.version
+        )
         address = replace(self._fake.replica, host=identity.host, port=identity.port)
         self._fake.replica = address
         self._fake.faults = faults
@@ -265,7 +268,7 @@
             "service": identity.service,
             "address": f"{identity.host}:{identity.port}",
             "zone": identity.zone,
-            "version": "v1",
+            "version": identity.version,
             "slots": self._fake.model.slots,
             "state": self._state,
             "coldRemainingMs": 0,
@@ -330,11 +333,12 @@
     port: int = typer.Option(...),
     zone: str = typer.Option("a"),
     store: str = typer.Option(...),
+    version: str = typer.Option("v1", help="Version of the replica's software."),
     work_s: float = typer.Option(0.03),
     faults: str = typer.Option("{}", help="Faults from the start, as JSON."),
 ) -> None:
     """Serve one replica."""
-    identity = Identity(replica_id, service, stage, host, port, zone, store)
+    identity = Identity(replica_id, service, stage, host, port, zone, store, version)
     model = ReplicaModel(work_s=work_s)
     run(lambda: create_app(identity, model, Faults(**json.loads(faults))), host, port)
 
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -110,6 +110,7 @@
         self.runs: Counter[str] = Counter()
         self.arrivals: Counter[str] = Counter()
         self.arrived_at: dict[str, list[float]] = defaultdict(list)
+        self.versions: dict[str, list[str]] = defaultdict(list)
         self.prefilled_tokens = 0
         self.decoded_prompt_tokens = 0
         self._last_number = 0
@@ -123,8 +124,9 @@
         service: str,
         stage: Stage | None = None,
         model: ReplicaModel | None = None,
+        version: str = "v1",
     ) -> FakeReplica:
-        """Add a replica."""
+        """Add a replica, with a version of its software."""
         model = model or ReplicaModel()
         replica = Replica(
             replica_id,
@@ -136,14 +138,19 @@
             ReplicaState.READY,
             started_at_ms=1,
             stage=stage,
+            version=version,
         )
         self.replicas[replica_id] = FakeReplica(replica, model)
         return self.replicas[replica_id]
 
-    def restart(self, replica_id: str) -> Replica:
-        """Restart a replica under its id, with empty state."""
+    def restart(self, replica_id: str, version: str | None = None) -> Replica:
+        """Restart a replica under its id, with empty state and maybe a new version."""
         old = self.replicas[replica_id]
-        restarted = replace(old.replica, started_at_ms=old.replica.started_at_ms + 1)
+        restarted = replace(
+            old.replica,
+            started_at_ms=old.replica.started_at_ms + 1,
+            version=version or old.replica.version,
+        )
         self.replicas[replica_id] = FakeReplica(restarted, old.model)
         return restarted
 
@@ -301,4 +308,6 @@
                 yield b"id: %d\nda" % number
                 raise AnswerLostError("reset")
             fake.running[key] += fake.model.stride
+            if fake.replica.version not in self.versions[request.id]:
+                self.versions[request.id].append(fake.replica.version)
             yield b"id: %d\ndata: %s\n\n" % (number, request.id.encode())
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -186,8 +186,19 @@
         for number in range(decode):
             self._add(f"d{number}", LLM, Stage.DECODE, model)
 
-    def _add(self, name: str, service: str, stage: Stage | None, model: ReplicaModel):
-        fake = self.pool.add(name, service, stage, model)
+    def add_decode(self, name: str, version: str):
+        """Add a decode replica of a software version."""
+        return self._add(name, LLM, Stage.DECODE, ReplicaModel(), version)
+
+    def _add(
+        self,
+        name: str,
+        service: str,
+        stage: Stage | None,
+        model: ReplicaModel,
+        version: str = "v1",
+    ):
+        fake = self.pool.add(name, service, stage, model, version)
         self.directory.put(fake.replica)
         return fake
 
