--- a/marjoramstile/peers/pool_datagrams.py
+++ b/marjoramstile/peers/pool_datagrams.py
@@ -1,4 +1,4 @@
-"""Messages about pools, replicas' limits and crashes, as UDP datagrams.
+"""Messages about pools, limits, crashes and streams, as UDP datagrams.
 
 Lost datagrams are tolerated: requests are repeated and leases renewed. The format is
 JSON, as thrift's parsers may never return on malformed input.
@@ -49,6 +49,13 @@
     ProfileUpdate,
 )
 from marjoramstile.pools.statistics import GenerationProfile
+from marjoramstile.streams.keeper import StreamKeeper
+from marjoramstile.streams.messages import (
+    StreamBegun,
+    StreamMessage,
+    VersionAnswer,
+    VersionQuery,
+)
 
 _KINDS = {
     "ask": PlacementRequest,
@@ -67,12 +74,16 @@
     "begins?": BeginQuery,
     "begins": BeginAnswer,
     "blocked": BlockUpdate,
+    "stream": StreamBegun,
+    "version?": VersionQuery,
+    "version": VersionAnswer,
 }
 _KIND_NAMES = {kind: name for name, kind in _KINDS.items()}
 _ANSWERS = (PlacementGrant, PlacementQueued, PlacementRefusal)
 _LIMIT_MESSAGES = (PermitRequest, PermitUse, LimitReport)
 _CRASH_MESSAGES = (CrashReport, BeginQuery, BeginAnswer, BlockUpdate)
-Message = PoolMessage | LimitMessage | CrashMessage
+_STREAM_MESSAGES = (StreamBegun, VersionQuery, VersionAnswer)
+Message = PoolMessage | LimitMessage | CrashMessage | StreamMessage
 _PARTS = (LeaseUsage, GenerationProfile, LimitedReplica, BeginCount, BlockEntry)
 _FIELD_TYPES = {
     kind: typing.get_type_hints(kind) for kind in (*_KINDS.values(), *_PARTS)
@@ -149,10 +160,12 @@
         coordinator: LimitCoordinator,
         permits: PermitClient,
         crashes: CrashCoordinator,
+        streams: StreamKeeper,
     ):
         self._host = host
         self._client = client
         self._crashes = crashes
+        self._streams = streams
         self._coordinator = coordinator
         self._permits = permits
         self._transport: asyncio.DatagramTransport | None = None
@@ -180,6 +193,8 @@
             self._coordinator.handle_message(message, reply)
         elif isinstance(message, _CRASH_MESSAGES):
             self._crashes.handle_message(message, reply)
+        elif isinstance(message, _STREAM_MESSAGES):
+            self._streams.handle_message(message, reply)
         else:
             self._host.handle_message(message, reply)
 
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -29,6 +29,8 @@
     RefusalReason.NO_REPLICA: ResultCode.NO_ENDPOINT,
     RefusalReason.QUARANTINED: ResultCode.QUARANTINED,
     RefusalReason.STOPPING: ResultCode.LEAVING,
+    RefusalReason.VERSION_UNKNOWN: ResultCode.VERSION_UNKNOWN,
+    RefusalReason.VERSION_GONE: ResultCode.VERSION_GONE,
 }
 
 
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -132,6 +132,18 @@
         writer.close()
         return True
 
+    async def started_at_ms(self, replica: Replica) -> int | None:
+        """Return the start of the process at a replica's address, in Unix ms."""
+        try:
+            status, answer = await self._control(
+                "GET", replica.address, "/v1/report", None, replica
+            )
+        except NotSentError as error:
+            logger.info("report_lost", replica=replica.id, reason=repr(error))
+            return None
+        born = answer.get("born") if isinstance(answer, dict) else None
+        return born if status == OK and isinstance(born, int) else None
+
     async def acquire_hold(
         self, replica: Replica, tokens: int, ttl_s: float
     ) -> Hold | None:
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -37,6 +37,7 @@
     StreamBrokenError,
 )
 from marjoramstile.routes.table import EngineTraits
+from marjoramstile.streams.continuation import StreamVersions
 from marjoramstile.utils import BackgroundTasks, loop_time
 
 # A stream is treated as lost after this many gap targets without a whole event, but not
@@ -56,7 +57,8 @@
     """What the caller of one stream has received, and the attempts made for it.
 
     ``events`` counts all of them, ``replica_events`` those of the last replica alone,
-    to which the request was sent at ``sent_at``.
+    to which the request was sent at ``sent_at``. ``version`` is the software version
+    that began the stream, ``origin`` the replica, if it began here; None before.
     ``runs`` counts the decode replicas that may have run the request, ``prefills`` the
     attempts that requested a prefill.
     """
@@ -66,6 +68,8 @@
     events: int = 0
     replica_events: int = 0
     sent_at: float = 0.0
+    version: str | None = None
+    origin: Replica | None = None
     runs: int = 0
     prefills: int = 0
 
@@ -81,6 +85,7 @@
         budget: WindowedRetryBudget,
         failures: FailureRecorder,
         crashes: CrashDetector,
+        streams: StreamVersions,
         tasks: BackgroundTasks,
     ):
         self._client = client
@@ -89,6 +94,7 @@
         self._budget = budget
         self._failures = failures
         self._crashes = crashes
+        self._streams = streams
         self._tasks = tasks
 
     async def run(
@@ -101,6 +107,8 @@
         answer.
         """
         progress = Progress(request.resume_after)
+        if request.is_take_up:
+            progress.version = await self._streams.require_version(request)
         failed: set[str] = set()
         while True:
             try:
@@ -125,8 +133,9 @@
         progress: Progress,
         failed: frozenset[str],
     ) -> Reply | None:
+        resumed = progress.runs > 0 or progress.version is not None
         placement = await self._placer.place(
-            request, engine, resumed=progress.runs > 0, avoid=failed
+            request, engine, resumed, failed, progress.version
         )
         hold_sent = False
         handle = None
@@ -192,6 +201,9 @@
         if not self._placer.replica_accepts(placement):
             error = NotSentError("the replica took the place back")
             raise _SendFailedError(placement.replica, error, ran=False)
+        if not await self._streams.may_continue(progress.version, placement.replica):
+            error = NotSentError("the replica may have started again")
+            raise _SendFailedError(placement.replica, error, ran=False)
         left_s = request.deadline - loop_time()
         self._crashes.check_again(request)
         runs_before = progress.runs
@@ -212,6 +224,7 @@
                     answer,
                     responder,
                     progress,
+                    placement.replica,
                     lambda: lease.record_tokens(engine.stride),
                 )
                 if progress.replica_events < BEGUN_EVENTS:
@@ -240,9 +253,10 @@
         answer: StreamAnswer,
         responder: Responder,
         progress: Progress,
+        replica: Replica,
         on_event: Callable[[], None],
     ) -> None:
-        """Relay whole events to the caller; call ``on_event`` for each."""
+        """Relay a replica's whole events to the caller; call ``on_event`` for each."""
         splitter = EventSplitter()
         chunks = aiter(answer.chunks)
         stalled_at = self._stalled_at(request)
@@ -254,6 +268,7 @@
                 on_event()
                 if not progress.started:
                     progress.started = True
+                    self._record_origin(request, progress, replica)
                     await responder.start(answer.status, answer.headers)
                 await responder.write(event.data)
                 progress.events += 1
@@ -267,6 +282,14 @@
             raise AnswerLostError("the stream ended within an event")
         await responder.finish()
 
+    def _record_origin(
+        self, request: RoutedRequest, progress: Progress, replica: Replica
+    ) -> None:
+        progress.origin = replica
+        progress.version = replica.version
+        if request.route.resumable:
+            self._streams.record_begin(request, replica)
+
     @staticmethod
     def _events(splitter: EventSplitter, chunk: bytes) -> list[Event]:
         try:
@@ -324,6 +347,8 @@
             crashed = await self._crashes.has_crashed(request, failure.replica)
             if crashed or self._crashes.is_suspect(request):
                 return False
+        if progress.origin and not self._streams.is_certain(progress.origin):
+            return False
         now = loop_time()
         if now > request.deadline - MIN_ATTEMPT_S:
             return False
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -45,10 +45,16 @@
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.prefiller import Prefiller
+from marjoramstile.routes.replica_types import Replica
 from marjoramstile.routes.replicas import MISSING_GRACE_S, ReplicaDirectory
 from marjoramstile.routes.settings import Address, RouterSettings
 from marjoramstile.routes.status import FleetStatus, StatusSources
 from marjoramstile.routes.table import EngineTraits, RoutingTable
+from marjoramstile.streams.continuation import StreamVersions
+from marjoramstile.streams.keeper import StreamKeeper
+from marjoramstile.streams.registry import StreamRegistry
+from marjoramstile.streams.storage import StreamStore
+from marjoramstile.streams.versions import VersionHistory
 from marjoramstile.utils import BackgroundTasks, loop_time, new_token, run_every
 
 FRAME_MAX_BYTES = 4_194_304
@@ -70,6 +76,8 @@
 LIST_PERIOD_S = 0.5
 EXPIRY_PERIOD_S = 0.25
 STAGES_PERIOD_S = 1.0
+# Streams that began within this time before a kill of all daemons can't be taken up.
+STREAMS_PERIOD_S = 0.25
 ADDRESS_TTL_S = 1.5
 
 logger = get_logger(__name__)
@@ -345,9 +353,54 @@
             self._permits,
             crashes,
         )
+        self._build_streams()
+        streams = StreamVersions(self.streams, self.directory, client)
         return GenerationRunner(
-            client, placer, prefiller, self.budget, failures, crashes, self.tasks
+            client,
+            placer,
+            prefiller,
+            self.budget,
+            failures,
+            crashes,
+            streams,
+            self.tasks,
+        )
+
+    def _build_streams(self) -> None:
+        """Build what remembers the software versions of streams."""
+        registry = StreamRegistry()
+        self._versions = VersionHistory(self.directory)
+        store = StreamStore(
+            self._ports.feed, self._ports.orders, registry, self._versions
         )
+        replicas = self._followers[self.replicas_mirror.table]
+        self.streams = StreamKeeper(
+            self.view,
+            SchedulerSelector(self.view),
+            self._sender,
+            registry,
+            self._versions,
+            store,
+            lambda: replicas.age_s(loop_time()),
+            lambda: self._table.longest_timeout_s if self._table else None,
+        )
+        self.directory.on_ended(self._handle_ended_replica)
+
+    def _handle_ended_replica(
+        self, replica: Replica, following: Replica | None
+    ) -> None:
+        self._versions.record_gone(replica, loop_time())
+        if following is not None:
+            self.streams.handle_restart(replica, following)
+
+    async def _store_streams(self) -> None:
+        """Store changes of versions, and streams while there are several."""
+        if self._table is None or not self.replicas_mirror.loaded:
+            return
+        self._versions.begin(loop_time())
+        self.streams.expire()
+        engines = [item.name for item in self._table.services.values() if item.engine]
+        await self.streams.store_changes(engines)
 
     def _build_status(self) -> None:
         sources = StatusSources(
@@ -378,6 +431,8 @@
         for table, follower in self._followers.items():
             self.tasks.start(follower.run(), f"follow {table}")
         self.tasks.start(self.block_sharing.load(), "load the blocklist")
+        self.tasks.start(self.streams.load(), "load streams")
+        self._every(STREAMS_PERIOD_S, self._store_streams, "store streams")
         self._every(LIST_PERIOD_S, self.prober.refresh_list, "list")
         self._every(PROBE_PERIOD_S, self.prober.step, "probe")
         self._every(EXPIRY_PERIOD_S, self._expire, "expire")
@@ -392,6 +447,7 @@
                 self.limits,
                 self._permits,
                 self._crash_coordinator,
+                self.streams,
             ),
             local_addr=(address.host, address.port),
         )
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -39,6 +39,8 @@
 RETRY_PAUSE_S = 0.03
 RETRY_PAUSE_MAX_S = 0.12
 RETRY_AFTER_S = 1.0
+# A version that has left the list may come back if its row has only expired.
+VERSION_RETRY_S = 2.0
 # Standings in which a replica rejects requests even if it holds a reservation for them.
 REFUSING = frozenset({Standing.LEAVING, Standing.PAUSED})
 FINGERPRINT_CHARACTERS = 16
@@ -81,25 +83,45 @@
         engine: EngineTraits,
         resumed: bool,
         avoid: frozenset[str],
+        version: str | None = None,
     ) -> Placement:
         """Return a replica with a reservation for the request.
 
-        ``avoid`` has the ids of replicas that failed for this request.
+        ``avoid`` has the ids of replicas that failed for this request, ``version`` is
+        the only software version that may run it; None if any may.
         Raises RequestRefusedError if no reservation is made in time.
         """
         self._raise_if_paused(request)
+        if version is not None:
+            avoid |= self._other_versions(request.service, version)
         pool_request = self._build_request(request, engine, resumed, avoid)
         for try_number in range(TRIES_MAX):
             await asyncio.sleep(_pause_before_s(try_number))
             lease = await self._pool.ask(pool_request)
             if isinstance(lease, PlacementRefusal):
                 raise self._refusal_error(request, lease)
-            placement = await self._reserve(request, engine, lease)
+            placement = await self._reserve(request, engine, lease, version)
             if placement is not None:
                 return placement
-            pool_request = self._build_next_request(pool_request, request, lease)
+            pool_request = self._build_next_request(
+                pool_request, request, lease, version
+            )
         raise RequestRefusedError(RefusalReason.SHED, RETRY_AFTER_S)
 
+    def _other_versions(self, service: str, version: str) -> frozenset[str]:
+        """Return the ids of a service's engines of other versions.
+
+        Raises RequestRefusedError if no decode replica of this one is left.
+        """
+        expected = self._directory.expected_stages(service)
+        own = [replica for replica, _ in expected if replica.version == version]
+        stages = {stage for replica, stage in expected if replica in own}
+        if Stage.DECODE not in stages:
+            raise RequestRefusedError(RefusalReason.VERSION_GONE, VERSION_RETRY_S)
+        return frozenset(
+            replica.id for replica, _ in expected if replica.version != version
+        )
+
     @staticmethod
     def _refusal_error(
         request: RoutedRequest, refusal: PlacementRefusal
@@ -151,12 +173,16 @@
         )
 
     def _build_next_request(
-        self, previous: PlacementRequest, request: RoutedRequest, lease: HeldLease
+        self,
+        previous: PlacementRequest,
+        request: RoutedRequest,
+        lease: HeldLease,
+        version: str | None,
     ) -> PlacementRequest:
         """Return the next scheduler request after a grant without a reservation."""
         now = loop_time()
         avoid = set(previous.avoid)
-        if not self._is_usable(lease.grant.decode):
+        if not self._is_usable(lease.grant.decode, version):
             avoid.add(lease.grant.decode)
         return replace(
             previous,
@@ -167,17 +193,23 @@
             avoid=tuple(sorted(avoid)),
         )
 
-    def _is_usable(self, replica_id: str) -> bool:
+    def _is_usable(self, replica_id: str, version: str | None) -> bool:
         """Return whether this daemon may use a replica that the scheduler granted."""
         replica = self._directory.get(replica_id)
-        return replica is not None and self._directory.standing(replica) in USABLE
+        if replica is None or version not in (None, replica.version):
+            return False
+        return self._directory.standing(replica) in USABLE
 
     async def _reserve(
-        self, request: RoutedRequest, engine: EngineTraits, lease: HeldLease
+        self,
+        request: RoutedRequest,
+        engine: EngineTraits,
+        lease: HeldLease,
+        version: str | None,
     ) -> Placement | None:
         """Reserve capacity under a lease; on failure end the lease and return None."""
         replica = self._directory.get(lease.grant.decode)
-        if not self._is_usable(lease.grant.decode):
+        if not self._is_usable(lease.grant.decode, version):
             self._pool.end(lease, LeaseOutcome.GIVEN_BACK)
             return None
         hold = None
@@ -207,7 +239,11 @@
 
     def replica_accepts(self, placement: Placement) -> bool:
         """Return whether the replica still accepts the request it has reserved for."""
-        return self._directory.standing(placement.replica) not in REFUSING
+        replica = placement.replica
+        known = self._directory.get(replica.id)
+        if known is not None and not known.is_same_process(replica):
+            return False
+        return self._directory.standing(replica) not in REFUSING
 
     def end_lease(self, placement: Placement, outcome: LeaseOutcome) -> None:
         """End the lease of a generation."""
--- a/marjoramstile/routes/ports.py
+++ b/marjoramstile/routes/ports.py
@@ -53,6 +53,9 @@
     async def accepts_connections(self, replica: Replica) -> bool:
         """Return whether the replica accepts a connection; never raises."""
 
+    async def started_at_ms(self, replica: Replica) -> int | None:
+        """Return when the process at a replica's address began; None if unknown."""
+
     async def acquire_hold(
         self, replica: Replica, tokens: int, ttl_s: float
     ) -> Hold | None:
--- a/marjoramstile/routes/replica_types.py
+++ b/marjoramstile/routes/replica_types.py
@@ -38,6 +38,11 @@
     stage: Stage | None = None
     version: str = ""
 
+    def is_same_process(self, other: "Replica") -> bool:
+        """Return whether another row describes the same process of a replica."""
+        own = (self.id, self.started_at_ms, self.version)
+        return own == (other.id, other.started_at_ms, other.version)
+
     @property
     def address(self) -> str:
         """The replica's ``host:port``."""
--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -1,6 +1,6 @@
 """Replicas known to this daemon, and whether they may receive new requests."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -62,6 +62,14 @@
         self._moves: dict[str, ExpectedMove] = {}
         self._changed_at: dict[str, float] = {}
         self._usable: dict[tuple[str, Stage | None], list[Replica]] = {}
+        self._on_ended: Callable[[Replica, Replica | None], None] = lambda *_: None
+
+    def on_ended(self, listener: Callable[[Replica, Replica | None], None]) -> None:
+        """Call ``listener`` with each incarnation that ends, and the next one, if any.
+
+        A change of the software's version counts as an end.
+        """
+        self._on_ended = listener
 
     def _invalidate_usable(self) -> None:
         self._usable.clear()
@@ -77,6 +85,8 @@
             self._usable.clear()
         if known is not None and known.started_at_ms != replica.started_at_ms:
             self._notices.forget_pause(known)
+        if known is not None and not known.is_same_process(replica):
+            self._on_ended(known, replica)
         if known is None or known.started_at_ms != replica.started_at_ms:
             logger.info(
                 "replica_appeared",
@@ -126,6 +136,7 @@
             self._missing_until[replica_id] = keep_until
             return
         del self._replicas[replica_id]
+        self._on_ended(replica, None)
         self._usable.clear()
         self._moves.pop(replica_id, None)
         self._changed_at.pop(replica_id, None)
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -77,6 +77,8 @@
     SHED = "shed"
     BUDGET = "retry_budget_spent"
     QUARANTINED = "crashes_replicas"
+    VERSION_UNKNOWN = "stream_version_unknown"
+    VERSION_GONE = "stream_version_gone"
     STOPPING = "stopping"
     TIMED_OUT = "timed_out"
 
--- a/marjoramstile/routes/table.py
+++ b/marjoramstile/routes/table.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import cached_property
 
 
 class RouteKind(StrEnum):
@@ -94,6 +95,11 @@
     services: dict[str, RoutedService]
     limits: EntryLimits
 
+    @cached_property
+    def longest_timeout_s(self) -> float:
+        """The longest timeout of any route."""
+        return max((route.timeout_s for route in self.routes), default=0.0)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest matching prefix, if any."""
         candidates = [
--- a/standins/published/replica.py
+++ b/standins/published/replica.py
@@ -232,7 +232,8 @@
         """Answer GET /v1/report."""
         stage = self._fake.replica.stage
         body = {"stage": stage, "busy": False, "sequence": self._orders}
-        return web.json_response({**body, "kvUsed": self._fake.used_tokens})
+        born = {"born": self._started_at_ms}
+        return web.json_response({**body, **born, "kvUsed": self._fake.used_tokens})
 
     async def order(self, request: web.Request) -> web.Response:
         """Answer POST /v1/order: the stage changes at once."""
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -207,6 +207,11 @@
         """Return whether the replica accepts a connection."""
         return not self.replicas[replica.id].faults.refuse
 
+    async def started_at_ms(self, replica: Replica) -> int | None:
+        """Return the start of the process that has a replica's id now."""
+        fake = self.replicas[replica.id]
+        return None if fake.faults.refuse else fake.replica.started_at_ms
+
     async def prefill(
         self, replica: Replica, request: RoutedRequest, timeout_s: float
     ) -> KVHandle:
--- a/tests/crashes/support.py
+++ b/tests/crashes/support.py
@@ -2,28 +2,24 @@
 
 import asyncio
 import itertools
-import random
-from collections import Counter
 from dataclasses import dataclass, field, replace
 
 from marjoramstile.crashes.blocklist import Blocklist
 from marjoramstile.crashes.coordinator import CrashCoordinator
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.crashes.sharing import BlocklistSharing
-from marjoramstile.membership.view import PeerState, Report, View
-from marjoramstile.peers.pool_datagrams import decode_message, encode_message
+from marjoramstile.membership.view import PeerState, View
 from marjoramstile.pools.shards import SchedulerSelector
-from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.routes.replica_types import Replica, ReplicaState
 from marjoramstile.routes.replicas import ReplicaDirectory
 from marjoramstile.routes.requests import RequestRefusedError, RoutedRequest
 from marjoramstile.routes.table import RouteKind
 from marjoramstile.utils import BackgroundTasks, loop_time
+from tests.network import DELAY_S, VirtualNetwork
 from tests.routes.support import request, route
 from tests.support import MemoryStore
 
 SERVICE = "llm"
-DELAY_S = 0.002
 PROBE_PERIOD_S = 0.4
 CONNECT_TIMEOUT_S = 0.35
 # Time from a send to the begin of the answer, and from there to its end.
@@ -101,19 +97,18 @@
 class CrashDaemon:
     """The parts of one daemon that find out what crashes replicas."""
 
-    def __init__(self, fleet: "CrashFleet", number: int, vms: list[ListedVM]):
+    def __init__(self, fleet: "CrashFleet", number: int):
         self.fleet = fleet
-        self.vm = vms[number].name
+        self.vm = fleet.vms[number].name
         self.number = number
-        self._vms = vms
         self.start()
 
     def start(self) -> None:
         """Start, or start again without any state."""
         fleet = self.fleet
         self.tasks = BackgroundTasks()
-        self.view = View(self._vms[self.number], f"{self.vm}-{loop_time()}")
-        self.view.merge_list(self._vms, loop_time())
+        self.view = View(fleet.vms[self.number], f"{self.vm}-{loop_time()}")
+        self.view.merge_list(fleet.vms, loop_time())
         self.directory = ReplicaDirectory()
         self.blocklist = Blocklist()
         self.sharing = BlocklistSharing(
@@ -201,8 +196,8 @@
         return lost.done()
 
 
-class CrashFleet:
-    """Daemons on a network that may lose messages, one store, and replicas."""
+class CrashFleet(VirtualNetwork):
+    """Daemons, one store, and replicas."""
 
     def __init__(
         self,
@@ -212,23 +207,13 @@
         seed: int = 1,
         loss: float = 0.0,
     ):
-        self.rng = random.Random(seed)
+        super().__init__(daemons, seed, loss)
         self.store = MemoryStore()
         self.replicas = FleetReplicas(replicas, services)
         self.deadly: dict[str, set[str]] = {}
-        self.loss = loss
-        self.dead: set[str] = set()
-        self.cut: set[str] = set()
         self.cut_from_replicas: set[str] = set()
-        self.received: Counter[str] = Counter()
-        self.bytes_received: Counter[str] = Counter()
         self._ids = itertools.count()
-        vms = [
-            ListedVM(f"vm-{n}", f"10.0.0.{n}", "a", "r", ListedState.LIVE)
-            for n in range(daemons)
-        ]
-        self.daemons = [CrashDaemon(self, number, vms) for number in range(daemons)]
-        self._by_vm = {daemon.vm: daemon for daemon in self.daemons}
+        self.daemons = [CrashDaemon(self, number) for number in range(daemons)]
         self._probing = [
             asyncio.get_running_loop().create_task(self._probe_periodically(daemon))
             for daemon in self.daemons
@@ -245,33 +230,15 @@
         await asyncio.sleep(self.rng.uniform(0.0, PROBE_PERIOD_S))
         while True:
             other = self.rng.choice(self.daemons)
-            if other is not daemon and self._reaches(daemon.vm, other.vm):
+            if other is not daemon and self.reaches(daemon.vm, other.vm):
                 other.sharing.handle_digest(daemon.vm, daemon.sharing.digest)
                 daemon.sharing.handle_digest(other.vm, other.sharing.digest)
             await asyncio.sleep(PROBE_PERIOD_S)
 
-    def _reaches(self, sender: str, receiver: str) -> bool:
-        return not {sender, receiver} & (self.dead | self.cut)
-
-    def transmit(self, sender: str, receiver: str, message) -> None:
-        """Deliver a message after a delay, unless it is lost."""
-        data = encode_message(message)
-        assert len(data) < 1400
-        if self.rng.random() >= self.loss:
-            loop = asyncio.get_running_loop()
-            loop.call_later(DELAY_S, self._deliver, sender, receiver, data)
-
-    def _deliver(self, sender: str, receiver: str, data: bytes) -> None:
-        if not self._reaches(sender, receiver):
-            return
-        self.received[receiver] += 1
-        self.bytes_received[receiver] += len(data)
-        self._by_vm[receiver].receive(sender, decode_message(data))
-
     def coordinators(self, service: str = SERVICE) -> list[CrashDaemon]:
         """Return the daemons that collect reports, as the first one sees them."""
         return [
-            self._by_vm[vm] for vm in self.daemons[0].coordinator._coordinators(service)
+            self.daemon(vm) for vm in self.daemons[0].coordinator._coordinators(service)
         ]
 
     def drain(self, name: str) -> None:
@@ -284,7 +251,7 @@
     def kill(self, *daemons: CrashDaemon) -> None:
         """Kill daemons; the others learn it at once."""
         self.dead |= {daemon.vm for daemon in daemons}
-        self._report(daemons, PeerState.DEAD)
+        self.report(daemons, PeerState.DEAD)
 
     async def restart(self, *daemons: CrashDaemon) -> None:
         """Start killed daemons again without any state."""
@@ -292,28 +259,13 @@
             await daemon.tasks.close()
             self.dead.discard(daemon.vm)
             daemon.start()
-        self._report(daemons, PeerState.ALIVE)
-
-    def _report(self, daemons: tuple[CrashDaemon, ...], state: PeerState) -> None:
-        now = loop_time()
-        for other in self.daemons:
-            for daemon in daemons:
-                if other.vm == daemon.vm or other.vm in self.dead:
-                    continue
-                known = other.view.get(daemon.vm)
-                report = Report(daemon.vm, known.incarnation or "i", 1, state)
-                if state == PeerState.ALIVE:
-                    incarnation = daemon.view.own.incarnation
-                    report = Report(daemon.vm, incarnation, 0, state)
-                other.view.merge_report(report, now)
+        self.report(daemons, PeerState.ALIVE)
 
     def request(
         self, parts: tuple[str, ...], outcomes: Outcomes, service: str = SERVICE
     ) -> asyncio.Task:
         """Send a request, like no other, at a random daemon."""
-        daemon = self.rng.choice(
-            [item for item in self.daemons if item.vm not in self.dead]
-        )
+        daemon = self.rng.choice(self.living)
         sent = request(
             f"q{next(self._ids)}", STREAM, shared_parts=parts, service=service
         )
@@ -347,6 +299,5 @@
         """Return the keys that each living daemon blocks."""
         return [
             {entry.key for entry in daemon.blocklist.entries if entry.blocked}
-            for daemon in self.daemons
-            if daemon.vm not in self.dead
+            for daemon in self.living
         ]
--- a/tests/peers/test_pool_datagrams.py
+++ b/tests/peers/test_pool_datagrams.py
@@ -39,6 +39,11 @@
 )
 from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.routes.requests import RefusalReason
+from marjoramstile.streams.messages import (
+    StreamBegun,
+    VersionAnswer,
+    VersionQuery,
+)
 from tests.pools.support import request
 from tests.support import captured_logs
 
@@ -67,6 +72,10 @@
     BeginAnswer("q", "vm-1", (BeginCount("part/a", 3, 0.2), BeginCount("", 9, 0.1))),
     BlockUpdate((ENTRY, ENTRY), "digest"),
     BlockUpdate(()),
+    StreamBegun("llm", "0a1b2c3d4e5f", "v1.1"),
+    VersionQuery("q", "llm", "0a1b2c3d4e5f"),
+    VersionAnswer("q", "vm-1", "v1", ("v1", "v1.1")),
+    VersionAnswer("q", "vm-1", None, ()),
 ]
 
 
@@ -86,7 +95,7 @@
         def handle_answer(self, answer, send_reply=None):
             received.append(answer)
 
-    roles = [Role() for _ in range(5)]
+    roles = [Role() for _ in range(6)]
     PoolProtocol(*roles).datagram_received(data, ("10.0.0.1", 1))
     return received
 
@@ -105,6 +114,7 @@
                 "limit",
                 "crash",
                 "blocked",
+                "stream",
             ]
         )
         | st.none()
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -32,6 +32,11 @@
     RoutedRequest,
 )
 from marjoramstile.routes.table import EngineTraits, Route, RouteKind, ServiceShare
+from marjoramstile.streams.continuation import StreamVersions
+from marjoramstile.streams.keeper import StreamKeeper
+from marjoramstile.streams.registry import StreamRegistry
+from marjoramstile.streams.storage import StreamStore
+from marjoramstile.streams.versions import VersionHistory
 from marjoramstile.utils import BackgroundTasks, loop_time
 from standins.replica_pool import FakePool, ReplicaModel
 from tests.support import MemoryStore
@@ -104,9 +109,33 @@
             self.budget,
             failures,
             self.crashes,
+            self._build_streams(),
             self.tasks,
         )
 
+    def _build_streams(self) -> StreamVersions:
+        registry = StreamRegistry()
+        self.versions = VersionHistory(self.directory)
+        stream_store = StreamStore(self.store, self.store, registry, self.versions)
+        self.streams = StreamKeeper(
+            self.view,
+            SchedulerSelector(self.view),
+            None,
+            registry,
+            self.versions,
+            stream_store,
+            lambda: 0.0,
+            lambda: 14.0,
+        )
+        self.directory.on_ended(self._handle_ended_replica)
+        self.tasks.start(self.streams.load(), "load streams")
+        return StreamVersions(self.streams, self.directory, self.pool)
+
+    def _handle_ended_replica(self, replica, following) -> None:
+        self.versions.record_gone(replica, loop_time())
+        if following is not None:
+            self.streams.handle_restart(replica, following)
+
     def _build_crashes(self) -> None:
         self.store = MemoryStore()
         self.blocklist = Blocklist()
--- a/tests/support.py
+++ b/tests/support.py
@@ -131,6 +131,8 @@
         for item in writes:
             value = json.dumps(item.value).encode()
             self.rows[item.key] = StoredRow(item.key, self.version, value)
+            if item.value is None:
+                del self.rows[item.key]
         if self.lose_answers:
             return Err(StoreError("lost"))
         return Ok(Committed(self.version))
