--- a/marjoramstile/pools/decisions.py
+++ b/marjoramstile/pools/decisions.py
@@ -72,7 +72,8 @@
 
     ``suspect`` replicas have failed recently and are chosen last. ``prefilling`` ones
     prefill a prompt themselves, which slows down their decoding. ``in_backoff`` ones
-    have recently refused a reservation or not answered.
+    have recently refused a reservation or not answered. ``version`` is that of the
+    replica's software.
     """
 
     replica_id: str
@@ -85,6 +86,7 @@
     suspect: bool = False
     prefilling: bool = False
     in_backoff: bool = False
+    version: str = ""
 
     def fits(self, generation: Generation) -> bool:
         """Return whether a generation fits until its end; any fits an idle replica."""
@@ -119,6 +121,7 @@
     data_centre: str
     busy_s: float
     suspect: bool = False
+    version: str = ""
 
 
 @dataclass(frozen=True)
@@ -249,13 +252,15 @@
     """Return the best prefill replica.
 
     Idle ones come first, then those in the data centre of the decode replica, then
-    those that are free soonest; replicas to avoid and suspect ones come last.
+    those that are free soonest; replicas to avoid, suspect ones and those of another
+    software version than the decode replica come last.
     """
     return min(
         ready,
         key=lambda replica: (
             replica.replica_id in request.avoid,
             replica.suspect,
+            replica.version != decode.version,
             replica.busy_s > 0.0,
             replica.data_centre != decode.data_centre,
             replica.busy_s,
--- a/marjoramstile/pools/pool_state.py
+++ b/marjoramstile/pools/pool_state.py
@@ -115,6 +115,7 @@
             suspect=self._balancer.is_suspect(replica, now),
             prefilling=prefilling,
             in_backoff=self._backoff.in_backoff(replica.id, now),
+            version=replica.version,
         )
 
     def _prefill_snapshots(self, now: float) -> tuple[PrefillSnapshot, ...]:
@@ -124,6 +125,7 @@
                 replica.data_centre,
                 max(0.0, self._prefill_free_at.get(replica.id, 0.0) - now),
                 self._balancer.is_suspect(replica, now),
+                replica.version,
             )
             for replica in self._permitted(Stage.PREFILL)
         )
--- a/tests/pools/test_decisions.py
+++ b/tests/pools/test_decisions.py
@@ -51,6 +51,20 @@
 IDLE = (PrefillSnapshot("e0", "a", 0.0),)
 
 
+@pytest.mark.parametrize(("version", "prefill"), [("v1", "e0"), ("v2", "e1")])
+def test_a_prompt_is_prefilled_at_the_version_that_decodes_if_possible(
+    version, prefill
+):
+    ready = (
+        PrefillSnapshot("e0", "a", 0.0, version="v1"),
+        PrefillSnapshot("e1", "b", 0.1, version="v2"),
+    )
+    pool = PoolSnapshot((decode_replica("d0", version=version),), ready)
+    assert choose(pool, requirements()).prefill == prefill
+    alone = PoolSnapshot((decode_replica("d0", version="v3"),), ready)
+    assert choose(alone, requirements()).prefill == "e0"
+
+
 @given(GENERATIONS)
 def test_peak_tokens_is_the_largest_memory_at_any_step(generations):
     """All generations add a token a step; each frees its memory at its end."""
