--- a/standins/published/replica.py
+++ b/standins/published/replica.py
@@ -182,7 +182,10 @@
             self._fake.replica, routed, left_s, options
         ) as answer:
             response = web.StreamResponse(headers=self._stamp(routed))
-            response.enable_chunked_encoding()
+            if self._fake.faults.unframed:
+                response.force_close()
+            else:
+                response.enable_chunked_encoding()
             await response.prepare(request)
             async for chunk in answer.chunks:
                 await response.write(chunk)
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -56,7 +56,8 @@
     and asks each caller to wait until ``pause_s`` after that caller's first one. One
     with ``limit_per_s`` names that limit in its answers and does not enforce it. A
     request whose prompt shares the part ``deadly_part`` crashes the replica when it
-    begins to write the answer.
+    begins to write the answer. Streams of an ``unframed`` replica have neither length
+    nor chunks: one that breaks off ends within an event, and not with an error.
     """
 
     refuse: bool = False
@@ -72,6 +73,7 @@
     limit_per_s: float = 0.0
     deadly_body: bytes | None = None
     deadly_part: str | None = None
+    unframed: bool = False
 
 
 @dataclass(eq=False)
@@ -311,6 +313,8 @@
             if fake.faults.refuse or number - first == fake.faults.break_after_events:
                 fake.faults.break_after_events = None
                 yield b"id: %d\nda" % number
+                if fake.faults.unframed and not fake.faults.refuse:
+                    return
                 raise AnswerLostError("reset")
             fake.running[key] += fake.model.stride
             if fake.replica.version not in self.versions[request.id]:
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -73,6 +73,22 @@
         await call(client, script)
 
 
+async def test_stream_without_length_or_chunks_arrives_as_it_is_sent(client):
+    events = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"]
+
+    async def script(head, writer):
+        writer.write(UNFRAMED_HEAD)
+        for event in events:
+            writer.write(event)
+            await asyncio.sleep(0.02)
+
+    async with (
+        raw_replica(script) as target,
+        client.stream(target, request(), 1.0, SendOptions()) as answer,
+    ):
+        assert [chunk async for chunk in answer.chunks] == events
+
+
 async def test_truncated_response_is_an_error(client):
     async def script(head, writer):
         writer.write(
--- a/tests/routes/test_generations.py
+++ b/tests/routes/test_generations.py
@@ -113,6 +113,22 @@
     assert core.pool.runs["q"] == runs
 
 
+async def test_a_stream_without_framing_that_ends_within_an_event_is_not_whole():
+    core = core_with(decode=2)
+    faults = core.pool.replicas["d0"].faults
+    faults.unframed, faults.break_after_events = True, 5
+    core.pool.replicas["d1"].faults.full = True
+    caller = Caller()
+    with pytest.raises(StreamBrokenError):
+        await core.generate(request("q", ONCE), caller)
+    assert not caller.complete
+    faults.break_after_events = 5
+    running = asyncio.create_task(core.generate(request("q2", STREAM)))
+    await asyncio.sleep(0.1)
+    core.pool.replicas["d1"].faults.full = False
+    assert received_all(await running)
+
+
 async def test_a_stream_that_is_not_resumable_breaks_off_and_runs_once():
     core = core_with(decode=1)
     core.pool.replicas["d0"].faults.break_after_events = 5
