--- a/tests/specifications/test_specifications.py
+++ b/tests/specifications/test_specifications.py
@@ -3,7 +3,7 @@
 import pytest
 from minicheck import check_safety
 
-from specifications import changes, claims, orders
+from specifications import changes, claims, orders, streams
 
 MAX_STATES = 3_000_000
 
@@ -65,3 +65,23 @@
 )
 def test_a_seeded_bug_in_orders_is_found(variant, violated):
     assert verdicts(orders.order_protocol(variant))[violated] is False
+
+
+def test_the_protocol_of_continued_streams_keeps_its_invariants():
+    holds = verdicts(streams.stream_protocol())
+    assert len(holds) == 2
+    assert set(holds.values()) == {True}
+
+
+@pytest.mark.parametrize(
+    "variant",
+    [
+        streams.Variant(version_from_list=True),
+        streams.Variant(guess_the_one_left=True),
+        streams.Variant(overwrite_reused_id=True),
+        streams.Variant(forget_gone_versions=True),
+    ],
+)
+def test_a_seeded_bug_in_continued_streams_is_found(variant):
+    holds = verdicts(streams.stream_protocol(variant))
+    assert holds["streams_are_not_joined"] is False
