Soak: software versions, take-ups by callers, kills of all daemons; parts that crash replicas

Callers take up streams that broke off; a stream that holds events of two versions is broken. A replica comes back under its id with another version.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,9 @@
 CALL_TIMEOUT_S = 6.0
 ADDRESS_TTL_S = 1.5
 KINDS = ("stream", "book", "look", "completion")
+# Attempts to take up a stream that broke off, and the pause before each.
+TAKE_UPS_MAX = 2
+TAKE_UP_PAUSE_S = 0.3
 # Share of the streams whose prompt has the part that crashes replicas at times.
 DEADLY_SHARE = 0.15
 DEADLY_PART = "dead01"
@@ -37,7 +40,8 @@
 class Outcome:
     """Result of one request; the status may be UNSENT or CUT.
 
-    ``good`` is false if the status is 200 and the answer is wrong or incomplete.
+    ``good`` is false if the status is 200 and the answer is wrong or incomplete, or if
+    a stream holds events of several versions, also over attempts that took it up.
     """
 
     id: str
@@ -123,11 +127,10 @@
         """Send one request and check its answer."""
         if kind == "completion":
             return await self._complete(session, front)
+        if kind == "stream":
+            return await self._stream(session, front)
         headers = self._headers()
         request_id = headers["X-Request-Id"]
-        if kind == "stream":
-            headers["X-Token-Count"] = f"800,{11 * EVENTS}"
-            headers["X-Prefix-Hash"] = self._parts()
         method = "POST" if kind != "look" else "GET"
         status, body = CUT, b""
         try:
@@ -140,10 +143,33 @@
             status = UNSENT
         except (ClientError, OSError, TimeoutError):
             status = CUT
-        good = status != 200 or self._is_whole(kind, request_id, body)
+        good = status != 200 or body == request_id.encode()
         ended = asyncio.get_running_loop().time()
         return Outcome(request_id, kind, front, status, good, ended)
 
+    async def _stream(self, session: ClientSession, front: str) -> Outcome:
+        """Request a stream; take it up elsewhere if it breaks off."""
+        headers = self._headers()
+        headers["X-Token-Count"] = f"800,{11 * EVENTS}"
+        headers["X-Prefix-Hash"] = self._parts()
+        request_id = headers["X-Request-Id"]
+        target = f"/first/stream/{request_id}"
+        received = ReceivedStream()
+        status = await received.read(session, f"http://{front}{target}", headers)
+        for _ in range(TAKE_UPS_MAX):
+            front = await self._front() or front
+            if status == 200 or received.last == 0:
+                break
+            await asyncio.sleep(TAKE_UP_PAUSE_S)
+            resumed = {"Resumes": request_id, "Last-Event-Id": str(received.last)}
+            headers = {**headers, **self._headers(), **resumed}
+            url = f"http://{front}{target}"
+            status = await received.read(session, url, headers)
+        whole = status != 200 or received.last == EVENTS
+        good = whole and received.in_order and len(received.versions) <= 1
+        ended = asyncio.get_running_loop().time()
+        return Outcome(request_id, "stream", front, status, good, ended)
+
     def _parts(self) -> str:
         deadly = self.rng.random() < DEADLY_SHARE
         second = DEADLY_PART if deadly else f"{self._number:x}"
@@ -170,13 +196,39 @@
         ended = asyncio.get_running_loop().time()
         return Outcome(request_id, "completion", front, status, good, ended)
 
-    @staticmethod
-    def _is_whole(kind: str, request_id: str, body: bytes) -> bool:
-        if kind != "stream":
-            return body == request_id.encode()
-        events = [event for event in body.decode().split("\n\n") if event]
-        wanted = [f"id: {n}\ndata: {request_id}" for n in range(1, EVENTS + 1)]
-        return events == wanted
+
+@dataclass
+class ReceivedStream:
+    """The events that a caller has of one stream, over all of its attempts."""
+
+    last: int = 0
+    in_order: bool = True
+    versions: set[str] = field(default_factory=set)
+
+    async def read(
+        self, session: ClientSession, url: str, headers: dict[str, str]
+    ) -> int:
+        """Read the events of one attempt; return its status."""
+        status, data = CUT, b""
+        try:
+            async with session.post(url, headers=headers) as response:
+                async for chunk in response.content.iter_any():
+                    data += chunk if response.status == 200 else b""
+                status = response.status
+        except ClientConnectorError:
+            status = UNSENT
+        except (ClientError, OSError, TimeoutError):
+            status = CUT
+        for event in data.decode().split("\n\n")[:-1]:
+            self._add(event, headers["X-Request-Id"])
+        return status
+
+    def _add(self, event: str, request_id: str) -> None:
+        fields = dict(line.split(": ", 1) for line in event.splitlines())
+        follows = int(fields["id"]) == self.last + 1
+        self.in_order &= follows and fields["data"] == request_id
+        self.last = int(fields["id"])
+        self.versions.add(fields["version"])
 
 
 def _is_whole_completion(request_id: str, data: bytes) -> bool:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -39,6 +39,7 @@
     version: int = 1
     crashes: int = 0
     in_use: set[str] = field(default_factory=set)
+    versions: dict[str, str] = field(default_factory=dict)
 
     def duration_s(self) -> float:
         """Return how long a fault lasts."""
@@ -137,7 +138,10 @@
 
     async def restart() -> None:
         await asyncio.sleep(context.duration_s())
-        context.fleet.launch_replica(kind, number, service or PLAIN_SERVICE, stage)
+        version = context.versions.get(f"{kind}-{number}", "v1")
+        context.fleet.launch_replica(
+            kind, number, service or PLAIN_SERVICE, stage, version
+        )
 
     await _with_process(
         context,
@@ -213,18 +217,68 @@
 
 async def _poison(context: FaultContext, name: str, until: float) -> None:
     """Let a part crash one replica until a loop time."""
-    await context.fleet.fail_replica(name, deadly_part=DEADLY_PART)
+    await _set_faults(context, name, deadly_part=DEADLY_PART)
     while asyncio.get_running_loop().time() < until:
         await asyncio.sleep(0.05)
-        if context.fleet.get(name).process.poll() is not None:
-            context.crashes += 1
-            await asyncio.sleep(DOWN_S)
-            number = int(name.rpartition("-")[2])
-            context.fleet.launch_replica(
-                "decode", number, STREAM_SERVICE, "decode", deadly_part=DEADLY_PART
-            )
+        await _restart_crashed(context, name, deadly_part=DEADLY_PART)
+    while not await _set_faults(context, name):
+        await asyncio.sleep(0.05)
+        await _restart_crashed(context, name)
+
+
+async def _set_faults(context: FaultContext, name: str, **faults: str) -> bool:
+    """Replace a replica's faults; return whether it is there to have any."""
     with contextlib.suppress(ClientError, OSError):
-        await context.fleet.fail_replica(name)
+        await context.fleet.fail_replica(name, **faults)
+        return True
+    return False
+
+
+async def _restart_crashed(context: FaultContext, name: str, **faults: str) -> None:
+    """Start a decode replica again if a request has crashed it."""
+    if context.fleet.get(name).process.poll() is None:
+        return
+    context.crashes += 1
+    await asyncio.sleep(DOWN_S)
+    version = context.versions.get(name, "v1")
+    number = int(name.rpartition("-")[2])
+    context.fleet.launch_replica(
+        "decode", number, STREAM_SERVICE, "decode", version, **faults
+    )
+
+
+@fault()
+async def release_version(context: FaultContext) -> None:
+    """Replace a decode replica by one of the other version, under the same id."""
+    number = context.rng.randint(1, DECODE)
+    name = f"decode-{number}"
+    version = "v2" if context.versions.get(name, "v1") == "v1" else "v1"
+
+    async def restart() -> None:
+        await asyncio.sleep(DOWN_S)
+        context.versions[name] = version
+        context.fleet.launch_replica(
+            "decode", number, STREAM_SERVICE, "decode", version
+        )
+
+    await _with_process(
+        context, name, lambda p: _signal_and_wait(p, signal.SIGKILL), restart
+    )
+
+
+@fault()
+async def kill_all_daemons(context: FaultContext) -> None:
+    """Kill all daemons at once, and start them again."""
+    names = [f"router-{number}" for number in range(1, context.daemons + 1)]
+    if context.in_use.intersection(names):
+        return
+    context.in_use.update(names)
+    for name in names:
+        await _signal_and_wait(context.fleet.get(name).process, signal.SIGKILL)
+    await asyncio.sleep(context.duration_s() / 2)
+    for number in range(1, context.daemons + 1):
+        context.fleet.launch_router(number)
+    context.in_use.difference_update(names)
 
 
 @fault()
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -319,4 +319,9 @@
             fake.running[key] += fake.model.stride
             if fake.replica.version not in self.versions[request.id]:
                 self.versions[request.id].append(fake.replica.version)
-            yield b"id: %d\ndata: %s\n\n" % (number, request.id.encode())
+            version = fake.replica.version.encode()
+            yield b"id: %d\nversion: %s\ndata: %s\n\n" % (
+                number,
+                version,
+                request.id.encode(),
+            )
