--- a/tests/routes/test_limited_replicas.py
+++ b/tests/routes/test_limited_replicas.py
@@ -165,3 +165,20 @@
     await run_load(lambda name: generate(core, name), 4, 6)
     for name in ("e0", "e1"):
         assert len(core.pool.arrived_at[name]) <= 1.1 * LIMIT_PER_S * 6 + 1
+
+
+@pytest.mark.parametrize("decode", [1, 2, 3])
+async def test_late_requests_leave_permits_of_limited_replicas_unused(decode):
+    """All decode replicas name a limit, and callers repeat what was refused."""
+    core = RoutingCore()
+    core.add_engines(2, decode)
+    names = [f"d{number}" for number in range(decode)]
+    name_limit(core, *names)
+
+    async def repeat(name: str) -> Caller:
+        return await core.generate(request(name, STREAM, target="/p/x"))
+
+    results = await run_load(repeat, per_s=10, seconds=15)
+    for name in names:
+        check_pace(core, name, 15)
+    assert sum(isinstance(result, Caller) for result in results) >= 15 * decode
