--- a/marjoramstile/limits/coordinator.py
+++ b/marjoramstile/limits/coordinator.py
@@ -178,6 +178,10 @@
         limit.share.record_use(limit.limit_per_s, self._daemon_count() or 1, now)
         self._tell_coordinators(replica, PermitUse(replica, limit.limit_per_s))
 
+    def is_limited(self, replica: Replica) -> bool:
+        """Return whether a replica is known to name a limit."""
+        return self._table.get(incarnation(replica)) is not None
+
     def wait_s(self, replica: Replica) -> float:
         """Return the time until this daemon may send a request to a replica."""
         limit = self._table.get(incarnation(replica))
--- a/marjoramstile/pools/decisions.py
+++ b/marjoramstile/pools/decisions.py
@@ -11,6 +11,7 @@
 from marjoramstile.pools.messages import PlacementRequest, Urgency
 
 # Fraction of the decode replicas on which late requests leave capacity for others.
+# Those that name a limit don't count, as permits run out there before memory.
 LATE_RESERVE_FRACTION = 0.1
 # A prompt is sent to a prefill replica only if that can start it within this time.
 PREFILL_LOOKAHEAD_S = 0.12
@@ -73,7 +74,7 @@
     ``suspect`` replicas have failed recently and are chosen last. ``prefilling`` ones
     prefill a prompt themselves, which slows down their decoding. ``in_backoff`` ones
     have recently refused a reservation or not answered. ``version`` is that of the
-    replica's software.
+    replica's software; ``limited`` ones name a limit on requests.
     """
 
     replica_id: str
@@ -87,6 +88,7 @@
     prefilling: bool = False
     in_backoff: bool = False
     version: str = ""
+    limited: bool = False
 
     def fits(self, generation: Generation) -> bool:
         """Return whether a generation fits until its end; any fits an idle replica."""
@@ -201,7 +203,8 @@
 
 def late_reserve(pool: PoolSnapshot) -> int:
     """Return on how many replicas late requests leave capacity for a typical one."""
-    return math.ceil(LATE_RESERVE_FRACTION * len(pool.decode))
+    unlimited = sum(not replica.limited for replica in pool.decode)
+    return math.ceil(LATE_RESERVE_FRACTION * unlimited)
 
 
 def _leaves_reserve(pool: PoolSnapshot, requirements: Requirements) -> bool:
--- a/marjoramstile/pools/permits.py
+++ b/marjoramstile/pools/permits.py
@@ -8,6 +8,9 @@
 class ReplicaPermits(Protocol):
     """Tells whether requests may be sent to replicas, and counts those that are."""
 
+    def is_limited(self, replica: Replica) -> bool:
+        """Return whether a replica names a limit."""
+
     def wait_s(self, replica: Replica) -> float:
         """Return the time until a request may be sent to a replica; 0 if now."""
 
@@ -21,6 +24,10 @@
 class UnlimitedPermits:
     """Permits of replicas that name no limit."""
 
+    def is_limited(self, replica: Replica) -> bool:
+        """Return false."""
+        return False
+
     def wait_s(self, replica: Replica) -> float:
         """Return 0."""
         return 0.0
--- a/marjoramstile/pools/pool_state.py
+++ b/marjoramstile/pools/pool_state.py
@@ -116,6 +116,7 @@
             prefilling=prefilling,
             in_backoff=self._backoff.in_backoff(replica.id, now),
             version=replica.version,
+            limited=self._permits.is_limited(replica),
         )
 
     def _prefill_snapshots(self, now: float) -> tuple[PrefillSnapshot, ...]:
