--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -241,6 +241,7 @@
             self.schedulers.scheduler,
             self._ports.orders,
             self._ports.stages,
+            self.limits.is_limited,
             settings.bounds.lease_s,
         )
         calls = PlainCallRunner(
--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -74,14 +74,17 @@
         scheduler: Callable[[str, int], PoolScheduler],
         store: OrderStore,
         client: StageClient,
+        is_limited: Callable[[Replica], bool],
         lease_s: float,
     ):
+        """``is_limited`` tells whether a replica names a limit on requests."""
         self._view = view
         self._directory = directory
         self._selector = selector
         self._scheduler = scheduler
         self._store = store
         self._client = client
+        self._is_limited = is_limited
         self._lease_s = lease_s
         self._wanted_since: dict[str, tuple[tuple[bool, int], float]] = {}
         self._paused_until: dict[str, float] = {}
@@ -132,8 +135,15 @@
         return prefill - 1 if prefill and not decode else prefill
 
     def _movable(self, service: str, replicas: list[Replica]) -> list[Replica]:
-        """Return those usable and not moving, the fewest leased tokens first."""
-        free = [item for item in replicas if self._directory.standing(item) in USABLE]
+        """Return those usable and not moving, the fewest leased tokens first.
+
+        One that names a limit stays: its permits would be lost to its stage.
+        """
+        free = [
+            item
+            for item in replicas
+            if self._directory.standing(item) in USABLE and not self._is_limited(item)
+        ]
         leases = self._scheduler(service, 0).leases
         return sorted(
             free,
--- a/tests/routes/test_orders.py
+++ b/tests/routes/test_orders.py
@@ -108,8 +108,12 @@
     store: FakeStore,
     stages: FakeStages,
     profile: GenerationProfile | None = PROFILE,
+    limited: frozenset[str] = frozenset(),
 ) -> StageRebalancer:
-    """Return the rebalancer of one daemon that knows the profile of the pool."""
+    """Return the rebalancer of one daemon that knows the profile of the pool.
+
+    ``limited`` are the ids of replicas that name a limit on requests.
+    """
     own = ListedVM(vm, "10.0.0.1", "a", "r", ListedState.LIVE)
     view = View(own, f"i-{vm}")
     shards = PoolShards(stages.directory)
@@ -124,6 +128,7 @@
         host.scheduler,
         store,
         stages,
+        lambda replica: replica.id in limited,
         lease_s=3.0,
     )
 
@@ -151,6 +156,16 @@
     assert len({replica for _, replica, _ in stages.orders}) == 2
 
 
+@pytest.mark.parametrize(("prefill", "decode"), [(4, 5), (8, 1), (1, 8)])
+async def test_a_replica_that_names_a_limit_is_moved_to_another_stage(prefill, decode):
+    """Its permits would be lost to its stage, and it has asked for less work."""
+    stages = FakeStages(replicas(prefill, decode))
+    names = {replica.id for replica in stages.directory.all}
+    limited = frozenset(names - {"r0"})
+    await run([rebalancer("a", FakeStore(), stages, limited=limited)], 30)
+    assert {replica for _, replica, _ in stages.orders} <= {"r0"}
+
+
 async def test_two_daemons_that_both_rank_first_never_share_a_token_or_alternate():
     stages = FakeStages(replicas(6, 3), silent=True)
     others = FakeStages(replicas(6, 3), stages.orders, silent=True)
