--- a/tests/fronts/test_listening.py
+++ b/tests/fronts/test_listening.py
@@ -1,15 +1,16 @@
 """Request heads that arrive in several chunks, slowly, or never completely."""
 
 import asyncio
+import contextlib
 
 import pytest_asyncio
 from aiohttp import web
 
 from marjoramstile.fronts import listening
 from marjoramstile.fronts.listening import CallerServer
-from marjoramstile.loops import listening_socket
-from tests.platform.support import HOST
 
+HOST = "127.0.0.1"
+PORT = 8144
 TIMEOUT_S = 0.3
 HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
 OK_LINE = b"HTTP/1.1 200"
@@ -26,11 +27,9 @@
         return web.Response(text="done")
 
     server = CallerServer(handle, handler_cancellation=True)
-    listener = listening_socket(HOST, 0)
     loop = asyncio.get_running_loop()
-    listening_server = await loop.create_server(server, sock=listener)
-    port = listener.getsockname()[1]
-    yield lambda: asyncio.open_connection(HOST, port)
+    listening_server = await loop.create_server(server, HOST, PORT)
+    yield lambda: asyncio.open_connection(HOST, PORT)
     listening_server.close()
     await server.shutdown(0.1)
 
@@ -47,13 +46,20 @@
     return await asyncio.wait_for(reader.readuntil(b"done"), 2.0)
 
 
+async def read_to_end(reader) -> bytes:
+    """Return what arrives before the connection is closed or reset."""
+    with contextlib.suppress(ConnectionError):
+        return await asyncio.wait_for(reader.read(), 2.0)
+    return b""
+
+
 async def test_incomplete_head_closes_the_connection(connect):
     reader, writer = await connect()
     loop = asyncio.get_running_loop()
     started = loop.time()
     lines = b"GET /x HTTP/1.1\r\n" + b"A: b\r\n" * 99
     sending = asyncio.create_task(send_slowly(writer, lines, 0.01))
-    assert await asyncio.wait_for(reader.read(), 2.0) == b""
+    assert await read_to_end(reader) == b""
     assert loop.time() - started >= TIMEOUT_S
     sending.cancel()
     writer.close()
