--- a/marjoramstile/limits/coordinator.py
+++ b/marjoramstile/limits/coordinator.py
@@ -68,6 +68,8 @@
         self._rng = rng
         self._table = LimitTable(rng)
         self._generation = -1
+        self._told_generation = -1
+        self._told: dict[str, str] = {}
         self._reaches_majority = False
 
     def limit_per_s(self, replica: Replica) -> float | None:
@@ -115,6 +117,26 @@
                 if peer.presumed_alive:
                     self._sender.send(peer, LimitReport(replica, limit_per_s))
 
+    def tell_newcomers(self) -> None:
+        """Tell daemons that were not known before of limits; called periodically."""
+        if self._told_generation == self._view.generation:
+            return
+        self._told_generation = self._view.generation
+        newcomers = [
+            peer
+            for peer in self._view.others
+            if peer.presumed_alive
+            and peer.incarnation
+            and self._told.get(peer.vm.name) != peer.incarnation
+        ]
+        self._told |= {peer.vm.name: peer.incarnation for peer in newcomers}
+        for limit in self._table.in_force:
+            if self.coordinators(limit.replica)[:1] == (self._own_vm,):
+                for peer in newcomers:
+                    self._sender.send(
+                        peer, LimitReport(limit.replica, limit.limit_per_s)
+                    )
+
     def _tell_coordinators(
         self, replica: LimitedReplica, message: LimitMessage
     ) -> None:
--- a/marjoramstile/limits/table.py
+++ b/marjoramstile/limits/table.py
@@ -19,10 +19,12 @@
 class ReplicaLimit:
     """A replica's limit in requests a second; None once it has ended.
 
-    ``began_at`` is the loop time at which this daemon learned of it.
+    ``replica`` is whose it is, ``began_at`` the loop time at which this daemon learned
+    of it.
     ``bucket`` paces the requests of all daemons, ``share`` those of this one alone.
     """
 
+    replica: LimitedReplica
     limit_per_s: float | None
     began_at: float
     bucket: TokenBucket
@@ -41,6 +43,12 @@
         limit = self._limits.get(key)
         return None if limit is None or limit.limit_per_s is None else limit
 
+    @property
+    def in_force(self) -> list[ReplicaLimit]:
+        """All limits in force."""
+        limits = self._limits.values()
+        return [limit for limit in limits if limit.limit_per_s is not None]
+
     def adopt(self, replica: LimitedReplica, limit_per_s: float, now: float) -> None:
         """Take over what another daemon knows, unless something is known here."""
         if replica.incarnation not in self._limits:
@@ -58,8 +66,9 @@
         key = replica.incarnation
         known = self.get(key)
         if known is None:
+            bucket = TokenBucket(limit_per_s, now)
             self._limits[key] = ReplicaLimit(
-                limit_per_s, now, TokenBucket(limit_per_s, now), FairShare(self._rng)
+                replica, limit_per_s, now, bucket, FairShare(self._rng)
             )
         elif known.limit_per_s != limit_per_s:
             known.limit_per_s = limit_per_s
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -471,6 +471,7 @@
         self.directory.expire(loop_time())
         self.balancer.forget_missing(self.directory.all)
         self.limits.forget_missing(self.directory.all)
+        self.limits.tell_newcomers()
 
     async def leave(self) -> None:
         """Announce to all daemons that this one accepts no new callers."""
--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -113,12 +113,13 @@
         change = wanted - len(prefill)
         if self._wanted_for_s(service, change, len(stages), now) < imbalance_min_s:
             return
-        logger.info(
-            "split_wanted", service=service, prefill=len(prefill), wanted=wanted
-        )
         self._paused_until[service] = now + RETRY_S
         stage = Stage.DECODE if change < 0 else Stage.PREFILL
         candidates = self._movable(service, prefill if change < 0 else decode)
+        if candidates:
+            logger.info(
+                "split_wanted", service=service, prefill=len(prefill), wanted=wanted
+            )
         for replica in candidates[: abs(change)]:
             await self._move(service, engine, replica, stage)
 
--- a/tests/limits/test_shared_limits.py
+++ b/tests/limits/test_shared_limits.py
@@ -228,3 +228,22 @@
     began = loop_time()
     await fleet.daemons[0].client.acquire(fleet.models[0].replica, "q")
     assert loop_time() - began <= 0.01
+
+
+async def test_a_daemon_that_starts_after_the_naming_does_not_know_of_the_limit():
+    fleet = LimitFleet(7, 2.0)
+    model = fleet.models[0]
+    await fleet.load(20, 2.0)
+    first = fleet.coordinator()
+    started = next(item for item in fleet.daemons if item is not first)
+    started.start()
+    assert started.coordinator.limit_per_s(model.replica) is None
+    report = Report(started.vm, started.view.own.incarnation, 0, PeerState.ALIVE)
+    first.view.merge_report(report, loop_time())
+    first.coordinator.tell_newcomers()
+    await asyncio.sleep(0.1)
+    assert started.coordinator.limit_per_s(model.replica) == 2.0
+    received = fleet.received[started.vm]
+    first.coordinator.tell_newcomers()
+    await asyncio.sleep(0.1)
+    assert fleet.received[started.vm] == received
