--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -76,7 +76,11 @@
                 raise ended
 
     async def _check_recovery(self, context: FaultContext, callers: Callers) -> None:
-        """Check that after the faults all daemons serve and nothing is held."""
+        """Check that after the faults all daemons serve and nothing is held.
+
+        A part that has crashed replicas stays refused for a while.
+        """
+        callers.deadly_share = 0.0
         try:
             async with asyncio.timeout(SETTLE_S):
                 for number in range(1, self._daemons + 1):
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,7 +24,7 @@
 TAKE_UPS_MAX = 2
 TAKE_UP_PAUSE_S = 0.3
 # Share of the streams whose prompt has the part that crashes replicas at times.
-DEADLY_SHARE = 0.15
+DEADLY_SHARE = 0.5
 DEADLY_PART = "dead01"
 SHARED_PART = "f1f1"
 # Share of the calls whose caller disconnects in the middle of a long stream.
@@ -59,6 +59,7 @@
     fleet: PublishedFleet
     daemons: int
     rng: random.Random
+    deadly_share: float = DEADLY_SHARE
     outcomes: list[Outcome] = field(default_factory=list)
     _addresses: list[str] = field(default_factory=list)
     _resolved_at: float = float("-inf")
@@ -171,7 +172,7 @@
         return Outcome(request_id, "stream", front, status, good, ended)
 
     def _parts(self) -> str:
-        deadly = self.rng.random() < DEADLY_SHARE
+        deadly = self.rng.random() < self.deadly_share
         second = DEADLY_PART if deadly else f"{self._number:x}"
         return f"{SHARED_PART}:200,{second}:200,{self._number:x}ff:400"
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,8 +24,10 @@
 DECODE = 2
 PLAIN = 2
 LONGEST_S = 2.5
-# Time for which a replica that a request has crashed is gone.
-DOWN_S = 1.0
+# Time for which a replica that a request has crashed is gone, and for which a part
+# crashes replicas: without a defence it takes most of them.
+DOWN_S = 0.5
+POISON_S = 10.0
 
 
 @dataclass
@@ -208,7 +210,7 @@
     if context.in_use.intersection(names):
         return
     context.in_use.update(names)
-    until = asyncio.get_running_loop().time() + 2 * context.duration_s()
+    until = asyncio.get_running_loop().time() + POISON_S
     try:
         await asyncio.gather(*(_poison(context, name, until) for name in names))
     finally:
