--- a/demo/published_fleet.py
+++ b/demo/published_fleet.py
@@ -236,6 +236,10 @@
         """Replace the store's faults; without arguments all faults are cleared."""
         await self._control("faults", faults)
 
+    async def restore_store(self, age_s: float, away_s: float) -> None:
+        """Let the store be away, and come back from a copy that is ``age_s`` old."""
+        await self._control("restore", {"age_s": age_s, "away_s": away_s})
+
     async def _control(self, name: str, body: dict[str, Any]) -> None:
         url = f"http://{self.store}/control/{name}"
         async with self.session.post(url, json=body) as response:
--- a/standins/published/replica.py
+++ b/standins/published/replica.py
@@ -78,6 +78,8 @@
         self._started_at_ms = round(time.time() * 1000)
         self._state = "ready"
         self._orders = 0
+        self._fencing_token = 0
+        self._sequence = 0
         self._paused_at: dict[str, float] = {}
         self._in_pause: Counter[str] = Counter()
         self._arrivals: list[float] = []
@@ -241,6 +243,9 @@
     async def order(self, request: web.Request) -> web.Response:
         """Answer POST /v1/order: the stage changes at once."""
         body = await request.json()
+        if body["fencingToken"] < self._fencing_token:
+            return web.Response(status=412)
+        self._fencing_token = body["fencingToken"]
         if body.get("expectedRevision", self._orders) != self._orders:
             return web.Response(status=409)
         self._orders += 1
@@ -276,7 +281,7 @@
             "slots": self._fake.model.slots,
             "state": self._state,
             "coldRemainingMs": 0,
-            "sequence": 0,
+            "sequence": self._sequence,
             "born": self._started_at_ms,
         }
         if self._fake.replica.stage is not None:
@@ -291,6 +296,7 @@
         url = f"http://{self._identity.store}/control/rows"
         async with ClientSession() as session:
             while True:
+                self._sequence += 1
                 try:
                     async with session.post(url, json={"rows": [self._row()]}):
                         pass
--- a/standins/published/rows.py
+++ b/standins/published/rows.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 HISTORY_KEPT = 2000
+COPIES_KEPT_S = 15.0
 
 Key = tuple[str, str, str]
 
@@ -31,14 +32,28 @@
     """The requested changes are no longer in the history."""
 
 
+@dataclass(frozen=True)
+class Copy:
+    """All rows at a moment of the monotonic clock, and the version then."""
+
+    at: float
+    rows: dict[Key, Row]
+    version: int
+
+
 @dataclass
 class RowStore:
-    """All rows of a store; the history is complete after version ``kept_after``."""
+    """All rows of a store; the history is complete after version ``kept_after``.
+
+    ``era`` rises by one each time the store is restored from a copy.
+    """
 
     rows: dict[Key, Row] = field(default_factory=dict)
     history: deque[Row] = field(default_factory=lambda: deque(maxlen=HISTORY_KEPT))
     version: int = 0
     kept_after: int = 0
+    era: int = 1
+    copies: deque[Copy] = field(default_factory=deque)
     expiries: dict[Key, float] = field(default_factory=dict)
 
     def write(self, writes: list[tuple[Key, str | None]]) -> int:
@@ -71,7 +86,7 @@
 
     def changes(self, table: str, after: int) -> list[Row]:
         """Return rows of a table changed after a version, the newest of each."""
-        if after < self.kept_after:
+        if after < self.kept_after or after > self.version:
             raise HistoryGoneError
         newest = {
             (row.part, row.key): row
@@ -85,6 +100,23 @@
         self.history.clear()
         self.kept_after = self.version
 
+    def copy(self) -> None:
+        """Keep a copy of all rows; drop those that are too old."""
+        now = time.monotonic()
+        self.copies.append(Copy(now, dict(self.rows), self.version))
+        while self.copies[0].at < now - COPIES_KEPT_S:
+            self.copies.popleft()
+
+    def restore(self, age_s: float) -> None:
+        """Go back to the newest copy that is at least ``age_s`` old, in a new era."""
+        until = time.monotonic() - age_s
+        old_enough = [copy for copy in self.copies if copy.at <= until]
+        copy = old_enough[-1] if old_enough else Copy(until, {}, 0)
+        self.rows, self.version = dict(copy.rows), copy.version
+        self.era += 1
+        self.copies.clear()
+        self.forget_history()
+
     def expire(self) -> bool:
         """Drop rows that were not renewed in time; return whether any were dropped."""
         now = time.monotonic()
--- a/standins/published/store.py
+++ b/standins/published/store.py
@@ -3,10 +3,15 @@
 ``POST /control/rows`` writes rows as the operator and the replicas do; a row with
 ``ttl_s`` expires. ``POST /control/faults`` sets faults: ``mode`` is "" or one of busy,
 reset and silent, for all callers or those whose IP address is in ``only``; ``slow_s``
-delays; ``lose_answers`` drops answers of writes; ``forget`` drops the history.
+delays calls and ``late_s`` answers; ``lose_answers`` drops answers of writes;
+``forget`` drops the history; ``era`` replaces the text of the header Store-Era, "-"
+leaves it out. ``POST /control/restore`` lets the store be away for ``away_s`` and come
+back from a copy that is ``age_s`` old.
 """
 
 import asyncio
+import base64
+import json
 import time
 from dataclasses import dataclass, field
 from typing import Any
@@ -20,6 +25,7 @@
 OPERATOR_TABLES = ("op", "servers")
 SILENCE_S = 3600.0
 EXPIRY_PERIOD_S = 0.1
+NO_HEADER = "-"
 
 
 @dataclass
@@ -29,7 +35,9 @@
     mode: str = ""
     only: tuple[str, ...] = ()
     slow_s: float = 0.0
+    late_s: float = 0.0
     lose_answers: int = 0
+    era: str = ""
 
 
 @dataclass
@@ -53,6 +61,10 @@
         if faults.slow_s:
             await asyncio.sleep(faults.slow_s)
         response = await handler(request)
+        if faults.era != NO_HEADER:
+            response.headers["Store-Era"] = faults.era or str(self.store.era)
+        if faults.late_s:
+            await asyncio.sleep(faults.late_s)
         if request.method == "POST" and faults.lose_answers > 0:
             faults.lose_answers -= 1
             request.transport.abort()
@@ -120,7 +132,7 @@
         for item in body["rows"]:
             key = (item["table"], "", item["key"])
             known = self.store.rows.get(key)
-            if known is None or known.value != item["value"]:
+            if known is None or _content(known.value) != _content(item["value"]):
                 writes.append((key, item["value"]))
             if item.get("ttl_s"):
                 self.store.expiries[key] = time.monotonic() + item["ttl_s"]
@@ -136,15 +148,38 @@
         self.faults = Faults(**{**body, "only": tuple(body.get("only", ()))})
         return web.json_response({})
 
+    async def control_restore(self, request: web.Request) -> web.Response:
+        """Reset all calls for a while, then come back from an older copy."""
+        body = await request.json()
+        before, self.faults = self.faults, Faults(mode="reset")
+        await asyncio.sleep(body.get("away_s", 0.0))
+        self.store.restore(body["age_s"])
+        self.faults = before
+        async with self.changed:
+            self.changed.notify_all()
+        return web.json_response({"rowVersion": self.store.version})
+
     async def expire(self) -> None:
-        """Expire rows that are no longer renewed, until cancelled."""
+        """Copy all rows and expire those that aren't renewed, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRY_PERIOD_S)
+            self.store.copy()
             if self.store.expire():
                 async with self.changed:
                     self.changed.notify_all()
 
 
+def _content(value: str) -> Any:
+    """Return a row's value without ``sequence``, which alone is no change."""
+    try:
+        body = json.loads(base64.b64decode(value))
+    except ValueError:
+        return value
+    if isinstance(body, dict):
+        body.pop("sequence", None)
+    return body
+
+
 def _key(item: dict[str, Any]) -> tuple[str, str, str]:
     return (item["table"], item.get("part", ""), item["key"])
 
@@ -158,6 +193,7 @@
     app.router.add_post("/v1/rows-tx", published.transact)
     app.router.add_post("/control/rows", published.control_rows)
     app.router.add_post("/control/faults", published.control_faults)
+    app.router.add_post("/control/restore", published.control_restore)
 
     async def run_expiry(app: web.Application):
         task = asyncio.create_task(published.expire())
