--- a/demo/published_fleet.py
+++ b/demo/published_fleet.py
@@ -240,6 +240,11 @@
         """Let the store be away, and come back from a copy that is ``age_s`` old."""
         await self._control("restore", {"age_s": age_s, "away_s": away_s})
 
+    async def store_calls(self) -> int:
+        """Return the number of calls to the store so far."""
+        async with self.session.get(f"http://{self.store}/control/calls") as response:
+            return sum((await response.json()).values())
+
     async def _control(self, name: str, body: dict[str, Any]) -> None:
         url = f"http://{self.store}/control/{name}"
         async with self.session.post(url, json=body) as response:
--- a/marjoramstile/mirrors/follower.py
+++ b/marjoramstile/mirrors/follower.py
@@ -90,6 +90,7 @@
         self._retry_s = RETRY_MIN_S
         self._next_call_at = -math.inf
         self._needs_reload = False
+        self._ignores_changes = False
         self._store_lost_at: float | None = None
         self._store_recovered_at = -math.inf
         self._confirmed_at = -math.inf
@@ -182,7 +183,7 @@
 
     def _apply_from_peer(self, received: PeerChanges) -> None:
         self._record_confirmation(loop_time() - received.age_s)
-        self._mirror.apply(received.changes)
+        self._apply_to_mirror(received.changes)
 
     def _record_confirmation(self, at: float) -> None:
         """Record that the store confirmed the mirror, to this daemon or another."""
@@ -205,6 +206,19 @@
 
     def _apply(self, changes: Changes) -> None:
         self._record_confirmation(loop_time())
+        self._apply_to_mirror(changes)
+
+    def _apply_to_mirror(self, changes: Changes) -> None:
+        """Apply changes; log the first of those that are older than the mirror."""
+        ignored = changes.version < self._mirror.version
+        if ignored and not self._ignores_changes:
+            logger.warning(
+                "older_changes_ignored",
+                table=self._mirror.table,
+                version=changes.version,
+                mirror_version=self._mirror.version,
+            )
+        self._ignores_changes = ignored
         self._mirror.apply(changes)
 
     def _record_store_answer(self) -> None:
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -11,10 +11,11 @@
 from result import Err, Ok, Result
 
 from marjoramstile.logs import get_logger
+from marjoramstile.platform.eras import HEADER, StoreEras
 from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
 from marjoramstile.ports.tables import Committed, Condition, StoreError, Write
 from marjoramstile.routes.order_ports import TimestampedRow
-from marjoramstile.utils import MILLISECONDS_PER_S
+from marjoramstile.utils import MILLISECONDS_PER_S, loop_time
 
 # Longest time without data from the store, in addition to a feed's wait.
 CALL_TIMEOUT_S = 0.8
@@ -44,6 +45,7 @@
     def __init__(self, session: ClientSession, address: str):
         self._session = session
         self._url = f"http://{address}/v1"
+        self._eras = StoreEras()
 
     async def read_table(self, table: str) -> Result[Changes, StoreError]:
         """Read all rows of a table, page by page.
@@ -138,10 +140,12 @@
             sock_connect=CALL_TIMEOUT_S,
             sock_read=timeout_s,
         )
+        sent_at = loop_time()
         try:
             async with self._session.request(
                 method, self._url + path, params=query, json=body, timeout=timeout
             ) as response:
+                self._eras.era_of_answer(response.headers.get(HEADER), sent_at)
                 if response.status != OK:
                     status = response.status
                     return Err(StoreError(f"status {status}", status))
--- a/marjoramstile/ports/feeds.py
+++ b/marjoramstile/ports/feeds.py
@@ -9,6 +9,10 @@
 
 # Version of a mirror before its first read.
 NO_VERSION = 0
+# Bits of a version that hold the store's own number; those above hold the era.
+NUMBER_BITS = 40
+# Largest era for which versions fit into 64 bits with a sign.
+ERA_MAX = 2 ** (63 - NUMBER_BITS) - 1
 
 
 @dataclass(frozen=True)
--- a/standins/published/rows.py
+++ b/standins/published/rows.py
@@ -6,6 +6,9 @@
 
 HISTORY_KEPT = 2000
 COPIES_KEPT_S = 15.0
+# Replicas' rows of a copy that aren't written again expire after this time.
+RESTORED_ROW_S = 1.5
+REPLICAS_TABLE = "servers"
 
 Key = tuple[str, str, str]
 
@@ -114,6 +117,8 @@
         copy = old_enough[-1] if old_enough else Copy(until, {}, 0)
         self.rows, self.version = dict(copy.rows), copy.version
         self.era += 1
+        until = time.monotonic() + RESTORED_ROW_S
+        self.expiries = {key: until for key in self.rows if key[0] == REPLICAS_TABLE}
         self.copies.clear()
         self.forget_history()
 
--- a/standins/published/store.py
+++ b/standins/published/store.py
@@ -6,13 +6,15 @@
 delays calls and ``late_s`` answers; ``lose_answers`` drops answers of writes;
 ``forget`` drops the history; ``era`` replaces the text of the header Store-Era, "-"
 leaves it out. ``POST /control/restore`` lets the store be away for ``away_s`` and come
-back from a copy that is ``age_s`` old.
+back from a copy that is ``age_s`` old. ``GET /control/calls`` returns the number of
+calls so far by method and path.
 """
 
 import asyncio
 import base64
 import json
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -47,6 +49,7 @@
     store: RowStore = field(default_factory=RowStore)
     faults: Faults = field(default_factory=Faults)
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+    calls: Counter[str] = field(default_factory=Counter)
 
     @web.middleware
     async def inject_faults(
@@ -55,6 +58,7 @@
         """Apply the active faults to everything but control requests."""
         if request.path.startswith("/control"):
             return await handler(request)
+        self.calls[f"{request.method} {request.path}"] += 1
         faults = self.faults
         if faults.mode and (not faults.only or request.remote in faults.only):
             await self._refuse(request, faults.mode)
@@ -159,6 +163,10 @@
             self.changed.notify_all()
         return web.json_response({"rowVersion": self.store.version})
 
+    async def control_calls(self, request: web.Request) -> web.Response:
+        """Return the number of calls so far by method and path."""
+        return web.json_response(self.calls)
+
     async def expire(self) -> None:
         """Copy all rows and expire those that aren't renewed, until cancelled."""
         while True:
@@ -194,6 +202,7 @@
     app.router.add_post("/control/rows", published.control_rows)
     app.router.add_post("/control/faults", published.control_faults)
     app.router.add_post("/control/restore", published.control_restore)
+    app.router.add_get("/control/calls", published.control_calls)
 
     async def run_expiry(app: web.Application):
         task = asyncio.create_task(published.expire())
--- a/tests/processes/test_restored_store.py
+++ b/tests/processes/test_restored_store.py
@@ -21,6 +21,10 @@
 CONTACT_S = 3.0
 AGE_S = 4.0
 AWAY_S = 0.5
+# Calls of each daemon in the second after a restore: the feeds, a read of each of six
+# tables, its own row, and what is retried.
+CALLS_MAX = 30
+DRAIN_S = 2.0
 # Time after which all tables' feeds have answered with the newest version.
 FEED_S = 1.5
 POLL_S = 0.05
@@ -99,6 +103,50 @@
         await asyncio.sleep(POLL_S)
 
 
+async def test_a_replica_that_leaves_after_the_restore_gets_requests(fleet):
+    await fleet.drain_replica("service-1")
+    await asyncio.sleep(DRAIN_S)
+    sent = {await look_for_route(fleet, number) for number in range(1, DAEMONS + 1)}
+    sent |= {await look_for_route(fleet, number) for number in range(1, DAEMONS + 1)}
+    runs = (await fleet.runs("service-1"))["runs"]
+    assert not sent & set(runs)
+
+
+async def look_for_route(fleet, number: int) -> str:
+    """Send a request by the newest route to a daemon; return its id."""
+    request_id, status = await look(fleet, number, CONFIGURATIONS + 1)
+    assert status == 200
+    return request_id
+
+
+async def test_the_store_is_called_without_a_pause_after_a_restore(fleet):
+    before = await fleet.store_calls()
+    await fleet.restore_store(1.0, 0.1)
+    await asyncio.sleep(1.0)
+    assert await fleet.store_calls() - before <= CALLS_MAX * (DAEMONS + 1)
+
+
+async def test_a_replica_that_left_before_the_restore_is_used_again(fleet):
+    """Its row is in the copy, as ready."""
+    fleet.launch_replica("service", 8, PLAIN_SERVICE, "")
+    await fleet.wait_for_replicas(6)
+    await asyncio.sleep(2 * POLL_S)
+    at = asyncio.get_running_loop().time()
+    await asyncio.sleep(1.0)
+    await fleet.drain_replica("service-8")
+    await asyncio.sleep(DRAIN_S)
+    age_s = asyncio.get_running_loop().time() - at - 0.5
+    await fleet.restore_store(age_s, 0.2)
+    sent = set()
+    async with asyncio.timeout(10):
+        for _ in range(15):
+            for number in range(1, DAEMONS + 1):
+                sent.add(await look_for_route(fleet, number))
+            await asyncio.sleep(POLL_S)
+    runs = (await fleet.runs("service-8"))["runs"]
+    assert not sent & set(runs)
+
+
 async def test_addresses_of_daemons_that_the_copy_lacks_are_withheld(fleet):
     expected = {fleet.front(number) for number in range(1, DAEMONS + 1)}
     for _ in range(40):
