--- a/marjoramstile/crashes/sharing.py
+++ b/marjoramstile/crashes/sharing.py
@@ -18,8 +18,8 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import Peer, View
 from marjoramstile.pools.client import PoolSender
-from marjoramstile.ports.feeds import StoredRow, TableFeed
-from marjoramstile.ports.tables import ABSENT, Committed, Condition, StoreError, Write
+from marjoramstile.ports.feeds import StoredRow, TableFeed, unchanged
+from marjoramstile.ports.tables import Committed, StoreError, Write
 from marjoramstile.routes.order_ports import OrderStore
 from marjoramstile.utils import BackgroundTasks, content_fingerprint, loop_time
 
@@ -172,9 +172,8 @@
         if stored is not None and stored.revision >= entry.revision:
             self._blocklist.merge(stored, loop_time())
             return answer.map(lambda _: stored == entry)
-        version = ABSENT if row is None else row.version
         written = await self._store.transact(
-            [Condition(BLOCKLIST_TABLE, key, version)],
+            [unchanged(BLOCKLIST_TABLE, key, row)],
             [Write(BLOCKLIST_TABLE, key, asdict(entry))],
         )
         return written.map(lambda committed: isinstance(committed, Committed))
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -1,15 +1,18 @@
 """Client of the platform's metadata store.
 
 The store may come back from an older copy, in a new era, and give its versions out
-again. So versions leave this module with the era in which they were given out.
+again. So versions leave this module with the era in which they were given out. The
+version of a row doesn't prove that it is the row that was read: each conditional write
+also writes a row of a random name, its mark, which the next one requires and removes.
 """
 
 import asyncio
 import base64
 import binascii
 import json
+import secrets
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
@@ -25,7 +28,7 @@
     number_of,
     version_in_era,
 )
-from marjoramstile.ports.tables import Committed, Condition, StoreError, Write
+from marjoramstile.ports.tables import ABSENT, Committed, Condition, StoreError, Write
 from marjoramstile.routes.order_ports import TimestampedRow
 from marjoramstile.utils import MILLISECONDS_PER_S, loop_time
 
@@ -37,6 +40,9 @@
 GONE = 410
 CONFLICT = 412
 OK = 200
+MARKS_TABLE = "marjoramstile-marks"
+MARK_FIELD = "mark"
+MARK_BYTES = 8
 
 logger = get_logger(__name__)
 
@@ -130,39 +136,35 @@
         if answer.is_err():
             return answer
         page = answer.unwrap()
-        rows = [row for row in page.rows if row.key == key]
-        return Ok(TimestampedRow(rows[0] if rows else None, page.now_s))
+        rows = [_with_mark(row) for row in page.rows if row.key == key]
+        return Ok(
+            TimestampedRow(
+                rows[0] if rows else None,
+                page.now_s,
+                era_of(page.version),
+                self._eras.restored_ago_s,
+            )
+        )
 
     async def transact(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> Result[Committed | None, StoreError]:
         """Commit ``writes`` if all ``conditions`` hold; None if one doesn't."""
-        body = {
-            "expectedRevision": [
-                {
-                    **_row_reference(item.table, item.key),
-                    "rowVersion": number_of(item.version),
-                }
-                for item in conditions
-            ],
-            "setKeys": [
-                {**_row_reference(item.table, item.key), "value": _encode(item.value)}
-                for item in writes
-                if item.value is not None
-            ],
-            "remove": [
-                _row_reference(item.table, item.key)
-                for item in writes
-                if item.value is None
-            ],
-        }
-        answer = await self._call("POST", "/rows-tx", {}, body)
+        if any(self._is_outdated(item) for item in conditions):
+            return Ok(None)
+        changes = _TransactionBody(conditions, writes)
+        answer = await self._call("POST", "/rows-tx", {}, changes.to_json())
         if answer.is_ok():
             return Ok(Committed(answer.unwrap().version))
         if answer.unwrap_err().status == CONFLICT:
             return Ok(None)
         return answer
 
+    def _is_outdated(self, condition: Condition) -> bool:
+        """Return whether a condition is on a row that was read in an earlier era."""
+        version = condition.version
+        return version != ABSENT and era_of(version) != self._eras.current
+
     async def _call(
         self,
         method: str,
@@ -193,6 +195,66 @@
             return Err(StoreError(repr(error)))
 
 
+class _TransactionBody:
+    """A transaction's entries; conditional writes get marks and require the last ones.
+
+    Rows without a mark were written by older builds.
+    """
+
+    def __init__(self, conditions: Sequence[Condition], writes: Sequence[Write]):
+        self._expected: list[dict[str, Any]] = []
+        self._set: list[dict[str, Any]] = []
+        self._removed: list[dict[str, Any]] = []
+        conditional = {(item.table, item.key) for item in conditions}
+        for item in conditions:
+            self._expect(item.table, item.key, item.version)
+            if item.mark:
+                self._expect(MARKS_TABLE, item.mark, item.version)
+        written = {(item.table, item.key) for item in writes}
+        for item in conditions:
+            if item.mark and (item.table, item.key) in written:
+                self._removed.append(_row_reference(MARKS_TABLE, item.mark))
+        for item in writes:
+            self._write(item, marked=(item.table, item.key) in conditional)
+
+    def _expect(self, table: str, key: str, version: int) -> None:
+        reference = _row_reference(table, key)
+        self._expected.append({**reference, "rowVersion": number_of(version)})
+
+    def _write(self, write: Write, marked: bool) -> None:
+        reference = _row_reference(write.table, write.key)
+        if write.value is None:
+            self._removed.append(reference)
+            return
+        value = write.value
+        if marked:
+            mark = secrets.token_hex(MARK_BYTES)
+            value = {**value, MARK_FIELD: mark}
+            row = _row_reference(MARKS_TABLE, mark)
+            named = {"table": write.table, "key": write.key}
+            self._set.append({**row, "value": _encode(named)})
+        self._set.append({**reference, "value": _encode(value)})
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the body of the call."""
+        return {
+            "expectedRevision": self._expected,
+            "setKeys": self._set,
+            "remove": self._removed,
+        }
+
+
+def _with_mark(row: StoredRow) -> StoredRow:
+    """Return a row with the mark that its value names."""
+    if row.value is None:
+        return row
+    try:
+        mark = json.loads(row.value).get(MARK_FIELD, "")
+    except (ValueError, AttributeError):
+        return row
+    return replace(row, mark=mark) if isinstance(mark, str) else row
+
+
 def _row_reference(table: str, key: str) -> dict[str, str]:
     return {"table": table, "part": "", "key": key}
 
--- a/marjoramstile/ports/feeds.py
+++ b/marjoramstile/ports/feeds.py
@@ -9,7 +9,7 @@
 
 from result import Result
 
-from marjoramstile.ports.tables import StoreError
+from marjoramstile.ports.tables import ABSENT, Condition, StoreError
 
 # Version of a mirror before its first read.
 NO_VERSION = 0
@@ -36,11 +36,22 @@
 
 @dataclass(frozen=True)
 class StoredRow:
-    """A row's value as bytes; None marks a row that was deleted at ``version``."""
+    """A row's value as bytes; None marks a row that was deleted at ``version``.
+
+    ``mark`` names the conditional write that wrote the row, if it is known.
+    """
 
     key: str
     version: int
     value: bytes | None
+    mark: str = ""
+
+
+def unchanged(table: str, key: str, row: StoredRow | None) -> Condition:
+    """Return the condition that a row is as it was read; None: that there is none."""
+    if row is None:
+        return Condition(table, key, ABSENT)
+    return Condition(table, key, row.version, row.mark)
 
 
 @dataclass(frozen=True)
--- a/marjoramstile/ports/tables.py
+++ b/marjoramstile/ports/tables.py
@@ -28,11 +28,15 @@
 
 @dataclass(frozen=True)
 class Condition:
-    """A row must have ``version`` for the transaction to commit."""
+    """A row must have ``version`` for the transaction to commit.
+
+    On the platform it must also have been written by the write that ``mark`` names.
+    """
 
     table: str
     key: str
     version: int
+    mark: str = ""
 
 
 @dataclass(frozen=True)
@@ -108,7 +112,10 @@
     ) -> Result[Committed | Conflict, StoreError]:
         """Commit ``writes`` if all ``conditions`` hold."""
         body = {
-            "conditions": [asdict(condition) for condition in conditions],
+            "conditions": [
+                {"table": item.table, "key": item.key, "version": item.version}
+                for item in conditions
+            ],
             "writes": [asdict(write) for write in writes],
         }
         answer = await self._call("POST", "/transactions", body)
--- a/marjoramstile/routes/order_ports.py
+++ b/marjoramstile/routes/order_ports.py
@@ -1,5 +1,6 @@
 """Types and ports of orders: the store that issues fencing tokens, the replicas."""
 
+import math
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -12,10 +13,16 @@
 
 @dataclass(frozen=True)
 class TimestampedRow:
-    """A row, None if there is none, and the store's steady clock when it was read."""
+    """A row, None if there is none, and the store's steady clock when it was read.
+
+    ``era`` is that of the store; ``restored_ago_s`` is the time since this daemon saw
+    it restored from a copy, infinite if it did not.
+    """
 
     row: StoredRow | None
     now_s: float
+    era: int = 0
+    restored_ago_s: float = math.inf
 
 
 @dataclass(frozen=True)
--- a/marjoramstile/routes/order_rows.py
+++ b/marjoramstile/routes/order_rows.py
@@ -31,21 +31,25 @@
 class OrdersRow:
     """A service's last order, written by the incarnation ``holder`` at ``at_s``.
 
-    Times are seconds of the store's clock. ``moves`` are those in progress, the one
-    just ordered included. ``profile`` holds the pool's averages at that time.
+    Times are seconds of the store's clock, in its ``era``. ``moves`` are those in
+    progress, the one just ordered included. ``profile`` holds the pool's averages at
+    that time.
     """
 
     holder: str
     at_s: float
     moves: tuple[StageMove, ...]
     profile: GenerationProfile | None = None
+    era: int = 0
 
     def to_value(self) -> dict[str, object]:
         """Return the row's value."""
         return asdict(self)
 
     def moves_at(self, now_s: float) -> tuple[StageMove, ...]:
-        """Return the moves that have not expired."""
+        """Return the moves that have not expired; none if the clock has gone back."""
+        if now_s < self.at_s:
+            return ()
         return tuple(move for move in self.moves if move.until_s > now_s)
 
 
@@ -72,7 +76,13 @@
             for item in body["moves"]
         )
         profile = _decode_profile(body.get("profile"))
-        return OrdersRow(str(body["holder"]), body["at_s"] + 0.0, moves, profile)
+        return OrdersRow(
+            str(body["holder"]),
+            body["at_s"] + 0.0,
+            moves,
+            profile,
+            int(body.get("era", 0)),
+        )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise UnreadableOrdersError(repr(error)) from error
 
--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -5,9 +5,12 @@
 fencing token, so tokens strictly increase and no two daemons share one. A daemon that
 was suspended between the write and the order withholds the order. Another daemon may
 write the row only once the last write is older than two leases, and than a move may
-take, so that holders don't alternate within one lease.
+take, so that holders don't alternate within one lease. A row from before a restore of
+the store may lack the last writes: nobody but their holder writes it until as long
+after the restore.
 """
 
+import math
 import time
 from collections.abc import Callable
 
@@ -15,15 +18,13 @@
 from marjoramstile.membership.view import View
 from marjoramstile.pools.scheduler import PoolScheduler
 from marjoramstile.pools.shards import SchedulerSelector
-from marjoramstile.ports.tables import (
-    ABSENT,
-    Condition,
-    Write,
-)
+from marjoramstile.ports.feeds import unchanged
+from marjoramstile.ports.tables import Write
 from marjoramstile.routes.order_ports import (
     OrderStore,
     StageClient,
     StageOrder,
+    TimestampedRow,
 )
 from marjoramstile.routes.order_rows import (
     ORDERS_TABLE,
@@ -86,6 +87,8 @@
         self._client = client
         self._is_limited = is_limited
         self._lease_s = lease_s
+        self._created_at = loop_time()
+        self._held_at: dict[str, float] = {}
         self._wanted_since: dict[str, tuple[tuple[bool, int], float]] = {}
         self._paused_until: dict[str, float] = {}
 
@@ -209,6 +212,7 @@
 
         None if the store fails or another daemon holds the orders.
         """
+        began = loop_time()
         read = await self._store.read_row(ORDERS_TABLE, service)
         if read.is_err():
             logger.info(
@@ -217,7 +221,7 @@
             return None
         reading = read.unwrap()
         last = orders_of(reading.row)
-        if not self._may_write(last, reading.now_s, engine):
+        if not self._may_write(service, last, reading, engine):
             return None
         until_s = reading.now_s + engine.switch_s + SETTLE_S
         move = StageMove(replica.id, stage, until_s)
@@ -226,20 +230,37 @@
             reading.now_s,
             (*last.moves_at(reading.now_s), move),
             self._scheduler(service, 0).statistics.profile() or last.profile,
+            reading.era,
         )
-        version = reading.row.version if reading.row is not None else ABSENT
         written = await self._store.transact(
-            [Condition(ORDERS_TABLE, service, version)],
+            [unchanged(ORDERS_TABLE, service, reading.row)],
             [Write(ORDERS_TABLE, service, row.to_value())],
         )
         if written.is_err() or written.unwrap() is None:
             logger.info("no_fencing_token", service=service, reason="row not written")
             return None
+        self._held_at[service] = began
         return written.unwrap().version
 
-    def _may_write(self, last: OrdersRow, now_s: float, engine: EngineTraits) -> bool:
-        """Return whether this daemon holds the orders, or may take them over."""
-        if last.holder == self._view.own.incarnation:
-            return True
+    def _may_write(
+        self,
+        service: str,
+        last: OrdersRow,
+        reading: TimestampedRow,
+        engine: EngineTraits,
+    ) -> bool:
+        """Return whether this daemon holds the orders, or may take them over.
+
+        The store's clock may have gone back with a restore.
+        """
         pause_s = max(2 * self._lease_s, engine.switch_s + SETTLE_S)
-        return now_s - last.at_s >= pause_s
+        if reading.row is None or last.era != reading.era:
+            now = loop_time()
+            if now - self._held_at.get(service, -math.inf) < pause_s:
+                return True
+            known_s = math.inf if reading.row is None else now - self._created_at
+            if min(reading.restored_ago_s, known_s) < pause_s:
+                return False
+        elif last.holder == self._view.own.incarnation:
+            return True
+        return not 0 <= reading.now_s - last.at_s < pause_s
--- a/marjoramstile/streams/storage.py
+++ b/marjoramstile/streams/storage.py
@@ -13,7 +13,7 @@
 from result import Result
 
 from marjoramstile.logs import get_logger
-from marjoramstile.ports.feeds import Changes, StoredRow, TableFeed
+from marjoramstile.ports.feeds import Changes, StoredRow, TableFeed, unchanged
 from marjoramstile.ports.tables import (
     ABSENT,
     Committed,
@@ -109,8 +109,8 @@
         if forget_gone:
             changed = replace(changed, gone=())
         if changed != stored:
-            version = ABSENT if read.row is None else read.row.version
-            if not await self._write(key, changed.to_value(), version):
+            condition = unchanged(STREAMS_TABLE, key, read.row)
+            if not await self._write(key, changed.to_value(), condition):
                 return
             logger.info(
                 "versions_stored",
@@ -190,9 +190,11 @@
                 return
         del self._rings[bucket]
 
-    async def _write(self, key: str, value: dict, version: int | None = None) -> bool:
-        conditions = [] if version is None else [Condition(STREAMS_TABLE, key, version)]
+    async def _write(
+        self, key: str, value: dict, condition: Condition | None = None
+    ) -> bool:
         writes = [Write(STREAMS_TABLE, key, value)]
+        conditions = [] if condition is None else [condition]
         answer = await self._store.transact(conditions, writes)
         return answer.is_ok() and isinstance(answer.unwrap(), Committed)
 
