--- a/marjoramstile/mirrors/mirror.py
+++ b/marjoramstile/mirrors/mirror.py
@@ -1,7 +1,7 @@
 """A daemon's copy of one table of the platform's store."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from marjoramstile.logs import get_logger
 from marjoramstile.ports.feeds import (
@@ -11,9 +11,12 @@
     era_of,
     number_of,
 )
+from marjoramstile.utils import loop_time
 
 # Number of deleted rows that are kept, so that peers receive the deletions.
 TOMBSTONES_MAX = 1024
+# Time after a restore of the store in which writers write their rows again.
+REWRITE_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -29,6 +32,21 @@
     withheld: bool = False
 
 
+@dataclass(frozen=True)
+class RestorePolicy:
+    """What becomes of rows on which a mirror and a copy of the store disagree.
+
+    A row that the copy lacks is kept for ``keep_missing_s``: its writer may write it
+    again. One that was deleted before is left out for ``hold_returned_s``, unless it is
+    written again: it expires meanwhile if its writer is gone.
+    """
+
+    keep_missing_s: float = REWRITE_S
+    hold_returned_s: float = 0.0
+
+
+DEFAULT_POLICY = RestorePolicy()
+
 Listener = Callable[[StoredRow], None]
 
 logger = get_logger(__name__)
@@ -42,8 +60,11 @@
     than the copy are ignored. The first ones of a new era must be complete.
     """
 
-    def __init__(self, table: str):
+    def __init__(self, table: str, policy: RestorePolicy = DEFAULT_POLICY):
         self._table = table
+        self._policy = policy
+        self._missing_until: dict[str, float] = {}
+        self._returned: dict[str, tuple[StoredRow, float]] = {}
         self._rows: dict[str, StoredRow] = {}
         self._version = NO_VERSION
         self._listeners: list[Listener] = []
@@ -84,7 +105,7 @@
         if changes.version < self._version or not self.accepts(changes):
             return
         if self.loaded and era_of(changes.version) > era_of(self._version):
-            self._log_new_era(changes)
+            self._begin_era(changes)
         self._version = changes.version
         if changes.complete:
             self._delete_missing(changes)
@@ -92,8 +113,17 @@
             self._apply_row(row)
         self._prune_tombstones()
 
-    def _log_new_era(self, changes: Changes) -> None:
+    def _begin_era(self, changes: Changes) -> None:
+        """Keep the rows that a copy lacks, and hold back those deleted before."""
+        now = loop_time()
         listed = {row.key for row in changes.rows}
+        missing = self.rows.keys() - listed
+        for key in missing:
+            self._missing_until[key] = now + self._policy.keep_missing_s
+        for row in changes.rows:
+            known = self._rows.get(row.key)
+            if known is not None and known.value is None and row.value is not None:
+                self._returned[row.key] = row, now + self._policy.hold_returned_s
         logger.warning(
             "table_restored",
             table=self._table,
@@ -101,18 +131,38 @@
             era=era_of(changes.version),
             former_version=number_of(self._version),
             version=number_of(changes.version),
-            missing=len(self.rows.keys() - listed),
+            missing=len(missing),
+            returned=len(self._returned),
         )
 
+    def expire(self, now: float) -> None:
+        """End the time for which rows of a restored store are kept or held back."""
+        for key, until in list(self._missing_until.items()):
+            if now >= until:
+                self._apply_row(StoredRow(key, self._version, None))
+        for key, (row, until) in list(self._returned.items()):
+            if now >= until:
+                del self._returned[key]
+                self._apply_row(row)
+
     def _delete_missing(self, changes: Changes) -> None:
         listed = {row.key for row in changes.rows}
-        for key in self.rows.keys() - listed:
+        for key in self.rows.keys() - listed - self._missing_until.keys():
             self._apply_row(StoredRow(key, changes.version, None))
 
     def _apply_row(self, row: StoredRow) -> None:
         current = self._rows.get(row.key)
         if current is not None and current.version >= row.version:
             return
+        if row.key in self._returned:
+            if row.version <= self._returned[row.key][0].version:
+                return
+            del self._returned[row.key]
+        self._put_row(row)
+
+    def _put_row(self, row: StoredRow) -> None:
+        current = self._rows.get(row.key)
+        self._missing_until.pop(row.key, None)
         self._rows[row.key] = row
         if current is not None and current.value == row.value:
             return
@@ -129,7 +179,56 @@
 
         They are complete for a peer whose copy is of an earlier era.
         """
+        returned = {key: row for key, (row, _) in self._returned.items()}
+        rows = {**self._rows, **returned}.values()
         if version == NO_VERSION or era_of(version) < era_of(self._version):
-            return Changes(tuple(self.rows.values()), self._version, complete=True)
-        newer = tuple(row for row in self._rows.values() if row.version > version)
+            stored = tuple(
+                row
+                for row in rows
+                if row.value is not None and row.key not in self._missing_until
+            )
+            return Changes(stored, self._version, complete=True)
+        newer = tuple(row for row in rows if row.version > version)
         return Changes(newer, self._version, complete=False)
+
+
+class DocumentMirror(TableMirror):
+    """Rows whose values are documents with versions of their own, which never go back.
+
+    The newest valid document stays, whatever the store contains.
+    """
+
+    def __init__(self, table: str, document_version: Callable[[bytes], int | None]):
+        """``document_version`` returns None if a value is no valid document."""
+        super().__init__(table)
+        self._document_version = document_version
+        self._versions: dict[str, int | None] = {}
+
+    def apply(self, changes: Changes) -> None:
+        """Apply changes; older ones may still hold a newer document."""
+        if changes.version >= self._version and self.accepts(changes):
+            super().apply(changes)
+            return
+        for row in changes.rows:
+            self._apply_row(row)
+
+    def _apply_row(self, row: StoredRow) -> None:
+        current = self._rows.get(row.key)
+        if row.value is not None:
+            version = self._document_version(row.value)
+            if current is None or self._is_newer(row, version, current):
+                self._versions[row.key] = version
+                self._put_row(row)
+                return
+        self._missing_until.pop(row.key, None)
+        if current is not None and row.version > current.version:
+            self._rows[row.key] = replace(current, version=row.version)
+
+    def _is_newer(
+        self, row: StoredRow, version: int | None, current: StoredRow
+    ) -> bool:
+        """Return whether a row's document replaces the current one."""
+        known = self._versions.get(row.key)
+        if version is None or known is None:
+            return known is None and row.version > current.version
+        return version > known
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -15,11 +15,13 @@
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop, listening_socket
 from marjoramstile.membership.nodes import NODES_TABLE, NodeEntry
+from marjoramstile.mirrors.mirror import DocumentMirror
 from marjoramstile.platform.documents import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
     REPLICAS_TABLE,
     MalformedRowError,
+    configuration_version,
     decode_replica,
     decode_routing_table,
 )
@@ -78,7 +80,11 @@
             notices=notices,
         )
         self._node = RouterNode(
-            settings, ports, OPERATOR_TABLE, REPLICAS_TABLE, random.Random()
+            settings,
+            ports,
+            DocumentMirror(OPERATOR_TABLE, configuration_version),
+            REPLICAS_TABLE,
+            random.Random(),
         )
         self._node.configuration_mirror.subscribe(self._apply_configuration)
         self._node.replicas_mirror.subscribe(self._apply_replica)
--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any
 
+from marjoramstile.logs import get_logger
 from marjoramstile.routes.replica_types import Replica, ReplicaState, Stage
 from marjoramstile.routes.table import (
     EngineTraits,
@@ -19,6 +20,8 @@
 CONFIGURATION_KEY = "config"
 REPLICAS_TABLE = "servers"
 
+logger = get_logger(__name__)
+
 _DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
@@ -40,6 +43,15 @@
         raise MalformedRowError(repr(error)) from error
 
 
+def configuration_version(value: bytes) -> int | None:
+    """Return the version of a configuration; None if it is not valid."""
+    try:
+        return decode_routing_table(value).version
+    except MalformedRowError as error:
+        logger.error("configuration_unreadable", reason=str(error))
+        return None
+
+
 def _route(item: dict[str, Any]) -> Route:
     gap_ms = item.get("gapTargetMs")
     return Route(
--- a/marjoramstile/platform/settings.py
+++ b/marjoramstile/platform/settings.py
@@ -19,6 +19,7 @@
 from marjoramstile.utils import MILLISECONDS_PER_S
 
 SETTINGS_VARIABLE = "MARJORAMSTILE_CONFIG"
+DEFAULT_HEARTBEAT_MS = 1200
 DEFAULT_LEASE_MS = 3000
 DEFAULT_ADDRESS_TTL_S = 1.0
 DEFAULT_MEMORY_MB = 128
@@ -131,6 +132,7 @@
         grace_s=bounds.get("graceS", float),
         address_ttl_max_s=bounds.get("ttl_max_s", float, DEFAULT_ADDRESS_TTL_S),
         lease_s=bounds.get("leaseMs", _seconds, DEFAULT_LEASE_MS),
+        heartbeat_s=document.get("heartbeatMs", _seconds, DEFAULT_HEARTBEAT_MS),
         retries=BudgetLimits(
             ratio=bounds.get("retryBudgetRatio", float),
             window_s=bounds.get("budgetWindowS", float),
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -16,7 +16,11 @@
 from marjoramstile.membership.prober import Prober
 from marjoramstile.membership.view import View
 from marjoramstile.mirrors.follower import MirrorFollower
-from marjoramstile.mirrors.mirror import TableMirror
+from marjoramstile.mirrors.mirror import (
+    DocumentMirror,
+    RestorePolicy,
+    TableMirror,
+)
 from marjoramstile.mirrors.peers import PeerChangeSource
 from marjoramstile.peers.connections import PeerConnections
 from marjoramstile.peers.membership_client import MembershipClient
@@ -26,7 +30,7 @@
 from marjoramstile.pools.client import PoolClient
 from marjoramstile.pools.host import SchedulerHost
 from marjoramstile.pools.shards import PoolShards, SchedulerSelector
-from marjoramstile.ports.feeds import StoredRow, TableFeed
+from marjoramstile.ports.feeds import StoredRow, TableFeed, era_of
 from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.reports.exposition import exposition_text
 from marjoramstile.reports.metrics import Metrics
@@ -79,6 +83,12 @@
 # Streams that began within this time before a kill of all daemons can't be taken up.
 STREAMS_PERIOD_S = 0.25
 ADDRESS_TTL_S = 1.5
+# Heartbeats that a replica misses until its row expires, and the time until daemons see
+# that it has.
+HEARTBEATS_MISSED = 3
+EXPIRY_MARGIN_S = 1.0
+# Time after a restore of the store in which all daemons write their rows again.
+NODES_REWRITE_S = 5.0
 
 logger = get_logger(__name__)
 
@@ -104,7 +114,7 @@
         self,
         settings: RouterSettings,
         ports: RouterPorts,
-        configuration_table: str,
+        configuration_mirror: DocumentMirror,
         replicas_table: str,
         rng: random.Random,
     ):
@@ -115,9 +125,12 @@
         self._ports = ports
         self._rng = rng
         self._table: RoutingTable | None = None
-        self.configuration_mirror = TableMirror(configuration_table)
-        self.replicas_mirror = TableMirror(replicas_table)
-        self.nodes_mirror = TableMirror(NODES_TABLE)
+        self.configuration_mirror = configuration_mirror
+        expiry_s = HEARTBEATS_MISSED * settings.bounds.heartbeat_s + EXPIRY_MARGIN_S
+        self.replicas_mirror = TableMirror(
+            replicas_table, RestorePolicy(hold_returned_s=expiry_s)
+        )
+        self.nodes_mirror = TableMirror(NODES_TABLE, RestorePolicy(NODES_REWRITE_S))
         self._orders_mirror = TableMirror(ORDERS_TABLE)
         self._orders_mirror.subscribe(self._apply_orders)
         self._build_membership()
@@ -152,9 +165,13 @@
     def _apply_orders(self, row: StoredRow) -> None:
         """Record the moves that a daemon has ordered: moving replicas are not used.
 
-        The row is that of a service; its profile holds the averages of its pool.
+        The row is that of a service; its profile holds the averages of its pool. One
+        written before a restore of the store may lack the last orders.
         """
         orders = orders_of(row)
+        if orders.era and orders.era != era_of(row.version):
+            logger.info("orders_of_earlier_era_ignored", service=row.key)
+            return
         now = loop_time()
         if orders.profile is not None:
             self.schedulers.adopt_profile(row.key, orders.profile)
@@ -468,7 +485,10 @@
                 self.pool.share_profile(service.name)
 
     async def _expire(self) -> None:
-        self.directory.expire(loop_time())
+        now = loop_time()
+        for follower in self._followers.values():
+            follower.mirror.expire(now)
+        self.directory.expire(now)
         self.balancer.forget_missing(self.directory.all)
         self.limits.forget_missing(self.directory.all)
         self.limits.tell_newcomers()
--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -1,7 +1,7 @@
 """Replicas known to this daemon, and whether they may receive new requests."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from marjoramstile.logs import get_logger
@@ -75,8 +75,15 @@
         self._usable.clear()
 
     def put(self, replica: Replica, now: float = 0.0) -> None:
-        """Add or update a replica from its row at loop time ``now``."""
+        """Add or update a replica from its row at loop time ``now``.
+
+        An incarnation that was draining stays so: its row may be that of an older copy
+        of the store.
+        """
         known = self._replicas.get(replica.id)
+        if _has_stopped_draining(known, replica):
+            logger.warning("replica_stays_draining", replica=replica.id)
+            replica = replace(replica, state=ReplicaState.DRAINING)
         self._replicas[replica.id] = replica
         self._missing_until.pop(replica.id, None)
         self._end_move(known, replica)
@@ -238,6 +245,15 @@
         return self._replicas.values()
 
 
+def _has_stopped_draining(known: Replica | None, replica: Replica) -> bool:
+    return (
+        known is not None
+        and known.started_at_ms == replica.started_at_ms
+        and known.state == ReplicaState.DRAINING
+        and replica.state != ReplicaState.DRAINING
+    )
+
+
 def _incarnation_and_stage(replica: Replica) -> tuple[int, Stage | None]:
     """Return the part of a replica's row that a 421 shows to be wrong."""
     return replica.started_at_ms, replica.stage
--- a/marjoramstile/routes/settings.py
+++ b/marjoramstile/routes/settings.py
@@ -44,13 +44,15 @@
     """Limits set by the operators of the site.
 
     ``grace_s`` is the time from the stop signal to the kill; ``lease_s`` the time
-    within which only one daemon may give orders.
+    within which only one daemon may give orders; ``heartbeat_s`` the period in which
+    replicas renew their rows.
     """
 
     grace_s: float
     address_ttl_max_s: float
     lease_s: float
     retries: BudgetLimits
+    heartbeat_s: float = 1.2
 
 
 @dataclass(frozen=True)
