--- a/marjoramstile/crashes/sharing.py
+++ b/marjoramstile/crashes/sharing.py
@@ -21,7 +21,12 @@
 from marjoramstile.ports.feeds import StoredRow, TableFeed, unchanged
 from marjoramstile.ports.tables import Committed, StoreError, Write
 from marjoramstile.routes.order_ports import OrderStore
-from marjoramstile.utils import BackgroundTasks, content_fingerprint, loop_time
+from marjoramstile.utils import (
+    BackgroundTasks,
+    content_fingerprint,
+    loop_time,
+    rendezvous_owner,
+)
 
 BLOCKLIST_TABLE = "marjoramstile-blocklist"
 ROW_KEY_CHARACTERS = 32
@@ -125,6 +130,17 @@
             self._broadcast(entry)
             self._tasks.start(self._persist(entry), "store a block")
 
+    def store_again(self) -> None:
+        """Store the entries again that fall to this daemon.
+
+        A restored store may lack them.
+        """
+        alive = [peer.vm.name for peer in self._view.peers if peer.presumed_alive]
+        for entry in self._blocklist.entries:
+            owner = rendezvous_owner(_row_key(entry), alive)
+            if owner == self._view.own.vm.name:
+                self._tasks.start(self._persist(entry), "store a block again")
+
     def set_block(self, service: str, key: str, blocked: bool) -> BlockEntry:
         """Block a key, or lift its block, as an operator has asked."""
         known = self._blocklist.find(service, key)
--- a/marjoramstile/mirrors/mirror.py
+++ b/marjoramstile/mirrors/mirror.py
@@ -89,6 +89,12 @@
         """Rows that exist, by key."""
         return {key: row for key, row in self._rows.items() if row.value is not None}
 
+    def confirms(self, key: str) -> bool:
+        """Return whether the store has a row, as far as this mirror knows."""
+        row = self._rows.get(key)
+        present = row is not None and row.value is not None
+        return present and key not in self._missing_until
+
     def subscribe(self, listener: Listener) -> None:
         """Call ``listener`` with each row that is new, changed or deleted."""
         self._listeners.append(listener)
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -14,7 +14,6 @@
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop, listening_socket
-from marjoramstile.membership.nodes import NODES_TABLE, NodeEntry
 from marjoramstile.mirrors.mirror import DocumentMirror
 from marjoramstile.platform.documents import (
     CONFIGURATION_KEY,
@@ -32,14 +31,12 @@
 from marjoramstile.platform.settings import load_platform_settings, settings_path
 from marjoramstile.platform.store import PlatformStore
 from marjoramstile.ports.feeds import StoredRow
-from marjoramstile.ports.tables import Write
 from marjoramstile.routes.node import RouterNode, RouterPorts
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.settings import Address, RouterSettings
 from marjoramstile.utils import loop_time
 
 BAD_SETTINGS_EXIT = 78
-REGISTER_RETRY_S = 0.3
 # Share of a VM's memory for bodies that are being read.
 BUFFER_MEMORY_SHARE = 0.2
 # Longer than any idle time that the configuration allows callers.
@@ -140,7 +137,7 @@
         await self._listen(listeners.front, FrontHandler(node.entry, bodies).handle)
         if listeners.completions is not None:
             await self._listen(listeners.completions, self._completions(bodies))
-        node.tasks.start(self._register(), "register")
+        node.tasks.start(node.register(), "register")
         logger.info(
             "daemon_started",
             vm=self._settings.vm,
@@ -170,22 +167,6 @@
         loop = asyncio.get_running_loop()
         self._servers.append((server, await loop.create_server(server, sock=listener)))
 
-    async def _register(self) -> None:
-        """Write this daemon's row, retrying until the store accepts it."""
-        settings = self._settings
-        entry = NodeEntry(
-            host=settings.ip,
-            front=str(settings.listeners.front),
-            data_centre=settings.data_centre,
-            region=settings.region,
-            incarnation=self._node.view.own.incarnation,
-        )
-        write = Write(NODES_TABLE, settings.vm, entry.to_value())
-        while (answer := await self._store.transact([], [write])).is_err():
-            logger.warning("not_registered", reason=answer.unwrap_err().message)
-            await asyncio.sleep(REGISTER_RETRY_S)
-        logger.info("registered", vm=settings.vm)
-
     async def _stop(self) -> None:
         """Withdraw the address, drain, and shut down within the grace period."""
         grace_s = self._settings.bounds.grace_s
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -12,7 +12,7 @@
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.leaving import LeavingHosts
-from marjoramstile.membership.nodes import NODES_TABLE, MirrorVMList
+from marjoramstile.membership.nodes import NODES_TABLE, MirrorVMList, NodeEntry
 from marjoramstile.membership.prober import Prober
 from marjoramstile.membership.view import View
 from marjoramstile.mirrors.follower import MirrorFollower
@@ -31,6 +31,7 @@
 from marjoramstile.pools.host import SchedulerHost
 from marjoramstile.pools.shards import PoolShards, SchedulerSelector
 from marjoramstile.ports.feeds import StoredRow, TableFeed, era_of
+from marjoramstile.ports.tables import Write
 from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.reports.exposition import exposition_text
 from marjoramstile.reports.metrics import Metrics
@@ -87,8 +88,11 @@
 # that it has.
 HEARTBEATS_MISSED = 3
 EXPIRY_MARGIN_S = 1.0
-# Time after a restore of the store in which all daemons write their rows again.
+# Time after a restore of the store in which all daemons write their rows again, and the
+# time over which they spread it.
 NODES_REWRITE_S = 5.0
+WRITE_AGAIN_SPREAD_S = 1.0
+REGISTER_RETRY_S = 0.3
 
 logger = get_logger(__name__)
 
@@ -132,6 +136,7 @@
         )
         self.nodes_mirror = TableMirror(NODES_TABLE, RestorePolicy(NODES_REWRITE_S))
         self._orders_mirror = TableMirror(ORDERS_TABLE)
+        self._era: int | None = None
         self._orders_mirror.subscribe(self._apply_orders)
         self._build_membership()
         self._build_requests()
@@ -488,11 +493,52 @@
         now = loop_time()
         for follower in self._followers.values():
             follower.mirror.expire(now)
+        self._check_era()
         self.directory.expire(now)
         self.balancer.forget_missing(self.directory.all)
         self.limits.forget_missing(self.directory.all)
         self.limits.tell_newcomers()
 
+    def _check_era(self) -> None:
+        """Write rows again after the store has come back from an older copy."""
+        mirrors = [follower.mirror for follower in self._followers.values()]
+        eras = [era_of(mirror.version) for mirror in mirrors if mirror.loaded]
+        if not eras:
+            return
+        era, former = max(eras), self._era
+        self._era = era
+        if former is not None and era > former:
+            self.metrics.count("store_restored", "")
+            self.tasks.start(self._write_again(), "write rows again")
+
+    async def _write_again(self) -> None:
+        """Write what the copy may lack, not all daemons at the same moment."""
+        await asyncio.sleep(self._rng.uniform(0.0, WRITE_AGAIN_SPREAD_S))
+        self.streams.store_again()
+        self.block_sharing.store_again()
+        own_era = era_of(self.nodes_mirror.version)
+        confirmed = self.nodes_mirror.confirms(self.settings.vm)
+        if own_era < self._era or not confirmed:
+            logger.info("registers_again", era=self._era)
+            await self.register()
+
+    async def register(self) -> None:
+        """Write this daemon's row, retrying until the store accepts it."""
+        settings = self.settings
+        entry = NodeEntry(
+            host=settings.ip,
+            front=str(settings.listeners.front),
+            data_centre=settings.data_centre,
+            region=settings.region,
+            incarnation=self.view.own.incarnation,
+        )
+        write = Write(NODES_TABLE, settings.vm, entry.to_value())
+        store = self._ports.orders
+        while (answer := await store.transact([], [write])).is_err():
+            logger.warning("not_registered", reason=answer.unwrap_err().message)
+            await asyncio.sleep(REGISTER_RETRY_S)
+        logger.info("registered", vm=settings.vm)
+
     async def leave(self) -> None:
         """Announce to all daemons that this one accepts no new callers."""
         self.view.leave(loop_time())
--- a/marjoramstile/streams/keeper.py
+++ b/marjoramstile/streams/keeper.py
@@ -263,6 +263,10 @@
             pause_s = min(2 * pause_s, RETRY_MAX_S)
         self._loaded.set()
 
+    def store_again(self) -> None:
+        """Store everything with the next changes: a restored store may lack it."""
+        self._store.forget()
+
     async def store_changes(self, services: list[str]) -> None:
         """Store versions and streams that this daemon has to; run periodically."""
         if not self._loaded.is_set():
--- a/marjoramstile/streams/storage.py
+++ b/marjoramstile/streams/storage.py
@@ -73,6 +73,11 @@
         """Return a service's versions as this daemon last read or wrote them."""
         return self._versions.get(service)
 
+    def forget(self) -> None:
+        """Forget what is stored: a restored store may lack it."""
+        self._versions.clear()
+        self._rings.clear()
+
     async def load(self) -> bool:
         """Take over all rows; return whether the store could be read."""
         answer = await self._feed.read_table(STREAMS_TABLE)
--- a/tests/crashes/test_fleet.py
+++ b/tests/crashes/test_fleet.py
@@ -367,3 +367,19 @@
     assert most <= 20_000
     assert max(fleet.received.values()) / seconds <= 200
     assert fleet.blocked() == [set()] * 400
+
+
+async def test_a_block_that_a_copy_of_the_store_lacks_is_stored_again_once(fleets):
+    fleet = fleets(7)
+    await asyncio.sleep(3.0)
+    for number in range(20):
+        fleet.daemons[0].sharing.set_block(SERVICE, f"part/{number}", blocked=True)
+    await asyncio.sleep(2.0)
+    stored = dict(fleet.store.rows)
+    fleet.store.rows.clear()
+    calls = fleet.store.calls
+    for daemon in fleet.daemons:
+        daemon.sharing.store_again()
+    await asyncio.sleep(2.0)
+    assert fleet.store.rows.keys() == stored.keys()
+    assert fleet.store.calls - calls == 2 * len(stored)
--- a/tests/mirrors/test_fleet_events.py
+++ b/tests/mirrors/test_fleet_events.py
@@ -17,10 +17,18 @@
 from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.mirrors.mirror import TableMirror
 from marjoramstile.mirrors.peers import PeerChangeSource
-from marjoramstile.peers.membership_messages import changes_from_wire
-from marjoramstile.peers.peer_types import WireTableVersion
+from marjoramstile.peers.membership_messages import (
+    changes_from_wire,
+    table_version_to_wire,
+)
 from marjoramstile.peers.router_handler import RouterPeerHandler
-from marjoramstile.ports.feeds import Changes, StoredRow
+from marjoramstile.ports.feeds import (
+    Changes,
+    HistoryLostError,
+    StoredRow,
+    era_of,
+    version_in_era,
+)
 from marjoramstile.ports.tables import StoreError
 from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.routes import node
@@ -57,6 +65,13 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def restore(self) -> None:
+        """Come back from an older copy, in a new era."""
+        era = era_of(self.versions[CONFIGURATION]) + 1
+        self.versions = dict.fromkeys(TABLES, version_in_era(era, 1))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def changes(self, table: str, complete: bool) -> Changes:
         """Return a table's only row."""
         version = self.versions[table]
@@ -98,6 +113,8 @@
                     await self._store._changed.wait()
             except TimeoutError:
                 break
+        if era_of(self._store.versions[table]) > era_of(after):
+            return Err(HistoryLostError())
         if self._store.versions[table] <= after:
             return Ok(Changes((), after, complete=False))
         return Ok(self._store.changes(table, complete=False))
@@ -147,7 +164,7 @@
             await asyncio.sleep(UNREACHABLE_DELAY_S)
             return None
         await asyncio.sleep(PEER_DELAY_S)
-        wanted = [WireTableVersion(table, after) for table, after in versions.items()]
+        wanted = [table_version_to_wire(*item) for item in versions.items()]
         answers = await other.handler.changes(wanted, whole)
         return {
             table: changes_from_wire(item)
@@ -284,3 +301,15 @@
     assert fleet.store.peak_calls_per_second(started + 3) <= 4 * DAEMONS
     fleet.store.refused_vms = set()
     assert await fleet.change_and_time() < IN_FORCE_S
+
+
+async def test_a_store_that_is_restored_is_read_by_the_readers(fleet):
+    """All others take the new era from them, also a change right after it."""
+    await fleet.change_and_time()
+    before = sum(fleet.store.calls.values())
+    fleet.store.restore()
+    assert await fleet.wait_until_in_force() < 1.0
+    assert await fleet.change_and_time() < 1.0
+    await asyncio.sleep(1.0)
+    calls = sum(fleet.store.calls.values()) - before
+    assert calls <= 13 * len(TABLES) * 4
--- a/tests/processes/test_restored_store.py
+++ b/tests/processes/test_restored_store.py
@@ -10,9 +10,11 @@
 from demo.published_fleet import (
     HOST_NAME,
     PLAIN_SERVICE,
+    ZONES,
     PublishedFleet,
     configuration,
 )
+from marjoramstile.membership.nodes import NODES_TABLE
 
 DAEMONS = 4
 CONFIGURATIONS = 10
@@ -153,3 +155,32 @@
         for number in range(1, DAEMONS + 1):
             assert set(await fleet.addresses(number)) == expected
         await asyncio.sleep(POLL_S)
+
+
+async def test_a_daemon_whose_row_the_copy_lacks_is_withheld_from_callers(fleet):
+    number = DAEMONS + 2
+    fleet.launch_router(number)
+    await fleet.wait_for_ready(number)
+    async with asyncio.timeout(CONTACT_S):
+        while fleet.front(number) not in await fleet.addresses(1):
+            await asyncio.sleep(POLL_S)
+    await asyncio.sleep(1.0)
+    age_s = 8.0
+    await fleet.restore_store(age_s, 0.2)
+    assert vm_name(number) not in await node_rows(fleet)
+    for _ in range(60):
+        assert fleet.front(number) in await fleet.addresses(1)
+        await asyncio.sleep(POLL_S)
+    assert vm_name(number) in await node_rows(fleet)
+
+
+def vm_name(number: int) -> str:
+    """Return the name under which a daemon registers."""
+    return f"front-{ZONES[number % len(ZONES)]}-{number}"
+
+
+async def node_rows(fleet) -> set[str]:
+    """Return the names of the daemons that the store has."""
+    url = f"http://{fleet.store}/v1/rows-get?table={NODES_TABLE}"
+    async with fleet.session.get(url) as response:
+        return {row["key"] for row in (await response.json())["rows"]}
--- a/tests/streams/test_fleet.py
+++ b/tests/streams/test_fleet.py
@@ -283,3 +283,17 @@
     await asyncio.sleep(3 * PERIOD_S)
     await fleet.kill_all()
     assert await fleet.take_up(begun) == begun
+
+
+async def test_streams_that_a_copy_of_the_store_lacks_are_stored_again(fleets):
+    fleet = fleets(9, *V1)
+    await asyncio.sleep(LIFE_S)
+    fleet.put(*V2)
+    begun = await fleet.begin_streams(100, *NAMES)
+    await asyncio.sleep(3 * PERIOD_S)
+    fleet.store.rows.clear()
+    for daemon in fleet.daemons:
+        daemon.keeper.store_again()
+    await asyncio.sleep(3 * PERIOD_S)
+    await fleet.kill_all()
+    assert await fleet.take_up(begun) == begun
