--- a/marjoramstile/membership/prober.py
+++ b/marjoramstile/membership/prober.py
@@ -25,7 +25,8 @@
     """A probe or its answer: the sender, and reports and strikes to merge.
 
     A strike is a pair of content and endpoint. ``blocklist`` is the digest of the
-    sender's blocklist; empty if it has none.
+    sender's blocklist; empty if it has none. ``positions`` are pairs of a mirrored
+    table and how new the sender's copy is.
     """
 
     vm: str
@@ -33,6 +34,7 @@
     reports: tuple[Report, ...]
     strikes: tuple[tuple[str, str], ...] = ()
     blocklist: str = ""
+    positions: tuple[tuple[str, int], ...] = ()
 
 
 class ProbePeers(Protocol):
@@ -69,6 +71,8 @@
         self._strike_sink: Callable[[str, str], None] = lambda content, endpoint: None
         self._digest_source: Callable[[], str] = lambda: ""
         self._digest_sink: Callable[[str, str], None] = lambda vm, digest: None
+        self._position_source: Callable[[], tuple] = lambda: ()
+        self._position_sink: Callable[[str, tuple], None] = lambda vm, positions: None
 
     def carry_strikes(
         self,
@@ -93,6 +97,18 @@
         self._digest_source = source
         self._digest_sink = sink
 
+    def carry_positions(
+        self,
+        source: Callable[[], tuple[tuple[str, int], ...]],
+        sink: Callable[[str, tuple[tuple[str, int], ...]], None],
+    ) -> None:
+        """Exchange how new the mirrors of tables are along with probes.
+
+        ``source`` returns this daemon's, ``sink`` is called with a VM and its own.
+        """
+        self._position_source = source
+        self._position_sink = sink
+
     async def refresh_list(self) -> None:
         """Read the platform's VM list; if that fails, the last one stays in use.
 
@@ -172,6 +188,7 @@
             reports,
             self._strike_source(REPORTS_PER_MESSAGE),
             self._digest_source(),
+            self._position_source(),
         )
 
     def _merge_probe(self, probe: Probe) -> None:
@@ -182,6 +199,7 @@
         for content, endpoint in probe.strikes:
             self._strike_sink(content, endpoint)
         self._digest_sink(probe.vm, probe.blocklist)
+        self._position_sink(probe.vm, probe.positions)
 
     async def announce(self) -> None:
         """Send this daemon's state to all others at once, when it starts or leaves."""
--- a/marjoramstile/mirrors/mirror.py
+++ b/marjoramstile/mirrors/mirror.py
@@ -67,6 +67,7 @@
         self._returned: dict[str, tuple[StoredRow, float]] = {}
         self._rows: dict[str, StoredRow] = {}
         self._version = NO_VERSION
+        self._position = NO_VERSION
         self._listeners: list[Listener] = []
 
     @property
@@ -84,6 +85,20 @@
         """Whether the table was read at least once."""
         return self._version != NO_VERSION
 
+    @property
+    def position(self) -> int:
+        """How new the newest row is; grows as rows change."""
+        return self._position
+
+    def covers(self, position: int) -> bool:
+        """Return whether the copy has what one at ``position`` has."""
+        return self._version >= position
+
+    @property
+    def resume_version(self) -> int:
+        """Version after which a daemon that is ahead has what the copy lacks."""
+        return self._version
+
     @property
     def rows(self) -> dict[str, StoredRow]:
         """Rows that exist, by key."""
@@ -170,6 +185,7 @@
         current = self._rows.get(row.key)
         self._missing_until.pop(row.key, None)
         self._rows[row.key] = row
+        self._position = max(self._position, row.version)
         if current is not None and current.value == row.value:
             return
         for listener in self._listeners:
@@ -210,6 +226,20 @@
         self._document_version = document_version
         self._versions: dict[str, int | None] = {}
 
+    @property
+    def position(self) -> int:
+        """The newest document's version."""
+        return max((item or 0 for item in self._versions.values()), default=0)
+
+    def covers(self, position: int) -> bool:
+        """Return whether the copy has a document of at least this version."""
+        return self.position >= position
+
+    @property
+    def resume_version(self) -> int:
+        """Whole tables are asked for: documents may be newer than their rows."""
+        return NO_VERSION
+
     def apply(self, changes: Changes) -> None:
         """Apply changes; older ones may still hold a newer document."""
         if changes.version >= self._version and self.accepts(changes):
--- a/marjoramstile/peers/membership_messages.py
+++ b/marjoramstile/peers/membership_messages.py
@@ -42,6 +42,7 @@
             for content, endpoint in probe.strikes
         ],
         blocklist=probe.blocklist,
+        positions=[table_version_to_wire(*item) for item in probe.positions],
     )
 
 
@@ -56,6 +57,10 @@
         ),
         strikes=tuple((item.content, item.endpoint) for item in wire.strikes),
         blocklist=wire.blocklist or "",
+        positions=tuple(
+            (item.table, version_from_wire(item, UNNAMED_ERA))
+            for item in wire.positions or ()
+        ),
     )
 
 
--- a/marjoramstile/peers/peer.thrift
+++ b/marjoramstile/peers/peer.thrift
@@ -12,12 +12,23 @@
   2: string endpoint,
 }
 
+// The version up to which a daemon has the changes of a table: a number of the store in
+// an era. Older builds send no era.
+struct TableVersion {
+  1: string table,
+  2: i64 after,
+  3: i64 era,
+}
+
+// positions: how new the sender's mirrors are, by table, era and version; older builds
+// send none.
 struct Probe {
   1: string vm,
   2: string incarnation,
   3: list<Report> reports,
   4: list<Strike> strikes,
   5: string blocklist,
+  6: list<TableVersion> positions,
 }
 
 struct Ask {
@@ -93,14 +104,6 @@
   6: i64 era,
 }
 
-// The version up to which a daemon has the changes of a table: a number of the store in
-// an era. Older builds send no era.
-struct TableVersion {
-  1: string table,
-  2: i64 after,
-  3: i64 era,
-}
-
 service Peer {
   list<MirrorChanges> changes(1: list<TableVersion> versions, 2: bool whole),
   Probe probe(1: Probe message),
--- a/marjoramstile/peers/peer_types.py
+++ b/marjoramstile/peers/peer_types.py
@@ -38,6 +38,22 @@
     ]
 
 
+class WireTableVersion(TPayload):
+    """See TableVersion in peer.thrift."""
+
+    _ttype = TType.STRUCT
+    thrift_spec = {
+        1: (TType.STRING, "table", False),
+        2: (TType.I64, "after", False),
+        3: (TType.I64, "era", False),
+    }
+    default_spec = [
+        ("table", None),
+        ("after", None),
+        ("era", None),
+    ]
+
+
 class WireProbe(TPayload):
     """See Probe in peer.thrift."""
 
@@ -48,6 +64,7 @@
         3: (TType.LIST, "reports", (TType.STRUCT, WireReport), False),
         4: (TType.LIST, "strikes", (TType.STRUCT, WireStrike), False),
         5: (TType.STRING, "blocklist", False),
+        6: (TType.LIST, "positions", (TType.STRUCT, WireTableVersion), False),
     }
     default_spec = [
         ("vm", None),
@@ -55,6 +72,7 @@
         ("reports", None),
         ("strikes", None),
         ("blocklist", None),
+        ("positions", None),
     ]
 
 
@@ -224,22 +242,6 @@
     ]
 
 
-class WireTableVersion(TPayload):
-    """See TableVersion in peer.thrift."""
-
-    _ttype = TType.STRUCT
-    thrift_spec = {
-        1: (TType.STRING, "table", False),
-        2: (TType.I64, "after", False),
-        3: (TType.I64, "era", False),
-    }
-    default_spec = [
-        ("table", None),
-        ("after", None),
-        ("era", None),
-    ]
-
-
 class ChangesArgs(TPayload):
     """The arguments of changes."""
 
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from dataclasses import dataclass
 
 from marjoramstile.crashes.blocklist import Blocklist
@@ -16,6 +17,7 @@
 from marjoramstile.membership.prober import Prober
 from marjoramstile.membership.view import View
 from marjoramstile.mirrors.follower import MirrorFollower
+from marjoramstile.mirrors.lag import LagDetector
 from marjoramstile.mirrors.mirror import (
     DocumentMirror,
     RestorePolicy,
@@ -93,6 +95,9 @@
 NODES_REWRITE_S = 5.0
 WRITE_AGAIN_SPREAD_S = 1.0
 REGISTER_RETRY_S = 0.3
+# Longest time for which a starting daemon asks others for the configuration.
+START_WAIT_S = 0.2
+START_POLL_S = 0.01
 
 logger = get_logger(__name__)
 
@@ -240,6 +245,16 @@
             )
         }
         self._reads_store = peers.reads_store
+        self._lag = LagDetector(
+            {
+                mirror.table: mirror
+                for mirror in (self.configuration_mirror, self.replicas_mirror)
+            },
+            self.view,
+            self.peer_client,
+            self.tasks,
+        )
+        self.prober.carry_positions(self._lag.positions, self._lag.handle_positions)
 
     def _daemon_count(self) -> int | None:
         """Return how many daemons there are; None before their rows were read."""
@@ -452,7 +467,9 @@
         await self._peer_server.start(peers.host, peers.port)
         await self._start_datagrams(peers)
         for table, follower in self._followers.items():
-            self.tasks.start(follower.run(), f"follow {table}")
+            if follower.mirror is not self.configuration_mirror:
+                self.tasks.start(follower.run(), f"follow {table}")
+        self.tasks.start(self._follow_configuration(), "follow the configuration")
         self.tasks.start(self.block_sharing.load(), "load the blocklist")
         self.tasks.start(self.streams.load(), "load streams")
         self._every(STREAMS_PERIOD_S, self._store_streams, "store streams")
@@ -461,6 +478,21 @@
         self._every(EXPIRY_PERIOD_S, self._expire, "expire")
         self._every(STAGES_PERIOD_S, self._rebalance_stages, "stages")
 
+    async def _follow_configuration(self) -> None:
+        """Follow the store, after asking other daemons.
+
+        The store may just have come back from a copy with an older configuration.
+        """
+        table = self.configuration_mirror.table
+        with suppress(TimeoutError):
+            async with asyncio.timeout(START_WAIT_S):
+                while not self.nodes_mirror.loaded:
+                    await asyncio.sleep(START_POLL_S)
+                listed = (await self._vm_list.list_vms()).unwrap()
+                self.view.merge_list(listed, loop_time())
+                await self._lag.ask_at_start(table, self._rng)
+        await self._followers[table].run()
+
     async def _start_datagrams(self, address: Address) -> None:
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
