--- a/marjoramstile/membership/prober.py
+++ b/marjoramstile/membership/prober.py
@@ -26,7 +26,8 @@
 
     A strike is a pair of content and endpoint. ``blocklist`` is the digest of the
     sender's blocklist; empty if it has none. ``positions`` are pairs of a mirrored
-    table and how new the sender's copy is.
+    table and how new the sender's copy is. ``links`` is the state of the sender's links
+    to replicas.
     """
 
     vm: str
@@ -35,6 +36,7 @@
     strikes: tuple[tuple[str, str], ...] = ()
     blocklist: str = ""
     positions: tuple[tuple[str, int], ...] = ()
+    links: int = 0
 
 
 class ProbePeers(Protocol):
@@ -72,6 +74,8 @@
         self._digest_source: Callable[[], str] = lambda: ""
         self._digest_sink: Callable[[str, str], None] = lambda vm, digest: None
         self._position_source: Callable[[], tuple] = lambda: ()
+        self._links_source: Callable[[], int] = lambda: 0
+        self._links_sink: Callable[[str, int], None] = lambda vm, state: None
         self._position_sink: Callable[[str, tuple], None] = lambda vm, positions: None
 
     def carry_strikes(
@@ -109,6 +113,13 @@
         self._position_source = source
         self._position_sink = sink
 
+    def carry_links(
+        self, source: Callable[[], int], sink: Callable[[str, int], None]
+    ) -> None:
+        """Exchange the state of VMs' links to replicas along with probes."""
+        self._links_source = source
+        self._links_sink = sink
+
     async def refresh_list(self) -> None:
         """Read the platform's VM list; if that fails, the last one stays in use.
 
@@ -189,6 +200,7 @@
             self._strike_source(REPORTS_PER_MESSAGE),
             self._digest_source(),
             self._position_source(),
+            self._links_source(),
         )
 
     def _merge_probe(self, probe: Probe) -> None:
@@ -200,6 +212,7 @@
             self._strike_sink(content, endpoint)
         self._digest_sink(probe.vm, probe.blocklist)
         self._position_sink(probe.vm, probe.positions)
+        self._links_sink(probe.vm, probe.links)
 
     async def announce(self) -> None:
         """Send this daemon's state to all others at once, when it starts or leaves."""
--- a/marjoramstile/peers/membership_messages.py
+++ b/marjoramstile/peers/membership_messages.py
@@ -43,6 +43,7 @@
         ],
         blocklist=probe.blocklist,
         positions=[table_version_to_wire(*item) for item in probe.positions],
+        links=probe.links,
     )
 
 
@@ -61,6 +62,7 @@
             (item.table, version_from_wire(item, UNNAMED_ERA))
             for item in wire.positions or ()
         ),
+        links=wire.links or 0,
     )
 
 
--- a/marjoramstile/peers/peer.thrift
+++ b/marjoramstile/peers/peer.thrift
@@ -21,7 +21,7 @@
 }
 
 // positions: how new the sender's mirrors are, by table, era and version; older builds
-// send none.
+// send none. links: the state of the sender's links to replicas.
 struct Probe {
   1: string vm,
   2: string incarnation,
@@ -29,6 +29,7 @@
   4: list<Strike> strikes,
   5: string blocklist,
   6: list<TableVersion> positions,
+  7: i32 links,
 }
 
 struct Ask {
--- a/marjoramstile/peers/peer_types.py
+++ b/marjoramstile/peers/peer_types.py
@@ -65,6 +65,7 @@
         4: (TType.LIST, "strikes", (TType.STRUCT, WireStrike), False),
         5: (TType.STRING, "blocklist", False),
         6: (TType.LIST, "positions", (TType.STRUCT, WireTableVersion), False),
+        7: (TType.I32, "links", False),
     }
     default_spec = [
         ("vm", None),
@@ -73,6 +74,7 @@
         ("strikes", None),
         ("blocklist", None),
         ("positions", None),
+        ("links", None),
     ]
 
 
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -15,6 +15,7 @@
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop, listening_socket
 from marjoramstile.mirrors.mirror import DocumentMirror
+from marjoramstile.platform.carriers import HTTPCarrierClient
 from marjoramstile.platform.documents import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
@@ -31,6 +32,7 @@
 from marjoramstile.platform.settings import load_platform_settings, settings_path
 from marjoramstile.platform.store import PlatformStore
 from marjoramstile.ports.feeds import StoredRow
+from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.node import RouterNode, RouterPorts
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.settings import Address, RouterSettings
@@ -68,13 +70,16 @@
         self._store = PlatformStore(store_session, str(settings.store))
         notices = ReplicaNotices()
         self._buffers = BufferBudget(int(settings.memory_bytes * BUFFER_MEMORY_SHARE))
-        replicas = HTTPReplicaClient(replica_session, notices, self._buffers)
+        links = ReplicaLinks()
+        replicas = HTTPReplicaClient(replica_session, notices, self._buffers, links)
         ports = RouterPorts(
             feed=self._store,
             replicas=replicas,
             orders=self._store,
             stages=replicas,
             notices=notices,
+            links=links,
+            carriers=HTTPCarrierClient(replica_session, self._buffers),
         )
         self._node = RouterNode(
             settings,
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -90,6 +90,7 @@
         self, status: int, failure: Failure, close: bool = False
     ) -> web.Response:
         response = web.json_response(failure.to_body(), status=status)
+        response.headers[platform_headers.CARRIER_RESULT] = str(int(failure.code))
         if failure.retry_after_s is not None:
             retry_after = f"{failure.retry_after_s:.3f}"
             response.headers[platform_headers.RETRY_AFTER] = retry_after
@@ -161,6 +162,8 @@
         resume_after=platform_headers.resume_after(headers),
         shared_parts=platform_headers.shared_parts(headers),
         resumes=platform_headers.resumed_id(headers),
+        carried_for=platform_headers.first_value(headers, platform_headers.CARRIED_FOR),
+        carried_runs=platform_headers.carried_runs(headers),
     )
 
 
--- a/marjoramstile/platform/headers.py
+++ b/marjoramstile/platform/headers.py
@@ -22,6 +22,11 @@
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
 LIMIT = "Server-Limit"
+# Between VMs: for which VM a request is carried, how many replicas may run it, and the
+# result code of the carrier's own failure.
+CARRIED_FOR = "Marjoramstile-Carried-For"
+CARRIED_RUNS = "Marjoramstile-Carried-Runs"
+CARRIER_RESULT = "Marjoramstile-Result"
 
 # Longest id of a request that is read, in characters.
 REQUEST_ID_MAX = 128
@@ -61,9 +66,14 @@
         "X-Expect-Version",
         "Kv-Fetch",
         "Wait-Ms",
+        CARRIED_FOR,
+        CARRIED_RUNS,
     )
 )
 
+# Set only by carriers; dropped from replicas' answers.
+_CARRIER_ONLY = frozenset({CARRIER_RESULT.lower()})
+
 
 def _connection_options(headers: Iterable[tuple[str, str]]) -> set[str]:
     """Return the lower-case names of headers listed in the Connection header."""
@@ -83,7 +93,7 @@
 
 def forwarded_response_headers(headers: Headers) -> Headers:
     """Return the replica's headers to forward to the caller."""
-    dropped = _HOP_BY_HOP | _connection_options(headers)
+    dropped = _HOP_BY_HOP | _CARRIER_ONLY | _connection_options(headers)
     return tuple(item for item in headers if item[0].lower() not in dropped)
 
 
@@ -145,6 +155,13 @@
     return named
 
 
+def carried_runs(headers: Headers) -> int | None:
+    """Return how many replicas may run a carried request; None if it isn't carried."""
+    if not first_value(headers, CARRIED_FOR):
+        return None
+    return max(1, _whole_number(first_value(headers, CARRIED_RUNS)) or 1)
+
+
 def time_left_s(headers: Headers) -> float | None:
     """Return how long the caller waits for the response, in seconds, if stated."""
     time_left_ms = _positive_number(first_value(headers, DEADLINE_MS))
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -27,6 +27,7 @@
 from marjoramstile.loops import connect
 from marjoramstile.platform import headers as platform_headers
 from marjoramstile.platform.connections import ReplicaConnector
+from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.order_ports import StageOrder, StageReport
 from marjoramstile.routes.ports import StreamAnswer
@@ -77,12 +78,20 @@
     """Sends requests, reservations and orders to replicas."""
 
     def __init__(
-        self, session: ClientSession, notices: ReplicaNotices, buffers: BufferBudget
+        self,
+        session: ClientSession,
+        notices: ReplicaNotices,
+        buffers: BufferBudget,
+        links: ReplicaLinks,
     ):
-        """``notices`` records which replicas are leaving or asked for a pause."""
+        """``notices`` records which replicas are leaving or asked for a pause.
+
+        ``links`` records which connections fail.
+        """
         self._session = session
         self._notices = notices
         self._buffers = buffers
+        self._links = links
 
     async def call(
         self, replica: Replica, request: RoutedRequest, timeout_s: float
@@ -92,7 +101,7 @@
             replica, request, timeout_s, SendOptions()
         ) as response:
             body = await self._read_all(response, ANSWER_MAX_BYTES)
-            return Reply(response.status, _response_headers(response), body)
+            return Reply(response.status, response_headers(response), body)
 
     @asynccontextmanager
     async def stream(
@@ -105,7 +114,7 @@
         """Send a request and open its stream; the connection closes after the block."""
         async with self._exchange(replica, request, timeout_s, options) as response:
             yield StreamAnswer(
-                response.status, _response_headers(response), _chunks(response)
+                response.status, response_headers(response), body_chunks(response)
             )
 
     async def prefill(
@@ -186,6 +195,7 @@
 
     def _record_response(self, replica: Replica, response: ClientResponse) -> None:
         """Record what the headers announce; a 421 comes from another replica."""
+        self._links.record_reached()
         if response.status == MISDIRECTED:
             return
         if response.headers.get(platform_headers.LEAVING, "").strip() == "1":
@@ -274,13 +284,14 @@
                 answer = json.loads(data) if data and response.status == OK else {}
                 return response.status, answer
         except (ClientError, OSError, TimeoutError, ValueError) as error:
+            self._links.record_failure()
             raise NotSentError(repr(error)) from error
 
     async def _read_all(self, response: ClientResponse, max_bytes: int) -> bytes:
         """Return a whole body; raise AnswerLostError if it is truncated or too long."""
         with self._buffers.body(max_bytes) as body:
             try:
-                async for chunk in _chunks(response):
+                async for chunk in body_chunks(response):
                     body.add(chunk)
             except BufferFullError as error:
                 response.close()
@@ -331,6 +342,7 @@
                 allow_redirects=False,
             )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
+            self._links.record_failure()
             raise NotSentError(repr(error)) from error
         except (ClientError, OSError, TimeoutError, ValueError) as error:
             raise AnswerLostError(repr(error)) from error
@@ -365,7 +377,8 @@
         raise AnswerLostError("the answer bears another request's id")
 
 
-def _response_headers(response: ClientResponse) -> Headers:
+def response_headers(response: ClientResponse) -> Headers:
+    """Return the headers of a response that are passed on."""
     raw = tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
         for name, value in response.raw_headers
@@ -373,7 +386,7 @@
     return platform_headers.forwarded_response_headers(raw)
 
 
-async def _chunks(response: ClientResponse) -> AsyncIterator[bytes]:
+async def body_chunks(response: ClientResponse) -> AsyncIterator[bytes]:
     """Yield the body's bytes; raise AnswerLostError if it is truncated."""
     try:
         async for chunk in response.content.iter_any():
--- a/marjoramstile/routes/balancing.py
+++ b/marjoramstile/routes/balancing.py
@@ -71,6 +71,11 @@
             if self._stats[key].outstanding == 0:
                 del self._stats[key]
 
+    def forgive(self) -> None:
+        """Forget recent failures: this VM's links were lost, not the replicas."""
+        for stats in self._stats.values():
+            stats.failures = 0.0
+
     def choose(self, replicas: Iterable[Replica], now: float) -> Replica | None:
         """Return the replica with the lowest estimated cost; None if there is none."""
         return min(
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -7,6 +7,7 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowedRetryBudget
 from marjoramstile.routes.failures import FailureRecorder
+from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replica_types import Replica
 from marjoramstile.routes.replicas import ReplicaDirectory
@@ -27,6 +28,8 @@
 # Least time left before the deadline for which a retry is worthwhile.
 MIN_ATTEMPT_S = 0.02
 SERVER_ERROR = 500
+# Replicas that don't accept a request's connection before the links are doubted.
+UNSENT_MAX = 2
 
 logger = get_logger(__name__)
 
@@ -42,6 +45,7 @@
         budget: WindowedRetryBudget,
         crashes: CrashDetector,
         permits: PermitClient,
+        links: ReplicaLinks,
     ):
         self._directory = directory
         self._client = client
@@ -49,6 +53,7 @@
         self._budget = budget
         self._crashes = crashes
         self._permits = permits
+        self._links = links
         self._failures = FailureRecorder(directory, balancer)
 
     async def run(self, request: RoutedRequest) -> Reply:
@@ -77,7 +82,7 @@
                 self._crashes.record_begin(request, sent_at)
                 if reply.status < SERVER_ERROR:
                     return reply
-            if not self._may_retry(attempt):
+            if not self._may_retry(attempt) or not await self._links_hold(attempt):
                 return attempt.give_up(RefusalReason.SHED)
 
     def _give_up(self, attempt: "_CallAttempts") -> Reply:
@@ -132,6 +137,12 @@
             stats.record_failure(loop_time(), weight=0.2)
         return reply
 
+    async def _links_hold(self, attempt: "_CallAttempts") -> bool:
+        """Return whether a request that reached no replica may reach another one."""
+        if attempt.has_run or attempt.unsent < UNSENT_MAX:
+            return True
+        return await self._links.hold()
+
     def _may_retry(self, attempt: "_CallAttempts") -> bool:
         now = loop_time()
         if now > attempt.request.deadline - MIN_ATTEMPT_S:
@@ -151,10 +162,16 @@
         self.tried: set[str] = set()
         self.last_was_unsent = False
         self.permit_wait_s: float | None = None
+        self.unsent = 0
         self._runs = 0
         self._lost = False
         self._reply: Reply | None = None
 
+    @property
+    def has_run(self) -> bool:
+        """Whether a replica may have run the request."""
+        return self._runs > 0
+
     @property
     def repeatable(self) -> bool:
         """Whether the request may be sent to one more replica."""
@@ -172,6 +189,7 @@
         """Record an attempt that got no answer."""
         self.tried.add(replica.id)
         self.last_was_unsent = isinstance(error, NotSentError)
+        self.unsent += self.last_was_unsent
         if isinstance(error, AnswerLostError):
             self._runs += 1
             self._lost = True
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.logs import get_logger
@@ -10,6 +10,7 @@
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.budget import WindowedRetryBudget
 from marjoramstile.routes.calls import PlainCallRunner
+from marjoramstile.routes.carrying import RequestCarrier
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.ports import Responder
 from marjoramstile.routes.requests import (
@@ -41,7 +42,8 @@
     """A caller's request before its route is known.
 
     ``time_left_s`` is how long the caller waits; None if it set no limit.
-    ``shared_parts`` and ``resumes`` are as in RoutedRequest.
+    ``shared_parts`` and ``resumes`` are as in RoutedRequest. ``carried_for`` is the VM
+    whose daemon has sent it here, ``carried_runs`` how many replicas may run it then.
     """
 
     id: str
@@ -56,6 +58,8 @@
     resume_after: int | None
     shared_parts: tuple[str, ...] = ()
     resumes: str | None = None
+    carried_for: str | None = None
+    carried_runs: int | None = None
 
 
 class RequestDispatcher:
@@ -71,6 +75,7 @@
         calls: PlainCallRunner,
         generations: GenerationRunner,
         crashes: CrashDetector,
+        carrier: RequestCarrier,
         budget: WindowedRetryBudget,
         metrics: Metrics,
         grace_s: float,
@@ -81,6 +86,7 @@
         self._calls = calls
         self._generations = generations
         self._crashes = crashes
+        self._carrier = carrier
         self._budget = budget
         self._metrics = metrics
         self._grace_s = grace_s
@@ -180,6 +186,10 @@
         self, incoming: IncomingRequest, route: Route
     ) -> RoutedRequest:
         now = loop_time()
+        if incoming.carried_runs is not None:
+            logger.info("carries", request=incoming.id, vm=incoming.carried_for)
+            runs = min(route.max_attempts, incoming.carried_runs)
+            route = replace(route, max_attempts=runs)
         time_left_s = route.timeout_s
         if incoming.time_left_s is not None:
             time_left_s = min(time_left_s, incoming.time_left_s)
@@ -197,10 +207,25 @@
             resume_after=incoming.resume_after,
             shared_parts=incoming.shared_parts,
             resumes=incoming.resumes,
+            is_carried=incoming.carried_runs is not None,
         )
 
     async def _dispatch(
         self, request: RoutedRequest, table: RoutingTable, responder: Responder
+    ) -> Reply | None:
+        self._carrier.check_carried(request)
+        if self._carrier.may_carry(request):
+            return await self._carrier.run(request, responder)
+        try:
+            return await self._run_here(request, table, responder)
+        except RequestRefusedError:
+            self._carrier.check_carried(request)
+            if not self._carrier.may_carry(request):
+                raise
+            return await self._carrier.run(request, responder)
+
+    async def _run_here(
+        self, request: RoutedRequest, table: RoutingTable, responder: Responder
     ) -> Reply | None:
         self._budget.record_request(request.service, request.arrived)
         await self._crashes.check(request)
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -12,6 +12,7 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.pools.messages import LeaseOutcome
 from marjoramstile.routes.budget import WindowedRetryBudget
+from marjoramstile.routes.carrying import CarriedProgress, RequestCarrier
 from marjoramstile.routes.events import Event, EventSplitter, EventTooLongError
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.placement import DecodePlacer, Placement
@@ -86,6 +87,7 @@
         failures: FailureRecorder,
         crashes: CrashDetector,
         streams: StreamVersions,
+        carrier: RequestCarrier,
         tasks: BackgroundTasks,
     ):
         self._client = client
@@ -95,6 +97,7 @@
         self._failures = failures
         self._crashes = crashes
         self._streams = streams
+        self._carrier = carrier
         self._tasks = tasks
 
     async def run(
@@ -120,11 +123,23 @@
                 self._record_failure(request, progress, failure)
                 if not await self._may_retry(request, progress, failure):
                     raise self._final_error(progress, failure) from failure
+                if self._carrier.may_carry(request):
+                    return await self._continue_elsewhere(request, responder, progress)
             except RequestRefusedError as refusal:
                 if progress.runs == 0:
                     raise
+                if self._carrier.may_carry(request):
+                    return await self._continue_elsewhere(request, responder, progress)
                 raise self._incomplete_error(progress, str(refusal)) from refusal
 
+    async def _continue_elsewhere(
+        self, request: RoutedRequest, responder: Responder, progress: Progress
+    ) -> Reply | None:
+        """Let another VM go on, as this one has lost its links to replicas."""
+        last_event = progress.last_event if progress.started else None
+        carried = CarriedProgress(progress.runs, progress.started, last_event)
+        return await self._carrier.run(request, responder, carried)
+
     async def _attempt(
         self,
         request: RoutedRequest,
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -41,9 +41,15 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowedRetryBudget
 from marjoramstile.routes.calls import PlainCallRunner
+from marjoramstile.routes.carrying import (
+    CarrierClient,
+    CarrierPeers,
+    RequestCarrier,
+)
 from marjoramstile.routes.entry import RequestDispatcher
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
+from marjoramstile.routes.links import LinkMonitor, ReplicaLinks
 from marjoramstile.routes.loads import PrefillLoads
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.order_ports import OrderStore, StageClient
@@ -111,6 +117,8 @@
     orders: OrderStore
     stages: StageClient
     notices: ReplicaNotices
+    links: ReplicaLinks
+    carriers: CarrierClient
 
 
 class RouterNode:
@@ -281,8 +289,15 @@
             self.limits.is_limited,
             settings.bounds.lease_s,
         )
+        self._build_carrying(client)
         calls = PlainCallRunner(
-            self.directory, client, self.balancer, self.budget, crashes, self._permits
+            self.directory,
+            client,
+            self.balancer,
+            self.budget,
+            crashes,
+            self._permits,
+            self._ports.links,
         )
         generations = self._build_generations(client, crashes)
         self.entry = RequestDispatcher(
@@ -291,6 +306,7 @@
             calls,
             generations,
             crashes,
+            self._carrier,
             self.budget,
             self.metrics,
             settings.bounds.grace_s,
@@ -304,6 +320,22 @@
             min(ADDRESS_TTL_S, settings.bounds.address_ttl_max_s),
         )
 
+    def _build_carrying(self, client: ReplicaClient) -> None:
+        """Build what finds out that this VM reaches no replicas, and what it does."""
+        links = self._ports.links
+        self._link_monitor = LinkMonitor(
+            links, self.directory, client, self._rng, self.balancer.forgive
+        )
+        self.carrier_peers = CarrierPeers(
+            self.view, lambda: self._vm_list.entries, links, self._rng
+        )
+        self.prober.carry_links(
+            self.carrier_peers.own_state, self.carrier_peers.handle_state
+        )
+        self._carrier = RequestCarrier(
+            links, self.carrier_peers, self._ports.carriers, self.budget
+        )
+
     def _build_pools(self) -> None:
         """Build the schedulers of generations, and the client that calls them."""
         shards = PoolShards(self.directory)
@@ -381,7 +413,9 @@
         self, client: ReplicaClient, crashes: CrashDetector
     ) -> GenerationRunner:
         failures = FailureRecorder(self.directory, self.balancer)
-        placer = DecodePlacer(self.directory, client, self.pool, failures)
+        placer = DecodePlacer(
+            self.directory, client, self.pool, failures, self._ports.links, self.tasks
+        )
         prefiller = Prefiller(
             self.directory,
             client,
@@ -401,6 +435,7 @@
             failures,
             crashes,
             streams,
+            self._carrier,
             self.tasks,
         )
 
@@ -452,6 +487,8 @@
             schedulers=self.schedulers,
             limits=self.limits,
             blocklist=self.blocklist,
+            links=self._ports.links,
+            carrier=self._carrier,
             running=lambda: self.entry.running,
             burn=self.entry.burn,
         )
@@ -472,6 +509,7 @@
         self.tasks.start(self._follow_configuration(), "follow the configuration")
         self.tasks.start(self.block_sharing.load(), "load the blocklist")
         self.tasks.start(self.streams.load(), "load streams")
+        self.tasks.start(self._link_monitor.run(), "watch links to replicas")
         self._every(STREAMS_PERIOD_S, self._store_streams, "store streams")
         self._every(LIST_PERIOD_S, self.prober.refresh_list, "list")
         self._every(PROBE_PERIOD_S, self.prober.step, "probe")
@@ -530,6 +568,7 @@
         self.balancer.forget_missing(self.directory.all)
         self.limits.forget_missing(self.directory.all)
         self.limits.tell_newcomers()
+        self.carrier_peers.forget_missing()
 
     def _check_era(self) -> None:
         """Write rows again after the store has come back from an older copy."""
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -15,6 +15,7 @@
     PlacementRequest,
 )
 from marjoramstile.routes.failures import FailureRecorder
+from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replica_types import Replica, Stage
 from marjoramstile.routes.replicas import USABLE, ReplicaDirectory, Standing
@@ -26,7 +27,7 @@
     RoutedRequest,
 )
 from marjoramstile.routes.table import EngineTraits
-from marjoramstile.utils import loop_time
+from marjoramstile.utils import BackgroundTasks, loop_time
 
 # Tokens reserved for the answer, as a share of the caller's estimate: averaged over its
 # run, a generation holds half of its answer.
@@ -71,11 +72,15 @@
         client: ReplicaClient,
         pool: PoolClient,
         failures: FailureRecorder,
+        links: ReplicaLinks,
+        tasks: BackgroundTasks,
     ):
         self._directory = directory
         self._client = client
         self._pool = pool
         self._failures = failures
+        self._links = links
+        self._tasks = tasks
 
     async def place(
         self,
@@ -103,6 +108,8 @@
             placement = await self._reserve(request, engine, lease, version)
             if placement is not None:
                 return placement
+            if self._links.lost:
+                break
             pool_request = self._build_next_request(
                 pool_request, request, lease, version
             )
@@ -222,7 +229,9 @@
             outcome = LeaseOutcome.UNREACHABLE
             self._failures.record(replica, request, error)
         finally:
-            if hold is None:
+            if outcome == LeaseOutcome.UNREACHABLE:
+                self._tasks.start(self._end_unreachable(lease), "end a lease")
+            elif hold is None:
                 self._pool.end(lease, outcome)
         logger.info(
             "place_not_reserved" if hold is None else "placed",
@@ -237,6 +246,12 @@
         )
         return None if hold is None else Placement(replica, hold, lease)
 
+    async def _end_unreachable(self, lease: HeldLease) -> None:
+        """End a lease; that a VM without links reaches a replica not says nothing."""
+        links_hold = await self._links.hold()
+        outcome = LeaseOutcome.UNREACHABLE if links_hold else LeaseOutcome.GIVEN_BACK
+        self._pool.end(lease, outcome)
+
     def replica_accepts(self, placement: Placement) -> bool:
         """Return whether the replica still accepts the request it has reserved for."""
         replica = placement.replica
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -29,7 +29,8 @@
     that the caller has received. ``shared_parts`` are the ids of the prompt's parts in
     order, without the last one, which belongs to the request or its session.
     ``resumes`` is the id of the caller's attempt that brought the first event of a
-    stream that this one takes up; None if it names none.
+    stream that this one takes up; None if it names none. ``is_carried`` means that
+    another VM's daemon has sent it, which reaches no replicas.
     """
 
     id: str
@@ -45,6 +46,7 @@
     resume_after: int | None = None
     shared_parts: tuple[str, ...] = ()
     resumes: str | None = None
+    is_carried: bool = False
 
     @property
     def is_take_up(self) -> bool:
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -12,8 +12,11 @@
 from marjoramstile.mirrors.mirror import TableMirror
 from marjoramstile.peers.membership_client import JoinedRows, MembershipClient
 from marjoramstile.pools.host import SchedulerHost
+from marjoramstile.ports.feeds import era_of, number_of
 from marjoramstile.reports.burn import BurnReport, merge_burn_rows
 from marjoramstile.routes.balancing import Balancer
+from marjoramstile.routes.carrying import RequestCarrier
+from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.order_rows import NO_ORDERS, orders_of
 from marjoramstile.routes.replica_types import Replica
 from marjoramstile.routes.replicas import ReplicaDirectory
@@ -35,6 +38,8 @@
     schedulers: SchedulerHost
     limits: LimitCoordinator
     blocklist: Blocklist
+    links: ReplicaLinks
+    carrier: RequestCarrier
     running: Callable[[], int]
     burn: BurnReport
 
@@ -47,6 +52,8 @@
     """Return this daemon, its state and its configuration."""
     own = sources.view.own
     table = sources.table()
+    now = loop_time()
+    lost_since = sources.links.lost_since
     return [
         {
             "daemon": own.vm.name,
@@ -56,6 +63,9 @@
             "configuration": table.version if table else None,
             "requests": sources.running(),
             "reads_store": sources.reads_store(),
+            "links": sources.links.state(now).name.lower(),
+            "links_lost_s": None if lost_since is None else _seconds(now - lost_since),
+            "carriers": ", ".join(sources.carrier.recent_carriers(now)),
             "incarnation": own.incarnation,
         }
     ]
@@ -69,7 +79,8 @@
         {
             "daemon": sources.view.own.vm.name,
             "table": table,
-            "version": follower.mirror.version,
+            "version": number_of(follower.mirror.version),
+            "era": era_of(follower.mirror.version),
             "age_s": _seconds(follower.age_s(now)),
             "store": "reached" if follower.store_reachable else "lost",
         }
--- a/tests/fronts/support.py
+++ b/tests/fronts/support.py
@@ -62,6 +62,7 @@
             core.calls,
             core.generations,
             core.crashes,
+            core.carrier,
             core.budget,
             Metrics(),
             8.0,
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -25,6 +25,7 @@
     EventSplitter,
     EventTooLongError,
 )
+from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.requests import AnswerLostError, ReplicaError, SendOptions
 from tests.platform.support import raw_replica, request
@@ -62,7 +63,7 @@
 async def client(buffers):
     """Yield a client whose session is closed after the test."""
     async with create_replica_session() as session:
-        yield HTTPReplicaClient(session, ReplicaNotices(), buffers)
+        yield HTTPReplicaClient(session, ReplicaNotices(), buffers, ReplicaLinks())
 
 
 def endless_script(first: bytes, rest: bytes):
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -17,6 +17,7 @@
 from marjoramstile.loops import create_loop
 from marjoramstile.platform.connections import ReplicaConnection
 from marjoramstile.platform.replicas import HTTPReplicaClient, create_replica_session
+from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.notices import PauseState, ReplicaNotices
 from marjoramstile.routes.requests import (
     AnswerLostError,
@@ -43,7 +44,9 @@
 async def client(notices):
     """Yield a client whose session is closed after the test."""
     async with create_replica_session() as session:
-        yield HTTPReplicaClient(session, notices, BufferBudget(BUFFER_BYTES))
+        yield HTTPReplicaClient(
+            session, notices, BufferBudget(BUFFER_BYTES), ReplicaLinks()
+        )
 
 
 async def call(client, script):
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -10,6 +10,7 @@
 from marjoramstile.crashes.sharing import BlocklistSharing
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
+from marjoramstile.membership.nodes import NodeEntry
 from marjoramstile.membership.view import View
 from marjoramstile.pools.client import PoolClient
 from marjoramstile.pools.host import SchedulerHost
@@ -19,8 +20,14 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import BudgetLimits, WindowedRetryBudget
 from marjoramstile.routes.calls import PlainCallRunner
+from marjoramstile.routes.carrying import (
+    CarrierClient,
+    CarrierPeers,
+    RequestCarrier,
+)
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
+from marjoramstile.routes.links import LinkMonitor, ReplicaLinks
 from marjoramstile.routes.loads import PrefillLoads
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.prefiller import Prefiller
@@ -88,6 +95,7 @@
     slack: float = 50.0
     vm: str = "vm-1"
     engine: EngineTraits = ENGINE
+    carriers: CarrierClient | None = None
 
     def __post_init__(self):
         self.tasks = BackgroundTasks()
@@ -100,19 +108,52 @@
         self.view = View(own, "i1")
         self._build_crashes()
         self._build_pools()
-        self.calls = PlainCallRunner(*common, self.budget, self.crashes, self.permits)
+        self._build_carrier()
+        self.calls = PlainCallRunner(
+            *common, self.budget, self.crashes, self.permits, self.links
+        )
         failures = FailureRecorder(self.directory, self.balancer)
         self.generations = GenerationRunner(
             self.pool,
-            DecodePlacer(self.directory, self.pool, self.pool_client, failures),
+            DecodePlacer(
+                self.directory,
+                self.pool,
+                self.pool_client,
+                failures,
+                self.links,
+                self.tasks,
+            ),
             Prefiller(*common, self.budget, PrefillLoads(), self.permits, self.crashes),
             self.budget,
             failures,
             self.crashes,
             self._build_streams(),
+            self.carrier,
             self.tasks,
         )
 
+    def _build_carrier(self) -> None:
+        """Build the state of the links; tests start the monitor that watches them."""
+        self.links = ReplicaLinks()
+        self.link_monitor = LinkMonitor(
+            self.links,
+            self.directory,
+            self.pool,
+            random.Random(5),
+            self.balancer.forgive,
+        )
+        self.carrier_entries: dict[str, NodeEntry] = {}
+        self.carrier_view = View(self.view.own.vm, "i1")
+        self.carrier_peers = CarrierPeers(
+            self.carrier_view,
+            lambda: self.carrier_entries,
+            self.links,
+            random.Random(6),
+        )
+        self.carrier = RequestCarrier(
+            self.links, self.carrier_peers, self.carriers, self.budget
+        )
+
     def _build_streams(self) -> StreamVersions:
         registry = StreamRegistry()
         self.versions = VersionHistory(self.directory)
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -62,6 +62,8 @@
         schedulers=core.schedulers,
         limits=core.limits,
         blocklist=Blocklist(),
+        links=core.links,
+        carrier=core.carrier,
         running=lambda: 3,
         burn=BurnReport(),
     )
@@ -133,3 +135,11 @@
 
 async def test_a_subject_that_a_peer_does_not_know_has_no_rows():
     assert FleetStatus(sources_of("a"), FakePeerClient()).own_rows("weather") == []
+
+
+async def test_rows_of_daemons_show_that_the_links_are_lost_and_who_carries():
+    sources = sources_of("a")
+    sources.links.record_lost([])
+    sources.carrier._used_at["b"] = loop_time()
+    (row,) = FleetStatus(sources, FakePeerClient()).own_rows("daemons")
+    assert (row["links"], row["links_lost_s"], row["carriers"]) == ("lost", 0.0, "b")
