--- a/demo/published_fleet.py
+++ b/demo/published_fleet.py
@@ -158,6 +158,7 @@
         service: str,
         stage: str,
         version: str = "v1",
+        work_s: float = 0.03,
         **faults: Any,
     ) -> ReplicaAddress:
         """Start one replica of a software version with faults; it is not awaited."""
@@ -175,6 +176,7 @@
             f"--zone={ZONES[number % len(ZONES)]}",
             f"--store={self.store}",
             f"--version={version}",
+            f"--work-s={work_s}",
             f"--faults={json.dumps(faults)}",
         )
         self._replicas[name] = ReplicaAddress(name, host)
