--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -25,6 +25,13 @@
         self._body = None
         self._head_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress, or bytes of an answer are not sent yet."""
+        if self._current_request is not None or self._messages:
+            return True
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser and start or stop the head timer.
 
@@ -65,6 +72,11 @@
 class CallerServer(web.Server):
     """aiohttp's server with the head timeout on its connections."""
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress, or bytes of an answer are not sent yet."""
+        return any(connection.is_busy for connection in self.connections)
+
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         return CallerConnection(self, loop=self._loop, **self._kwargs)
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from aiohttp import ClientSession, TCPConnector, web
+from aiohttp import ClientSession, TCPConnector
 
 from marjoramstile.completions.handler import CompletionsHandler
 from marjoramstile.fronts.bodies import BodyReader
@@ -32,6 +32,7 @@
 from marjoramstile.platform.settings import load_platform_settings, settings_path
 from marjoramstile.platform.store import PlatformStore
 from marjoramstile.ports.feeds import StoredRow
+from marjoramstile.routes.entry import STOP_DEADLINE_SHARE
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.node import RouterNode, RouterPorts
 from marjoramstile.routes.notices import ReplicaNotices
@@ -44,8 +45,6 @@
 # Longer than any idle time that the configuration allows callers.
 KEEPALIVE_TIMEOUT_S = 120.0
 STOP_POLL_S = 0.05
-# Share of the grace period after which running requests are cut off.
-STOP_DEADLINE_SHARE = 0.9
 LINGERING_TIME_S = 1.0
 # Callers may use a resolved address list for up to this many of its TTLs.
 ADDRESS_CACHE_TTLS = 3
@@ -91,7 +90,7 @@
         self._node.configuration_mirror.subscribe(self._apply_configuration)
         self._node.replicas_mirror.subscribe(self._apply_replica)
         self._stopping = asyncio.Event()
-        self._servers: list[tuple[web.Server, asyncio.Server]] = []
+        self._servers: list[tuple[CallerServer, asyncio.Server]] = []
 
     def _apply_configuration(self, row: StoredRow) -> None:
         if row.key != CONFIGURATION_KEY or row.value is None:
@@ -182,8 +181,8 @@
         cached_s = ADDRESS_CACHE_TTLS * self._node.addresses.ttl_s
         drain_wait_s = min(cached_s, DRAIN_WAIT_SHARE * grace_s)
         while loop_time() < started_at + STOP_DEADLINE_SHARE * grace_s:
-            idle = self._node.entry.running == 0
-            if idle and loop_time() >= started_at + drain_wait_s:
+            busy = any(server.is_busy for server, _ in self._servers)
+            if not busy and loop_time() >= started_at + drain_wait_s:
                 break
             await asyncio.sleep(STOP_POLL_S)
         for _, listener in self._servers:
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -30,9 +30,10 @@
 NOT_FOUND = 404
 RETRY_AFTER_START_S = 0.5
 RETRY_AFTER_STOP_S = 0.05
-# Share of the grace period of a planned stop in which generations are still started;
-# a later one could be cut off at its end.
+# Share of the grace period of a planned stop in which any request is still started;
+# later, only those are that end before the share after which all are cut off.
 STOP_ACCEPT_SHARE = 0.3
+STOP_DEADLINE_SHARE = 0.9
 
 logger = get_logger(__name__)
 
@@ -213,6 +214,8 @@
     async def _dispatch(
         self, request: RoutedRequest, table: RoutingTable, responder: Responder
     ) -> Reply | None:
+        if self._too_late_to_start(request):
+            raise RequestRefusedError(RefusalReason.STOPPING, RETRY_AFTER_STOP_S)
         self._carrier.check_carried(request)
         if self._carrier.may_carry(request):
             return await self._carrier.run(request, responder)
@@ -233,14 +236,15 @@
         engine = service.engine if service else None
         if engine is None or request.size is None:
             return await self._calls.run(request)
-        if self._too_late_to_start(request.arrived):
-            raise RequestRefusedError(RefusalReason.STOPPING, RETRY_AFTER_STOP_S)
         return await self._generations.run(request, engine, responder)
 
-    def _too_late_to_start(self, now: float) -> bool:
+    def _too_late_to_start(self, request: RoutedRequest) -> bool:
+        """Return whether the stop could cut a request off."""
         if self._stopping_since is None:
             return False
-        return now > self._stopping_since + STOP_ACCEPT_SHARE * self._grace_s
+        accepted_until = self._stopping_since + STOP_ACCEPT_SHARE * self._grace_s
+        cut_at = self._stopping_since + STOP_DEADLINE_SHARE * self._grace_s
+        return request.arrived > accepted_until and request.deadline > cut_at
 
     def _record_end(
         self, request: RoutedRequest, table: RoutingTable, outcome: str, reason: str
--- a/tests/fronts/test_listening.py
+++ b/tests/fronts/test_listening.py
@@ -99,3 +99,27 @@
     writer.write(b"GET /y")
     assert (await read_response(reader)).startswith(OK_LINE)
     writer.close()
+
+
+async def test_an_answer_that_a_slow_caller_still_receives_is_taken_for_sent():
+    body = b"x" * 20_000_000
+
+    async def handle(request):
+        return web.Response(body=body)
+
+    server = CallerServer(handle)
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, "127.0.0.1", 0)
+    async with listener:
+        assert not server.is_busy
+        port = listener.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.1)
+        assert server.is_busy
+        await reader.readexactly(len(body))
+        await asyncio.sleep(0.1)
+        assert not server.is_busy
+        writer.close()
+    await server.shutdown(0.1)
