--- a/marjoramstile/routes/links.py
+++ b/marjoramstile/routes/links.py
@@ -20,8 +20,10 @@
 
 # Time for which an answer of a replica shows that the links hold.
 REACHED_FRESH_S = 2.0
-# Replicas that are tried at a time, and the pause between two tries.
+# Replicas that are tried at once: after a failure, and while the links are lost.
 TRIED_AT_ONCE = 3
+TRIED_WHILE_LOST = 1
+# Pause between two tries.
 TRY_PERIOD_S = 0.3
 # Longest wait for the result of a try.
 CONFIRM_TIMEOUT_S = 0.6
@@ -132,7 +134,8 @@
         """Try some replicas, and record whether any was reached."""
         was_lost = self._links.lost
         known = list(self._directory.all)
-        tried = self._rng.sample(known, min(TRIED_AT_ONCE, len(known)))
+        count = TRIED_WHILE_LOST if was_lost else TRIED_AT_ONCE
+        tried = self._rng.sample(known, min(count, len(known)))
         accepted = await asyncio.gather(
             *(self._client.accepts_connections(replica) for replica in tried)
         )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -305,6 +305,19 @@
     context.in_use.discard("store")
 
 
+@fault()
+async def restore_store(context: FaultContext) -> None:
+    """Let the store come back from an older copy; the operator writes again."""
+    if "store" in context.in_use:
+        return
+    context.in_use.add("store")
+    age_s = context.rng.uniform(0.2, LONGEST_S)
+    away_s = context.rng.uniform(0.0, 1.0)
+    await context.fleet.restore_store(age_s, away_s)
+    await context.fleet.configure(changed_configuration(context.version))
+    context.in_use.discard("store")
+
+
 @fault()
 async def fail_link(context: FaultContext) -> None:
     """Reset, silence or delay the link between one daemon and the store."""
--- a/tests/specifications/test_specifications.py
+++ b/tests/specifications/test_specifications.py
@@ -3,7 +3,7 @@
 import pytest
 from minicheck import check_safety
 
-from specifications import changes, claims, orders, streams
+from specifications import changes, claims, orders, restores, streams
 
 MAX_STATES = 3_000_000
 
@@ -85,3 +85,24 @@
 def test_a_seeded_bug_in_continued_streams_is_found(variant):
     holds = verdicts(streams.stream_protocol(variant))
     assert holds["streams_are_not_joined"] is False
+
+
+def test_the_protocol_of_a_restored_store_keeps_its_invariants():
+    holds = verdicts(restores.restore_protocol())
+    assert len(holds) == 3
+    assert set(holds.values()) == {True}
+
+
+@pytest.mark.parametrize(
+    ("variant", "violated"),
+    [
+        (restores.Variant(mirror_ignores_era=True), "the_newest_answer_is_taken"),
+        (restores.Variant(token_without_era=True), "tokens_increase"),
+        (
+            restores.Variant(condition_without_mark=True),
+            "decided_on_the_row_replaced",
+        ),
+    ],
+)
+def test_a_seeded_bug_in_restores_is_found(variant, violated):
+    assert verdicts(restores.restore_protocol(variant))[violated] is False
