--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -44,7 +44,7 @@
 # A stream is treated as lost after this many gap targets without a whole event, but not
 # before MIN_STALL_S.
 STALL_GAPS = 5
-MIN_STALL_S = 1.5
+MIN_STALL_S = 2.0
 # Events after which a replica counts as having begun to answer: one that crashes while
 # it begins may have sent the first.
 BEGUN_EVENTS = 2
--- a/tests/routes/test_generations.py
+++ b/tests/routes/test_generations.py
@@ -169,6 +169,18 @@
     assert caller.ids == list(range(1, EVENTS + 1))
 
 
+async def test_a_replica_that_falls_silent_for_a_second_or_so_loses_its_stream():
+    core = core_with(decode=2)
+    running = asyncio.create_task(core.generate(request("q", STREAM)))
+    await asyncio.sleep(0.5)
+    silent = next(name for name in ("d0", "d1") if core.pool.replicas[name].running)
+    core.pool.replicas[silent].faults.dribble = ": silent\n\n"
+    await asyncio.sleep(1.5)
+    core.pool.replicas[silent].faults.dribble = ""
+    assert received_all(await running)
+    assert core.pool.runs["q"] == 1
+
+
 async def test_a_stalled_stream_that_is_not_resumable_ends_at_its_deadline():
     core = core_with(decode=1)
     core.pool.replicas["d0"].faults.dribble = ":"
