--- a/marjoramstile/platform/connections.py
+++ b/marjoramstile/platform/connections.py
@@ -7,10 +7,12 @@
 
 import os
 import socket
+from collections.abc import Callable
 from functools import partial
 
 from aiohttp import ClientPayloadError, TCPConnector
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 from marjoramstile.logs import get_logger
 
@@ -25,6 +27,9 @@
 # interim responses.
 HEAD_SLICE_BYTES = 4096
 
+# Replicas accept connections in milliseconds.
+SLOW_CONNECT_S = 0.15
+
 logger = get_logger(__name__)
 
 
@@ -100,8 +105,18 @@
 
 
 class ReplicaConnector(TCPConnector):
-    """Opens connections to replicas."""
+    """Opens connections to replicas, and tells of those that take long."""
 
-    def __init__(self, **options):
+    def __init__(self, on_slow_connect: Callable[[], None], **options):
+        """``on_slow_connect`` is called SLOW_CONNECT_S after an attempt's begin."""
         super().__init__(**options)
         self._factory = partial(ReplicaConnection, loop=self._loop)
+        self._on_slow_connect = on_slow_connect
+
+    async def connect(self, *args, **options) -> Connection:
+        """Return a connection for one request."""
+        timer = self._loop.call_later(SLOW_CONNECT_S, self._on_slow_connect)
+        try:
+            return await super().connect(*args, **options)
+        finally:
+            timer.cancel()
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -64,12 +64,12 @@
         settings: RouterSettings,
         store_session: ClientSession,
         replica_session: ClientSession,
+        links: ReplicaLinks,
     ):
         self._settings = settings
         self._store = PlatformStore(store_session, str(settings.store))
         notices = ReplicaNotices()
         self._buffers = BufferBudget(int(settings.memory_bytes * BUFFER_MEMORY_SHARE))
-        links = ReplicaLinks()
         replicas = HTTPReplicaClient(replica_session, notices, self._buffers, links)
         ports = RouterPorts(
             feed=self._store,
@@ -199,8 +199,9 @@
 async def serve(settings: RouterSettings) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
     store_session = ClientSession(connector=TCPConnector(limit=0))
-    async with store_session, create_replica_session() as replica_session:
-        daemon = PlatformDaemon(settings, store_session, replica_session)
+    links = ReplicaLinks()
+    async with store_session, create_replica_session(links) as replica_session:
+        daemon = PlatformDaemon(settings, store_session, replica_session, links)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, daemon.stop)
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -61,10 +61,13 @@
 logger = get_logger(__name__)
 
 
-def create_replica_session() -> ClientSession:
-    """Return a session that sends requests and returns responses unmodified."""
+def create_replica_session(links: ReplicaLinks) -> ClientSession:
+    """Return a session that sends requests and returns responses unmodified.
+
+    ``links`` records connections that are not accepted soon.
+    """
     session = ClientSession(
-        connector=ReplicaConnector(limit=0, force_close=True),
+        connector=ReplicaConnector(links.record_failure, limit=0, force_close=True),
         auto_decompress=False,
         skip_auto_headers=_AUTOMATIC_HEADERS,
     )
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -28,8 +28,6 @@
 # Least time left before the deadline for which a retry is worthwhile.
 MIN_ATTEMPT_S = 0.02
 SERVER_ERROR = 500
-# Replicas that don't accept a request's connection before the links are doubted.
-UNSENT_MAX = 2
 
 logger = get_logger(__name__)
 
@@ -139,7 +137,7 @@
 
     async def _links_hold(self, attempt: "_CallAttempts") -> bool:
         """Return whether a request that reached no replica may reach another one."""
-        if attempt.has_run or attempt.unsent < UNSENT_MAX:
+        if attempt.has_run or not attempt.last_was_unsent:
             return True
         return await self._links.hold()
 
@@ -162,7 +160,6 @@
         self.tried: set[str] = set()
         self.last_was_unsent = False
         self.permit_wait_s: float | None = None
-        self.unsent = 0
         self._runs = 0
         self._lost = False
         self._reply: Reply | None = None
@@ -189,7 +186,6 @@
         """Record an attempt that got no answer."""
         self.tried.add(replica.id)
         self.last_was_unsent = isinstance(error, NotSentError)
-        self.unsent += self.last_was_unsent
         if isinstance(error, AnswerLostError):
             self._runs += 1
             self._lost = True
--- a/marjoramstile/routes/carrying.py
+++ b/marjoramstile/routes/carrying.py
@@ -170,6 +170,11 @@
         self._budget = budget
         self._used_at: dict[str, float] = {}
 
+    @property
+    def links(self) -> ReplicaLinks:
+        """This VM's links to replicas."""
+        return self._links
+
     def recent_carriers(self, now: float) -> list[str]:
         """Return the VMs that were sent requests in the last RECENT_S, by name."""
         return sorted(vm for vm, at in self._used_at.items() if now - at <= RECENT_S)
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 
 from marjoramstile.crashes.detector import CrashDetector
@@ -225,7 +226,7 @@
         progress.replica_events = 0
         progress.sent_at = loop_time()
         try:
-            async with self._client.stream(
+            async with self._open_stream(
                 placement.replica, request, left_s, options
             ) as answer:
                 if answer.status != OK:
@@ -253,6 +254,24 @@
                 progress.runs += 1
             raise _SendFailedError(placement.replica, error, ran) from error
 
+    @asynccontextmanager
+    async def _open_stream(
+        self,
+        replica: Replica,
+        request: RoutedRequest,
+        left_s: float,
+        options: SendOptions,
+    ) -> AsyncIterator[StreamAnswer]:
+        """Open a stream; a resumable one is not waited for without links."""
+        opening = self._client.stream(replica, request, left_s, options)
+        async with AsyncExitStack() as stack:
+            if request.route.resumable:
+                async with self._carrier.links.interrupt_when_lost():
+                    answer = await stack.enter_async_context(opening)
+            else:
+                answer = await stack.enter_async_context(opening)
+            yield answer
+
     async def _read_whole_reply(
         self, answer: StreamAnswer, progress: Progress
     ) -> Reply:
@@ -358,10 +377,9 @@
 
         One whose replica has crashed before the answer had begun may be the cause.
         """
-        if failure.ran and progress.events < BEGUN_EVENTS:
-            crashed = await self._crashes.has_crashed(request, failure.replica)
-            if crashed or self._crashes.is_suspect(request):
-                return False
+        unbegun = failure.ran and progress.events < BEGUN_EVENTS
+        if unbegun and await self._may_have_crashed(request, failure.replica):
+            return False
         if progress.origin and not self._streams.is_certain(progress.origin):
             return False
         now = loop_time()
@@ -375,6 +393,16 @@
                 return False
         return self._budget.try_consume(request.service, now)
 
+    async def _may_have_crashed(self, request: RoutedRequest, replica: Replica) -> bool:
+        """Return whether a request may be what has ended its replica.
+
+        A VM without links to replicas can't tell.
+        """
+        if await self._crashes.has_crashed(request, replica):
+            self._carrier.links.record_failure()
+            return await self._carrier.links.hold()
+        return self._crashes.is_suspect(request)
+
     def _final_error(
         self, progress: Progress, failure: "_SendFailedError"
     ) -> Exception:
--- a/marjoramstile/routes/links.py
+++ b/marjoramstile/routes/links.py
@@ -8,14 +8,15 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
 from enum import IntEnum
 
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replica_types import Replica
 from marjoramstile.routes.replicas import ReplicaDirectory
+from marjoramstile.routes.requests import AnswerLostError
 from marjoramstile.utils import loop_time
 
 # Time for which an answer of a replica shows that the links hold.
@@ -25,8 +26,12 @@
 TRIED_WHILE_LOST = 1
 # Pause between two tries.
 TRY_PERIOD_S = 0.3
+# Time in which a replica that is tried accepts a connection.
+TRY_TIMEOUT_S = 0.2
 # Longest wait for the result of a try.
 CONFIRM_TIMEOUT_S = 0.6
+# Time after the loss of the links in which answers still arrive on open connections.
+INTERRUPT_AFTER_S = 0.6
 
 logger = get_logger(__name__)
 
@@ -48,6 +53,7 @@
         self._doubted = asyncio.Event()
         self._settled = asyncio.Event()
         self._settled.set()
+        self._waits: set[asyncio.Timeout] = set()
 
     @property
     def lost(self) -> bool:
@@ -86,6 +92,26 @@
             self._lost_since = loop_time()
             names = " ".join(replica.id for replica in tried)
             logger.warning("replica_links_lost", tried=names)
+            for wait in self._waits:
+                wait.reschedule(self._lost_since + INTERRUPT_AFTER_S)
+
+    @asynccontextmanager
+    async def interrupt_when_lost(self) -> AsyncIterator[None]:
+        """Raise AnswerLostError in the block if the links are lost during it.
+
+        For answers that another VM can ask for again.
+        """
+        try:
+            async with asyncio.timeout(None) as wait:
+                self._waits.add(wait)
+                try:
+                    yield
+                finally:
+                    self._waits.discard(wait)
+        except TimeoutError:
+            if not wait.expired():
+                raise
+            raise AnswerLostError("the links to replicas are lost") from None
 
     async def wait_for_doubt(self) -> None:
         """Wait for a failed connection."""
@@ -136,9 +162,7 @@
         known = list(self._directory.all)
         count = TRIED_WHILE_LOST if was_lost else TRIED_AT_ONCE
         tried = self._rng.sample(known, min(count, len(known)))
-        accepted = await asyncio.gather(
-            *(self._client.accepts_connections(replica) for replica in tried)
-        )
+        accepted = await asyncio.gather(*(self._accepts(item) for item in tried))
         if any(accepted):
             self._links.record_reached()
         elif tried:
@@ -146,3 +170,9 @@
         self._links.settle()
         if was_lost and not self._links.lost:
             self._on_regained()
+
+    async def _accepts(self, replica: Replica) -> bool:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(TRY_TIMEOUT_S):
+                return await self._client.accepts_connections(replica)
+        return False
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -424,6 +424,7 @@
             PrefillLoads(),
             self._permits,
             crashes,
+            self._ports.links,
         )
         self._build_streams()
         streams = StreamVersions(self.streams, self.directory, client)
--- a/marjoramstile/routes/prefiller.py
+++ b/marjoramstile/routes/prefiller.py
@@ -6,6 +6,7 @@
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import WindowedRetryBudget
 from marjoramstile.routes.failures import FailureRecorder
+from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.loads import PrefillLoads
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replica_types import Replica, Stage
@@ -41,6 +42,7 @@
         loads: PrefillLoads,
         permits: PermitClient,
         crashes: CrashDetector,
+        links: ReplicaLinks,
     ):
         self._directory = directory
         self._client = client
@@ -49,6 +51,7 @@
         self._loads = loads
         self._permits = permits
         self._crashes = crashes
+        self._links = links
         self._failures = FailureRecorder(directory, balancer)
 
     async def prefill(
@@ -82,6 +85,10 @@
                 return await self._prefill_at(replica, request)
             except ReplicaError as error:
                 self._failures.record(replica, request, error)
+                if self._links.lost:
+                    raise RequestRefusedError(
+                        RefusalReason.NO_REPLICA, RETRY_AFTER_S
+                    ) from error
                 if isinstance(error, AnswerLostError):
                     self._crashes.check_for_crash(request, replica)
                     if suspect:
@@ -120,7 +127,8 @@
         started = loop_time()
         with self._loads.counted(replica.id, request.size.prompt):
             left_s = request.deadline - started
-            handle = await self._client.prefill(replica, request, left_s)
+            async with self._links.interrupt_when_lost():
+                handle = await self._client.prefill(replica, request, left_s)
         logger.info(
             "prefilled",
             request=request.id,
--- a/tests/platform/test_carriers.py
+++ b/tests/platform/test_carriers.py
@@ -12,6 +12,7 @@
 from marjoramstile.platform.replicas import create_replica_session
 from marjoramstile.results import ResultCode
 from marjoramstile.routes.carrying import CarriedSend, Carrier
+from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.requests import (
     AnswerLostError,
     NotSentError,
@@ -27,7 +28,7 @@
 @pytest_asyncio.fixture
 async def client():
     """Yield a client whose session is closed after the test."""
-    async with create_replica_session() as session:
+    async with create_replica_session(ReplicaLinks()) as session:
         yield HTTPCarrierClient(session, BufferBudget(1_000_000))
 
 
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -62,7 +62,7 @@
 @pytest_asyncio.fixture
 async def client(buffers):
     """Yield a client whose session is closed after the test."""
-    async with create_replica_session() as session:
+    async with create_replica_session(ReplicaLinks()) as session:
         yield HTTPReplicaClient(session, ReplicaNotices(), buffers, ReplicaLinks())
 
 
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -43,7 +43,7 @@
 @pytest_asyncio.fixture
 async def client(notices):
     """Yield a client whose session is closed after the test."""
-    async with create_replica_session() as session:
+    async with create_replica_session(ReplicaLinks()) as session:
         yield HTTPReplicaClient(
             session, notices, BufferBudget(BUFFER_BYTES), ReplicaLinks()
         )
--- a/tests/routes/test_carrying.py
+++ b/tests/routes/test_carrying.py
@@ -42,6 +42,7 @@
 )
 
 CONNECT_TIMEOUT_S = 0.35
+SLOW_CONNECT_S = 0.15
 ROUTES = {
     "/stream/": route(RouteKind.STREAM, prefix="/stream/", name="stream"),
     "/look/": route(RouteKind.IDEMPOTENT, prefix="/look/", name="look"),
@@ -68,7 +69,9 @@
         if not self.cut:
             return
         if self.cut == "silent":
-            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            await asyncio.sleep(SLOW_CONNECT_S)
+            self.core.links.record_failure()
+            await asyncio.sleep(CONNECT_TIMEOUT_S - SLOW_CONNECT_S)
         self.core.links.record_failure()
         raise NotSentError("no connection")
 
@@ -80,9 +83,12 @@
         return reply
 
     async def prefill(self, replica, request, timeout_s):
-        """Prefill a prompt."""
+        """Prefill a prompt; its answer does not come if the VM is cut meanwhile."""
         await self._connect()
-        return await super().prefill(replica, request, timeout_s)
+        handle = await super().prefill(replica, request, timeout_s)
+        if self.cut == "silent":
+            await asyncio.sleep(timeout_s)
+        return handle
 
     async def acquire_hold(self, replica, tokens, ttl_s):
         """Reserve a slot and memory."""
@@ -109,6 +115,8 @@
         async for chunk in chunks:
             if self.cut == "reset":
                 raise AnswerLostError("reset")
+            if self.cut == "silent":
+                await asyncio.sleep(3600)
             yield chunk
 
 
@@ -337,7 +345,7 @@
     vm.pool.cut = how
     started = loop_time()
     assert (await vm.send("/book/", "first")).status == 200
-    assert loop_time() - started < 0.9
+    assert loop_time() - started < 0.5
     assert fleet.pool.runs["first"] == 1
 
 
@@ -413,6 +421,23 @@
         assert caller.ids == list(range(1, EVENTS + 1))
 
 
+@pytest.mark.parametrize("began_s", [0.01, 0.05, 0.11, 0.3])
+async def test_a_generation_that_a_silent_cut_meets_waits_for_its_deadline(
+    fleet, began_s
+):
+    """While its prompt is read, before its first event, or after it."""
+    vm = fleet.vms["a"]
+    running = asyncio.create_task(vm.send("/stream/", "s1"))
+    await asyncio.sleep(began_s)
+    vm.pool.cut = "silent"
+    vm.core.links.record_failure()
+    started = loop_time()
+    caller = await running
+    assert caller.complete
+    assert caller.ids == list(range(1, EVENTS + 1))
+    assert loop_time() - started < 7.0
+
+
 async def test_a_stream_that_a_cut_breaks_off_ends_though_a_carrier_could_go_on(fleet):
     vm = fleet.vms["a"]
     running = asyncio.create_task(vm.send("/stream/", "s1"))
