--- a/marjoramstile/mirrors/follower.py
+++ b/marjoramstile/mirrors/follower.py
@@ -231,10 +231,10 @@
         self._apply_to_mirror(changes)
 
     def _apply_to_mirror(self, changes: Changes) -> None:
-        """Apply changes; log the first of those that are older than the mirror."""
+        """Apply changes; log whole reads that are older than the mirror."""
         if era_of(changes.version) > era_of(self._mirror.version):
             self._record_new_era()
-        ignored = changes.version < self._mirror.version
+        ignored = changes.complete and changes.version < self._mirror.version
         if ignored and not self._ignores_changes:
             logger.warning(
                 "older_changes_ignored",
--- a/marjoramstile/mirrors/mirror.py
+++ b/marjoramstile/mirrors/mirror.py
@@ -201,8 +201,10 @@
 
         They are complete for a peer whose copy is of an earlier era.
         """
-        returned = {key: row for key, (row, _) in self._returned.items()}
-        rows = {**self._rows, **returned}.values()
+        rows = self._rows.values()
+        if self._returned:
+            returned = {key: row for key, (row, _) in self._returned.items()}
+            rows = {**self._rows, **returned}.values()
         if version == NO_VERSION or era_of(version) < era_of(self._version):
             stored = tuple(
                 row
--- a/marjoramstile/platform/carriers.py
+++ b/marjoramstile/platform/carriers.py
@@ -7,24 +7,16 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from aiohttp import (
-    ClientConnectorError,
-    ClientError,
-    ClientResponse,
-    ClientSession,
-    ClientTimeout,
-    ConnectionTimeoutError,
-)
+from aiohttp import ClientResponse, ClientSession
 from multidict import CIMultiDict
-from yarl import URL
 
 from marjoramstile.fronts.buffers import BufferBudget, BufferFullError
 from marjoramstile.platform import headers as platform_headers
 from marjoramstile.platform.replicas import (
     ANSWER_MAX_BYTES,
-    CONNECT_TIMEOUT_S,
     body_chunks,
     response_headers,
+    send_request,
 )
 from marjoramstile.results import ResultCode
 from marjoramstile.routes.carrying import CarriedSend, Carrier
@@ -88,22 +80,10 @@
     ) -> ClientResponse:
         if timeout_s <= 0:
             raise NotSentError("no time left")
-        timeout = ClientTimeout(
-            total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
+        headers = _headers(request, timeout_s, carried)
+        return await send_request(
+            self._session, carrier.front, request, headers, timeout_s
         )
-        try:
-            return await self._session.request(
-                request.method,
-                URL(f"http://{carrier.front}{request.target}", encoded=True),
-                headers=_headers(request, timeout_s, carried),
-                data=request.body or None,
-                timeout=timeout,
-                allow_redirects=False,
-            )
-        except (ClientConnectorError, ConnectionTimeoutError) as error:
-            raise NotSentError(repr(error)) from error
-        except (ClientError, OSError, TimeoutError, ValueError) as error:
-            raise AnswerLostError(repr(error)) from error
 
     async def read_all(self, answer: StreamAnswer) -> bytes:
         """Return a whole body; raise AnswerLostError if it is truncated or too long."""
@@ -123,6 +103,7 @@
     headers[platform_headers.DEADLINE_MS] = str(
         max(1, int(timeout_s * MILLISECONDS_PER_S))
     )
+    headers.setdefault("Host", request.route.host)
     headers[platform_headers.CARRIED_FOR] = carried.sender
     headers[platform_headers.CARRIED_RUNS] = str(carried.runs)
     if carried.resume_after is not None:
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -141,7 +141,7 @@
         await self._listen(listeners.front, FrontHandler(node.entry, bodies).handle)
         if listeners.completions is not None:
             await self._listen(listeners.completions, self._completions(bodies))
-        node.tasks.start(node.register(), "register")
+        node.tasks.start(node.registration.register(), "register")
         logger.info(
             "daemon_started",
             vm=self._settings.vm,
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -330,25 +330,44 @@
     ) -> ClientResponse:
         if timeout_s <= 0:
             raise NotSentError("no time left")
-        timeout = ClientTimeout(
-            total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
-        )
-        url = URL(f"http://{replica.address}{request.target}", encoded=True)
         self._notices.record_sent(replica, loop_time())
+        headers = _request_headers(replica, request, timeout_s, options)
         try:
-            return await self._session.request(
-                request.method,
-                url,
-                headers=_request_headers(replica, request, timeout_s, options),
-                data=request.body or None,
-                timeout=timeout,
-                allow_redirects=False,
+            return await send_request(
+                self._session, replica.address, request, headers, timeout_s
             )
-        except (ClientConnectorError, ConnectionTimeoutError) as error:
+        except NotSentError:
             self._links.record_failure()
-            raise NotSentError(repr(error)) from error
-        except (ClientError, OSError, TimeoutError, ValueError) as error:
-            raise AnswerLostError(repr(error)) from error
+            raise
+
+
+async def send_request(
+    session: ClientSession,
+    address: str,
+    request: RoutedRequest,
+    headers: CIMultiDict[str],
+    timeout_s: float,
+) -> ClientResponse:
+    """Send a request on a new connection; return the head of the response.
+
+    Raises NotSentError if no connection was made, and AnswerLostError.
+    """
+    timeout = ClientTimeout(
+        total=timeout_s, sock_connect=min(CONNECT_TIMEOUT_S, timeout_s)
+    )
+    try:
+        return await session.request(
+            request.method,
+            URL(f"http://{address}{request.target}", encoded=True),
+            headers=headers,
+            data=request.body or None,
+            timeout=timeout,
+            allow_redirects=False,
+        )
+    except (ClientConnectorError, ConnectionTimeoutError) as error:
+        raise NotSentError(repr(error)) from error
+    except (ClientError, OSError, TimeoutError, ValueError) as error:
+        raise AnswerLostError(repr(error)) from error
 
 
 def _request_headers(
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -141,6 +141,10 @@
                 path=incoming.path,
                 configuration=table.version,
             )
+            if incoming.carried_for is not None:
+                raise RequestRefusedError(
+                    RefusalReason.NOT_CONFIGURED, RETRY_AFTER_START_S
+                )
             return Reply(NOT_FOUND, (), b"")
         self._running += 1
         try:
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -13,7 +13,7 @@
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.leaving import LeavingHosts
-from marjoramstile.membership.nodes import NODES_TABLE, MirrorVMList, NodeEntry
+from marjoramstile.membership.nodes import NODES_TABLE, MirrorVMList
 from marjoramstile.membership.prober import Prober
 from marjoramstile.membership.view import View
 from marjoramstile.mirrors.follower import MirrorFollower
@@ -33,7 +33,6 @@
 from marjoramstile.pools.host import SchedulerHost
 from marjoramstile.pools.shards import PoolShards, SchedulerSelector
 from marjoramstile.ports.feeds import StoredRow, TableFeed, era_of
-from marjoramstile.ports.tables import Write
 from marjoramstile.ports.vms import ListedState, ListedVM
 from marjoramstile.reports.exposition import exposition_text
 from marjoramstile.reports.metrics import Metrics
@@ -58,6 +57,7 @@
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.prefiller import Prefiller
+from marjoramstile.routes.registration import Registration
 from marjoramstile.routes.replica_types import Replica
 from marjoramstile.routes.replicas import MISSING_GRACE_S, ReplicaDirectory
 from marjoramstile.routes.settings import Address, RouterSettings
@@ -96,11 +96,8 @@
 # that it has.
 HEARTBEATS_MISSED = 3
 EXPIRY_MARGIN_S = 1.0
-# Time after a restore of the store in which all daemons write their rows again, and the
-# time over which they spread it.
+# Time after a restore of the store in which all daemons write their rows again.
 NODES_REWRITE_S = 5.0
-WRITE_AGAIN_SPREAD_S = 1.0
-REGISTER_RETRY_S = 0.3
 # Longest time for which a starting daemon asks others for the configuration.
 START_WAIT_S = 0.2
 START_POLL_S = 0.01
@@ -149,7 +146,6 @@
         )
         self.nodes_mirror = TableMirror(NODES_TABLE, RestorePolicy(NODES_REWRITE_S))
         self._orders_mirror = TableMirror(ORDERS_TABLE)
-        self._era: int | None = None
         self._orders_mirror.subscribe(self._apply_orders)
         self._build_membership()
         self._build_requests()
@@ -263,6 +259,18 @@
             self.tasks,
         )
         self.prober.carry_positions(self._lag.positions, self._lag.handle_positions)
+        mirrors = {
+            table: follower.mirror for table, follower in self._followers.items()
+        }
+        self.registration = Registration(
+            self.settings,
+            self.view.own.incarnation,
+            self._ports.orders,
+            mirrors,
+            self.metrics,
+            self.tasks,
+            self._rng,
+        )
 
     def _daemon_count(self) -> int | None:
         """Return how many daemons there are; None before their rows were read."""
@@ -459,6 +467,8 @@
             lambda: self._table.longest_timeout_s if self._table else None,
         )
         self.directory.on_ended(self._handle_ended_replica)
+        self.registration.on_restored(self.streams.store_again)
+        self.registration.on_restored(self.block_sharing.store_again)
 
     def _handle_ended_replica(
         self, replica: Replica, following: Replica | None
@@ -564,53 +574,13 @@
         now = loop_time()
         for follower in self._followers.values():
             follower.mirror.expire(now)
-        self._check_era()
+        self.registration.check_era()
         self.directory.expire(now)
         self.balancer.forget_missing(self.directory.all)
         self.limits.forget_missing(self.directory.all)
         self.limits.tell_newcomers()
         self.carrier_peers.forget_missing()
 
-    def _check_era(self) -> None:
-        """Write rows again after the store has come back from an older copy."""
-        mirrors = [follower.mirror for follower in self._followers.values()]
-        eras = [era_of(mirror.version) for mirror in mirrors if mirror.loaded]
-        if not eras:
-            return
-        era, former = max(eras), self._era
-        self._era = era
-        if former is not None and era > former:
-            self.metrics.count("store_restored", "")
-            self.tasks.start(self._write_again(), "write rows again")
-
-    async def _write_again(self) -> None:
-        """Write what the copy may lack, not all daemons at the same moment."""
-        await asyncio.sleep(self._rng.uniform(0.0, WRITE_AGAIN_SPREAD_S))
-        self.streams.store_again()
-        self.block_sharing.store_again()
-        own_era = era_of(self.nodes_mirror.version)
-        confirmed = self.nodes_mirror.confirms(self.settings.vm)
-        if own_era < self._era or not confirmed:
-            logger.info("registers_again", era=self._era)
-            await self.register()
-
-    async def register(self) -> None:
-        """Write this daemon's row, retrying until the store accepts it."""
-        settings = self.settings
-        entry = NodeEntry(
-            host=settings.ip,
-            front=str(settings.listeners.front),
-            data_centre=settings.data_centre,
-            region=settings.region,
-            incarnation=self.view.own.incarnation,
-        )
-        write = Write(NODES_TABLE, settings.vm, entry.to_value())
-        store = self._ports.orders
-        while (answer := await store.transact([], [write])).is_err():
-            logger.warning("not_registered", reason=answer.unwrap_err().message)
-            await asyncio.sleep(REGISTER_RETRY_S)
-        logger.info("registered", vm=settings.vm)
-
     async def leave(self) -> None:
         """Announce to all daemons that this one accepts no new callers."""
         self.view.leave(loop_time())
