--- a/marjoramstile/routes/links.py
+++ b/marjoramstile/routes/links.py
@@ -124,6 +124,8 @@
 
     async def hold(self) -> bool:
         """Return whether a failure just recorded is that of a replica alone."""
+        if not self.lost and loop_time() - self._reached_at <= TRY_PERIOD_S:
+            return True
         with suppress(TimeoutError):
             async with asyncio.timeout(CONFIRM_TIMEOUT_S):
                 await self._settled.wait()
--- a/tests/routes/test_links.py
+++ b/tests/routes/test_links.py
@@ -90,6 +90,19 @@
     watched.task.cancel()
 
 
+async def test_a_failure_is_judged_late_though_another_replica_was_just_reached():
+    """Calls wait for the verdict after their first failed connection."""
+    watched = Watched()
+    watched.connections.down = {"r0"}
+    for _ in range(20):
+        watched.links.record_failure()
+        started = loop_time()
+        assert await watched.links.hold()
+        assert loop_time() - started <= 0.01
+        await asyncio.sleep(0.04)
+    watched.task.cancel()
+
+
 async def test_a_vm_that_reaches_some_replicas_is_taken_for_cut_off_for_long():
     watched = Watched()
     watched.connections.silent = set(watched.names[2:])
