--- a/marjoramstile/routes/carrying.py
+++ b/marjoramstile/routes/carrying.py
@@ -5,8 +5,9 @@
 is passed on unchanged, a refusal means that nothing has run.
 """
 
+import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from typing import Protocol
@@ -34,6 +35,9 @@
 STATE_FRESH_S = 3.0
 # Carriers that one request may be sent to.
 CARRIERS_MAX = 3
+# A stream is lost after this time without bytes: longer than a carrier needs to resume
+# it after its replica fell silent, shorter than callers wait.
+STALL_S = 3.0
 # Time for which a carrier is shown to operators after a request.
 RECENT_S = 5.0
 RETRY_AFTER_S = 0.25
@@ -216,9 +220,10 @@
                 progress.runs += runs
                 if not self._may_repeat(request, progress):
                     break
-            except RequestRefusedError:
+            except (RequestRefusedError, OutcomeUnknownError) as error:
                 if progress.runs == 0:
                     raise
+                message = str(error)
                 break
             logger.info(
                 "carrier_failed", request=request.id, vm=carrier.vm, reason=message
@@ -265,7 +270,8 @@
         carried = CarriedSend(self._peers.own_vm, runs, progress.last_event)
         async with self._client.send(carrier, request, left_s, carried) as answer:
             if request.size is not None and answer.status == OK:
-                await self._relay(answer, responder, progress)
+                stall_s = STALL_S if request.route.resumable else None
+                await self._relay(answer, responder, progress, stall_s)
                 return None
             body = await self._client.read_all(answer)
             if progress.started:
@@ -274,11 +280,15 @@
 
     @staticmethod
     async def _relay(
-        answer: StreamAnswer, responder: Responder, progress: CarriedProgress
+        answer: StreamAnswer,
+        responder: Responder,
+        progress: CarriedProgress,
+        stall_s: float | None,
     ) -> None:
-        """Relay whole events to the caller."""
+        """Relay whole events to the caller; give up after ``stall_s`` without any."""
         splitter = EventSplitter()
-        async for chunk in answer.chunks:
+        chunks = aiter(answer.chunks)
+        while (chunk := await _next_chunk(chunks, stall_s)) is not None:
             try:
                 events = splitter.feed(chunk)
             except EventTooLongError as error:
@@ -301,3 +311,14 @@
         if progress.runs:
             return OutcomeUnknownError(message)
         return RequestRefusedError(RefusalReason.NO_REPLICA, RETRY_AFTER_S)
+
+
+async def _next_chunk(
+    chunks: AsyncIterator[bytes], stall_s: float | None
+) -> bytes | None:
+    """Return the next bytes, None at the end; raise AnswerLostError after a stall."""
+    try:
+        async with asyncio.timeout(stall_s):
+            return await anext(chunks, None)
+    except TimeoutError:
+        raise AnswerLostError("the carrier has fallen silent") from None
--- a/tests/routes/test_carrying.py
+++ b/tests/routes/test_carrying.py
@@ -126,6 +126,8 @@
 
     vms: "dict[str, VM]"
     dark: set[str] = field(default_factory=set)
+    unsure: set[str] = field(default_factory=set)
+    silent: set[str] = field(default_factory=set)
     lost_after: dict[str, int] = field(default_factory=dict)
     sent: list[tuple[str, str, int]] = field(default_factory=list)
 
@@ -133,6 +135,8 @@
     async def send(self, carrier, request, timeout_s, carried):
         """Run a request at a carrier; it is cancelled when the block ends."""
         self.sent.append((carrier.vm, request.id, carried.runs))
+        if carrier.vm in self.unsure:
+            raise OutcomeUnknownError("a replica's answer was lost")
         if carrier.vm in self.dark:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
             raise NotSentError("no connection")
@@ -185,6 +189,7 @@
         chunk = first
         while chunk is not None:
             if left == 0:
+                await asyncio.sleep(3600 if vm in self.silent else 0)
                 raise AnswerLostError("the carrier was lost")
             yield chunk
             left -= 1
@@ -419,11 +424,13 @@
         assert fleet.pool.runs[f"q{number}"] == 1
 
 
+@pytest.mark.parametrize("silent", [set(), {"b"}])
 @pytest.mark.parametrize("events", [1, 20])
 async def test_a_stream_whose_carrier_is_lost_has_a_gap_or_a_repeated_event(
-    fleet, events
+    fleet, events, silent
 ):
     vm = await fleet.cut("a")
+    fleet.carriers.silent = silent
     fleet.carriers.lost_after = {"b": events, "c": EVENTS + 1}
     for number in range(4):
         caller = await vm.send("/stream/", f"{number}")
@@ -448,6 +455,22 @@
     assert loop_time() - started < 7.0
 
 
+async def test_a_stream_that_has_begun_ends_with_another_answer(fleet):
+    """Its second carrier doesn't know what became of it."""
+    vm = await fleet.cut("a")
+    fleet.carriers.lost_after = {"b": 5}
+    fleet.carriers.unsure = {"c"}
+    outcomes = set()
+    for number in range(10):
+        with pytest.raises((StreamBrokenError, OutcomeUnknownError)) as raised:
+            await vm.send("/stream/", f"{number}")
+        carriers = [vm for vm, id_, _ in fleet.carriers.sent if id_ == f"{number}"]
+        if carriers == ["b", "c"]:
+            assert raised.type is StreamBrokenError
+        outcomes.add(raised.type)
+    assert StreamBrokenError in outcomes
+
+
 async def test_a_stream_that_a_cut_breaks_off_ends_though_a_carrier_could_go_on(fleet):
     vm = fleet.vms["a"]
     running = asyncio.create_task(vm.send("/stream/", "s1"))
