--- a/tests/routes/test_restored_orders.py
+++ b/tests/routes/test_restored_orders.py
@@ -82,3 +82,23 @@
     later = [at for at, _, order in stages.orders if order.holder == "b"]
     assert later
     assert later[0] - last_at >= 2 * LEASE_S
+
+
+async def test_a_holder_that_was_paused_over_a_restore_takes_turns_with_another():
+    """It still believes that it holds the orders when it goes on."""
+    store = RestoredStore()
+    stages = FakeStages(replicas(8, 1), silent=True)
+    others = FakeStages(replicas(8, 1), stages.orders, silent=True)
+    paused, other = rebalancer("a", store, stages), rebalancer("b", store, others)
+    store.copy()
+    await run([paused], 6)
+    store.restore()
+    await run([other], 40)
+    await run([paused, other], 40)
+    assert {order.holder for _, _, order in stages.orders} == {"a", "b"}
+    tokens = [order.fencing_token for _, _, order in stages.orders]
+    assert tokens == sorted(set(tokens))
+    for (at, _, order), (later, _, next_order) in zip(
+        stages.orders, stages.orders[1:], strict=False
+    ):
+        assert order.holder == next_order.holder or later - at >= 2 * LEASE_S
