--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -6,7 +6,9 @@
 import socket
 
 import pytest
+from aiohttp import ClientSession
 
+from marjoramstile.fronts.listening import CallerServer
 from marjoramstile.loops import connect, create_loop
 
 
@@ -89,3 +91,39 @@
         assert loop.run_until_complete(cancel_many(80)) <= 80
     finally:
         loop.close()
+
+
+def user_timeout_ms(transport) -> int:
+    """Return a connection's TCP_USER_TIMEOUT."""
+    connection = transport.get_extra_info("socket")
+    return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+
+def test_a_peer_caller_or_store_that_falls_silent_is_cut_off_by_the_kernel():
+    """TCP_USER_TIMEOUT stays unset: each call has timeouts of its own."""
+
+    async def wait(request):
+        await asyncio.sleep(60.0)
+
+    async def open_connections() -> list[int]:
+        callers = CallerServer(wait, handler_cancellation=True)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(callers, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        async with server, ClientSession() as session:
+            _, writer = await connect(host, port)
+            call = asyncio.ensure_future(session.get(f"http://{host}:{port}/"))
+            await asyncio.sleep(0.1)
+            (store,) = session.connector._acquired
+            transports = [writer.transport, store.transport]
+            transports += [item.transport for item in callers.connections]
+            values = [user_timeout_ms(transport) for transport in transports]
+            call.cancel()
+            writer.close()
+            await writer.wait_closed()
+        await callers.shutdown(0.1)
+        return values
+
+    loop = create_loop()
+    assert loop.run_until_complete(open_connections()) == [0, 0, 0, 0]
+    loop.close()
