--- a/tests/fronts/support.py
+++ b/tests/fronts/support.py
@@ -9,8 +9,6 @@
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.listening import CallerServer
 from marjoramstile.loops import listening_socket
-from marjoramstile.reports.metrics import Metrics
-from marjoramstile.routes.entry import RequestDispatcher
 from marjoramstile.routes.table import (
     EntryLimits,
     RoutedService,
@@ -55,19 +53,7 @@
             },
             EntryLimits(1000),
         )
-        core = self.core
-        self.entry = RequestDispatcher(
-            lambda: self.table,
-            lambda: True,
-            core.calls,
-            core.generations,
-            core.crashes,
-            core.carrier,
-            core.budget,
-            Metrics(),
-            8.0,
-            core.balancer._rng,
-        )
+        self.entry = self.core.dispatcher(lambda: self.table)
 
     @asynccontextmanager
     async def serve(self, handler) -> AsyncIterator[None]:
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from marjoramstile.crashes.blocklist import Blocklist
@@ -25,6 +26,7 @@
     CarrierPeers,
     RequestCarrier,
 )
+from marjoramstile.routes.entry import RequestDispatcher
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.links import LinkMonitor, ReplicaLinks
@@ -38,7 +40,13 @@
     Headers,
     RoutedRequest,
 )
-from marjoramstile.routes.table import EngineTraits, Route, RouteKind, ServiceShare
+from marjoramstile.routes.table import (
+    EngineTraits,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceShare,
+)
 from marjoramstile.streams.continuation import StreamVersions
 from marjoramstile.streams.keeper import StreamKeeper
 from marjoramstile.streams.registry import StreamRegistry
@@ -179,6 +187,21 @@
         self.tasks.start(self.streams.load(), "load streams")
         return StreamVersions(self.streams, self.directory, self.pool)
 
+    def dispatcher(self, table: Callable[[], RoutingTable]) -> RequestDispatcher:
+        """Return an entry point over these components."""
+        return RequestDispatcher(
+            table,
+            lambda: True,
+            self.calls,
+            self.generations,
+            self.crashes,
+            self.carrier,
+            self.budget,
+            Metrics(),
+            8.0,
+            self.balancer._rng,
+        )
+
     def _handle_ended_replica(self, replica, following) -> None:
         self.versions.record_gone(replica, loop_time())
         if following is not None:
--- a/tests/routes/test_carrying.py
+++ b/tests/routes/test_carrying.py
@@ -10,8 +10,7 @@
 from marjoramstile.membership.nodes import NodeEntry
 from marjoramstile.membership.view import PeerState, Report
 from marjoramstile.ports.vms import ListedState, ListedVM
-from marjoramstile.reports.metrics import Metrics
-from marjoramstile.routes.entry import IncomingRequest, RequestDispatcher
+from marjoramstile.routes.entry import IncomingRequest
 from marjoramstile.routes.links import LinkState
 from marjoramstile.routes.ports import StreamAnswer
 from marjoramstile.routes.requests import (
@@ -229,21 +228,9 @@
         self.pool.core = self.core
         self.core.versions.begin(-100.0)
         self.pool._last_number = 10_000 * ord(name)
-        core = self.core
         self.table = TABLE
-        self.entry = RequestDispatcher(
-            lambda: self.table,
-            lambda: True,
-            core.calls,
-            core.generations,
-            core.crashes,
-            core.carrier,
-            core.budget,
-            Metrics(),
-            8.0,
-            core.balancer._rng,
-        )
-        self.monitoring = asyncio.create_task(core.link_monitor.run())
+        self.entry = self.core.dispatcher(lambda: self.table)
+        self.monitoring = asyncio.create_task(self.core.link_monitor.run())
 
     def know(self, others: "list[VM]") -> None:
         """Let this daemon see others as serving."""
