--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -455,9 +455,15 @@
         print(f"broken: {broken}" if broken else "held")
         return BROKEN if broken else HELD
 
+    signal.signal(signal.SIGTERM, _stop)
     return asyncio.run(run())
 
 
+def _stop(number: int, frame: object) -> None:
+    """End the run, so that the processes that it started are ended too."""
+    sys.exit(NOT_RUN)
+
+
 def main(case: Callable[[Fleet, bool], Awaitable[str | None]], file: str) -> None:
     """Entry point of a case's program."""
     sys.exit(run_case(case, Path(file).resolve().parent))
