--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,6 +16,7 @@
 # Time for which replicas that leave go on serving after their drain time.
 LINGER_S = 3.0
 RELEASE_GAP_S = 1.0
+REPLICAS = 5
 CLIENTS_PER_DAEMON = 4
 PERIOD_S = 0.1
 
@@ -30,8 +31,8 @@
 async def case(fleet: Fleet, trouble: bool) -> str | None:
     """Return how DRAIN was broken, if it was."""
     await fleet.start_store()
-    for name in ("service-1", "service-2"):
-        await fleet.add_replica(name, PLAIN_SERVICE)
+    for number in range(1, REPLICAS + 1):
+        await fleet.add_replica(f"service-{number}", PLAIN_SERVICE)
     await fleet.start(daemons=3)
     machines = fleet.daemons * CLIENTS_PER_DAEMON
     clients = [Client(fleet, machine) for machine in machines]
@@ -41,10 +42,11 @@
         fleet.record.add("unreadable_entry_written")
     await asyncio.sleep(2.0)
 
-    # Both replicas are replaced, one after the other; the new ones start first.
+    # Releases of two, two and one replica, one a second; the new ones start first.
     acknowledged_at = {}
-    for old, new in (("service-1", "service-3"), ("service-2", "service-4")):
-        await fleet.add_replica(new, PLAIN_SERVICE)
+    for number in range(1, REPLICAS + 1):
+        old = f"service-{number}"
+        await fleet.add_replica(f"service-{REPLICAS + number}", PLAIN_SERVICE)
         await asyncio.sleep(RELEASE_GAP_S)
         replica = fleet.replicas[old]
         replica.state = "draining"
