--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,6 +8,9 @@
 PROMPT = 20_000
 SLOW = 5.0
 ROUNDS = 3
+DECODE = 6
+# Pause between two rounds, in which no replica is slow.
+PAUSE_S = 1.0
 # Tokens of the answers; they last 1.9 s.
 OUTPUT = 440
 # Time for which the replica goes on serving after its drain time, then it exits.
@@ -18,17 +21,21 @@
     """Return how DRAIN was broken, if it was."""
     await fleet.start_store()
     prefill = await fleet.add_replica("prefill-1", STREAM_SERVICE, stage="prefill")
-    await fleet.add_replica("decode-1", STREAM_SERVICE, stage="decode")
-    await fleet.add_replica("decode-2", STREAM_SERVICE, stage="decode")
+    for number in range(1, DECODE + 1):
+        await fleet.add_replica(f"decode-{number}", STREAM_SERVICE, stage="decode")
     await fleet.start(daemons=2)
     await asyncio.sleep(CONTACT_S + 1.0)
-    if trouble:
-        prefill.slow = SLOW
-        fleet.record.add("replica_slow", replica=prefill.id, times=SLOW)
     late = []
     for number in range(ROUNDS):
         client = Client(fleet, fleet.daemons[number % 2])
-        late += await leave_during_prefill(fleet, client, f"decode-{number + 3}")
+        if trouble:
+            prefill.slow = SLOW
+            fleet.record.add("replica_slow", replica=prefill.id, times=SLOW)
+        new = f"decode-{DECODE + 1 + number}"
+        late += await leave_during_prefill(fleet, client, new)
+        prefill.slow = 1.0
+        fleet.record.add("replica_not_slow", replica=prefill.id)
+        await asyncio.sleep(PAUSE_S)
     answers = fleet.record.of("answered")
     cut = sum(not item["complete"] for item in answers)
     fleet.record.add("verdict", late=late, cut=cut)
