--- a/marjoramstile/platform/carriers.py
+++ b/marjoramstile/platform/carriers.py
@@ -10,11 +10,11 @@
 from aiohttp import ClientResponse, ClientSession
 from multidict import CIMultiDict
 
-from marjoramstile.fronts.buffers import BufferBudget, BufferFullError
+from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.platform import headers as platform_headers
 from marjoramstile.platform.replicas import (
-    ANSWER_MAX_BYTES,
     body_chunks,
+    read_reply,
     response_headers,
     send_request,
 )
@@ -26,6 +26,7 @@
     NotSentError,
     OutcomeUnknownError,
     RefusalReason,
+    Reply,
     RequestRefusedError,
     RoutedRequest,
 )
@@ -85,15 +86,9 @@
             self._session, carrier.front, request, headers, timeout_s
         )
 
-    async def read_all(self, answer: StreamAnswer) -> bytes:
-        """Return a whole body; raise AnswerLostError if it is truncated or too long."""
-        with self._buffers.body(ANSWER_MAX_BYTES) as body:
-            try:
-                async for chunk in answer.chunks:
-                    body.add(chunk)
-            except BufferFullError as error:
-                raise AnswerLostError(str(error)) from error
-            return body.to_bytes()
+    async def read_reply(self, answer: StreamAnswer) -> Reply:
+        """Return a whole answer; raise AnswerLostError if truncated or too long."""
+        return await read_reply(answer, self._buffers)
 
 
 def _headers(
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -103,8 +103,7 @@
         async with self._exchange(
             replica, request, timeout_s, SendOptions()
         ) as response:
-            body = await self._read_all(response, ANSWER_MAX_BYTES)
-            return Reply(response.status, response_headers(response), body)
+            return await read_reply(_stream_answer(response), self._buffers)
 
     @asynccontextmanager
     async def stream(
@@ -116,9 +115,11 @@
     ) -> AsyncIterator[StreamAnswer]:
         """Send a request and open its stream; the connection closes after the block."""
         async with self._exchange(replica, request, timeout_s, options) as response:
-            yield StreamAnswer(
-                response.status, response_headers(response), body_chunks(response)
-            )
+            yield _stream_answer(response)
+
+    async def read_reply(self, answer: StreamAnswer) -> Reply:
+        """Return a whole answer; raise AnswerLostError if truncated or too long."""
+        return await read_reply(answer, self._buffers)
 
     async def prefill(
         self, replica: Replica, request: RoutedRequest, timeout_s: float
@@ -126,7 +127,7 @@
         """Run a request's prefill and return the handle of the KV cache."""
         options = SendOptions(extra=((platform_headers.STAGE, str(Stage.PREFILL)),))
         async with self._exchange(replica, request, timeout_s, options) as response:
-            body = await self._read_all(response, CONTROL_ANSWER_MAX_BYTES)
+            body = await self._read_control_answer(response)
             if response.status != OK:
                 raise AnswerLostError(f"prefill: status {response.status}")
             try:
@@ -283,24 +284,17 @@
             ) as response:
                 if replica is not None:
                     self._record_response(replica, response)
-                data = await self._read_all(response, CONTROL_ANSWER_MAX_BYTES)
+                data = await self._read_control_answer(response)
                 answer = json.loads(data) if data and response.status == OK else {}
                 return response.status, answer
         except (ClientError, OSError, TimeoutError, ValueError) as error:
             self._links.record_failure()
             raise NotSentError(repr(error)) from error
 
-    async def _read_all(self, response: ClientResponse, max_bytes: int) -> bytes:
-        """Return a whole body; raise AnswerLostError if it is truncated or too long."""
-        with self._buffers.body(max_bytes) as body:
-            try:
-                async for chunk in body_chunks(response):
-                    body.add(chunk)
-            except BufferFullError as error:
-                response.close()
-                logger.warning("answer_too_long", reason=str(error))
-                raise AnswerLostError(str(error)) from error
-            return body.to_bytes()
+    async def _read_control_answer(self, response: ClientResponse) -> bytes:
+        """Return a whole body; raise AnswerLostError if truncated or too long."""
+        chunks = body_chunks(response)
+        return await _read_all(chunks, self._buffers, CONTROL_ANSWER_MAX_BYTES)
 
     @asynccontextmanager
     async def _exchange(
@@ -408,6 +402,32 @@
     return platform_headers.forwarded_response_headers(raw)
 
 
+def _stream_answer(response: ClientResponse) -> StreamAnswer:
+    return StreamAnswer(
+        response.status, response_headers(response), body_chunks(response)
+    )
+
+
+async def read_reply(answer: StreamAnswer, buffers: BufferBudget) -> Reply:
+    """Return a whole answer; raise AnswerLostError if truncated or too long."""
+    body = await _read_all(answer.chunks, buffers, ANSWER_MAX_BYTES)
+    return Reply(answer.status, answer.headers, body)
+
+
+async def _read_all(
+    chunks: AsyncIterator[bytes], buffers: BufferBudget, max_bytes: int
+) -> bytes:
+    """Return all bytes; raise AnswerLostError if truncated or too long."""
+    with buffers.body(max_bytes) as body:
+        try:
+            async for chunk in chunks:
+                body.add(chunk)
+        except BufferFullError as error:
+            logger.warning("answer_too_long", reason=str(error))
+            raise AnswerLostError(str(error)) from error
+        return body.to_bytes()
+
+
 async def body_chunks(response: ClientResponse) -> AsyncIterator[bytes]:
     """Yield the body's bytes; raise AnswerLostError if it is truncated."""
     try:
--- a/marjoramstile/routes/carrying.py
+++ b/marjoramstile/routes/carrying.py
@@ -86,8 +86,8 @@
         AnswerLostError if no answer came.
         """
 
-    async def read_all(self, answer: StreamAnswer) -> bytes:
-        """Return a whole body; raise AnswerLostError if it is truncated or too long."""
+    async def read_reply(self, answer: StreamAnswer) -> Reply:
+        """Return a whole answer; raise AnswerLostError if truncated or too long."""
 
 
 class CarrierPeers:
@@ -273,10 +273,9 @@
                 stall_s = STALL_S if request.route.resumable else None
                 await self._relay(answer, responder, progress, stall_s)
                 return None
-            body = await self._client.read_all(answer)
             if progress.started:
                 raise AnswerLostError(f"status {answer.status} for a resumed stream")
-            return Reply(answer.status, answer.headers, body)
+            return await self._client.read_reply(answer)
 
     @staticmethod
     async def _relay(
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -278,8 +278,7 @@
         progress.runs += 1
         if progress.started:
             raise AnswerLostError(f"status {answer.status} for a resumed stream")
-        body = b"".join([chunk async for chunk in answer.chunks])
-        return Reply(answer.status, answer.headers, body)
+        return await self._client.read_reply(answer)
 
     async def _relay(
         self,
--- a/marjoramstile/routes/ports.py
+++ b/marjoramstile/routes/ports.py
@@ -20,7 +20,8 @@
 class StreamAnswer:
     """The head of a replica's stream and its bytes as they arrive.
 
-    ``chunks`` raises AnswerLostError where the stream breaks off.
+    ``chunks`` raises AnswerLostError where the stream breaks off. It has no bound: what
+    must be buffered in full is read by ``read_reply`` of the client.
     """
 
     status: int
@@ -45,6 +46,9 @@
     ) -> AbstractAsyncContextManager[StreamAnswer]:
         """Send a request and open its stream; exiting closes the connection."""
 
+    async def read_reply(self, answer: StreamAnswer) -> Reply:
+        """Return a whole answer; raise AnswerLostError if truncated or too long."""
+
     async def prefill(
         self, replica: Replica, request: RoutedRequest, timeout_s: float
     ) -> KVHandle:
--- a/standins/published/replica.py
+++ b/standins/published/replica.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import time
@@ -41,6 +42,7 @@
 PAUSE_GRACE_S = 0.5
 # Exit code of a replica that a request has crashed.
 CRASHED_EXIT = 70
+ENDLESS_CHUNK = b"x" * 60_000
 NOT_EXECUTED = {"X-Not-Executed": "1"}
 _ROUTE = Route("r", "", "/", RouteKind.STREAM, 60.0, 1.0, 1, (), 9, True, None)
 
@@ -140,6 +142,8 @@
         if expected is not None and expected != self._identity.id:
             return web.Response(status=421, headers=NOT_EXECUTED)
         self._arrivals.append(loop_time())
+        if self._fake.faults.endless_answers:
+            return await self._answer_endlessly(request)
         routed = self._request(request, await request.read())
         left_s = routed.deadline - loop_time()
         replica = self._fake.replica
@@ -161,6 +165,19 @@
             request.transport.abort()
             return web.Response(status=500)
 
+    async def _answer_endlessly(self, request: web.Request) -> web.StreamResponse:
+        """Send a body until the caller closes the connection."""
+        faults = self._fake.faults
+        faults.endless_answers -= 1
+        headers = {"X-Request-Id": request.headers["X-Request-Id"]}
+        response = web.StreamResponse(status=faults.endless_status, headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        with contextlib.suppress(ConnectionError):
+            while True:
+                await response.write(ENDLESS_CHUNK)
+        return response
+
     def _stamp(self, routed: RoutedRequest) -> dict[str, str]:
         return {"X-Request-Id": routed.id, "X-Server-Stamp": self._identity.id}
 
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -58,6 +58,8 @@
     request whose prompt shares the part ``deadly_part`` crashes the replica when it
     begins to write the answer. Streams of an ``unframed`` replica have neither length
     nor chunks: one that breaks off ends within an event, and not with an error.
+    ``endless_answers`` are answers with ``endless_status`` whose bodies have no end;
+    only the replica over the published protocol sends them.
     """
 
     refuse: bool = False
@@ -74,6 +76,8 @@
     deadly_body: bytes | None = None
     deadly_part: str | None = None
     unframed: bool = False
+    endless_answers: int = 0
+    endless_status: int = 500
 
 
 @dataclass(eq=False)
@@ -292,6 +296,11 @@
         finally:
             fake.running.pop(key, None)
 
+    async def read_reply(self, answer: StreamAnswer) -> Reply:
+        """Return a whole answer."""
+        body = b"".join([chunk async for chunk in answer.chunks])
+        return Reply(answer.status, answer.headers, body)
+
     async def _prefill_locally(self, fake: FakeReplica, request: RoutedRequest) -> None:
         self.decoded_prompt_tokens += request.size.prompt
         await asyncio.sleep(2 * request.size.prompt / fake.model.prefill_tokens_per_s)
--- a/tests/platform/test_carriers.py
+++ b/tests/platform/test_carriers.py
@@ -48,7 +48,8 @@
     async with raw_replica(script) as peer:
         carrier = Carrier("vm-2", peer.address)
         async with client.send(carrier, request(), 2.0, carried) as answer:
-            return answer.status, answer.headers, await client.read_all(answer)
+            reply = await client.read_reply(answer)
+            return reply.status, reply.headers, reply.body
 
 
 @pytest.mark.parametrize("status", [200, 404, 500, 503])
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -135,6 +135,24 @@
     assert buffers.used == 0
 
 
+@pytest.mark.parametrize("kind", ["body to the end", "chunks", "long body"])
+@pytest.mark.parametrize("status", [400, 500, 504])
+async def test_error_answers_of_streams_are_bounded(client, buffers, kind, status):
+    """An error body without end that is read in full takes the daemon's memory."""
+    first, rest = ENDLESS_RESPONSES[kind]
+    script = endless_script(first.replace(b"200 OK", b"%d E" % status), rest)
+    before_kb = peak_memory_kb()
+    async with (
+        raw_replica(script) as bad,
+        client.stream(bad, request(), 8.0, SendOptions()) as answer,
+    ):
+        assert answer.status == status
+        with pytest.raises(AnswerLostError):
+            await client.read_reply(answer)
+    assert buffers.used == 0
+    assert peak_memory_kb() - before_kb < MEMORY_MAX_KB
+
+
 async def test_long_stream_is_not_cut_by_the_framing_limit(client):
     async def script(head, writer):
         writer.write(CHUNKED)
--- a/tests/routes/test_carrying.py
+++ b/tests/routes/test_carrying.py
@@ -201,9 +201,10 @@
     async def _body(self, body: bytes):
         yield body
 
-    async def read_all(self, answer) -> bytes:
-        """Return a whole body."""
-        return b"".join([chunk async for chunk in answer.chunks])
+    async def read_reply(self, answer) -> Reply:
+        """Return a whole answer."""
+        body = b"".join([chunk async for chunk in answer.chunks])
+        return Reply(answer.status, answer.headers, body)
 
 
 class QueuedCaller(Caller):
