--- /dev/null
+++ b/marjoramstile/json_fields.py
@@ -0,0 +1,122 @@
+"""Reads JSON objects that other programs wrote: a sound value, or a typed error.
+
+orjson bounds the depth of what it parses, and refuses numbers that are not finite.
+"""
+
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import orjson
+
+# Largest whole number that a double holds exactly.
+INTEGER_MAX = 2**53
+NUMBER_MAX = 1e15
+# Longest text that can be a name, an address or a state, in characters.
+TEXT_MAX = 4096
+_REQUIRED = object()
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
+
+
+class MalformedJSONError(ValueError):
+    """Bytes are no JSON object, or a field of one can't be used."""
+
+
+def parse_object(data: bytes) -> "JSONObject":
+    """Return the object that ``data`` holds; raises MalformedJSONError."""
+    try:
+        value = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise MalformedJSONError(str(error)) from error
+    return JSONObject(value)
+
+
+class JSONObject:
+    """The fields of an object; methods raise MalformedJSONError.
+
+    A field that is absent or null has the ``default``, if one is given.
+    """
+
+    def __init__(self, values: Any):
+        if not isinstance(values, dict):
+            raise MalformedJSONError(f"{type(values).__name__} in place of an object")
+        self._values = values
+
+    def _get(self, name: str, default: Any) -> Any:
+        value = self._values.get(name)
+        if value is not None:
+            return value
+        if default is _REQUIRED:
+            raise MalformedJSONError(f"{name} is missing")
+        return default
+
+    def text(self, name: str, default: Any = _REQUIRED) -> str:
+        """Return a text without control characters, which is not empty."""
+        value = self._get(name, default)
+        if value is default:
+            return value
+        if not isinstance(value, str) or not 0 < len(value) <= TEXT_MAX:
+            raise MalformedJSONError(f"{name} is no text, or has no proper length")
+        if _CONTROL_CHARACTER.search(value):
+            raise MalformedJSONError(f"{name} holds control characters")
+        return value
+
+    def integer(
+        self, name: str, minimum: int = 0, maximum: int = INTEGER_MAX, default=_REQUIRED
+    ) -> int:
+        """Return a whole number within bounds; 1.0 is one, too."""
+        value = self._get(name, default)
+        if value is default:
+            return value
+        is_whole = type(value) is int or (type(value) is float and value.is_integer())
+        if not is_whole or not minimum <= value <= maximum:
+            raise MalformedJSONError(
+                f"{name} is no whole number from {minimum} to {maximum}"
+            )
+        return int(value)
+
+    def number(
+        self,
+        name: str,
+        minimum: float = 0.0,
+        maximum: float = NUMBER_MAX,
+        default=_REQUIRED,
+    ) -> float:
+        """Return a number within bounds."""
+        value = self._get(name, default)
+        if value is default:
+            return value
+        if type(value) not in (int, float) or not minimum <= value <= maximum:
+            raise MalformedJSONError(f"{name} is no number from {minimum} to {maximum}")
+        return value
+
+    def flag(self, name: str, default: Any = _REQUIRED) -> bool:
+        """Return true or false."""
+        value = self._get(name, default)
+        if not isinstance(value, bool):
+            raise MalformedJSONError(f"{name} is neither true nor false")
+        return value
+
+    def items(self, name: str, default: Any = _REQUIRED) -> list[Any]:
+        """Return a list of any values."""
+        value = self._get(name, default)
+        if not isinstance(value, list):
+            raise MalformedJSONError(f"{name} is no list")
+        return value
+
+    def texts(self, name: str) -> tuple[str, ...]:
+        """Return a list of texts, which may be empty."""
+        values = self.items(name)
+        if not all(isinstance(value, str) for value in values):
+            raise MalformedJSONError(f"{name} is no list of texts")
+        return tuple(values)
+
+    def objects(self, name: str, default: Any = _REQUIRED) -> Iterator["JSONObject"]:
+        """Yield the objects of a list."""
+        for value in self.items(name, default):
+            yield JSONObject(value)
+
+    def object(self, name: str, default: Any = _REQUIRED) -> "JSONObject":
+        """Return an object."""
+        value = self._get(name, default)
+        return value if value is default else JSONObject(value)
--- a/marjoramstile/mirrors/mirror.py
+++ b/marjoramstile/mirrors/mirror.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
+from typing import TypeVar
 
 from marjoramstile.logs import get_logger
 from marjoramstile.ports.feeds import (
@@ -47,6 +49,7 @@
 
 DEFAULT_POLICY = RestorePolicy()
 
+T = TypeVar("T")
 Listener = Callable[[StoredRow], None]
 
 logger = get_logger(__name__)
@@ -69,6 +72,7 @@
         self._version = NO_VERSION
         self._position = NO_VERSION
         self._listeners: list[Listener] = []
+        self._on_failed_row: Callable[[str], None] = lambda table: None
 
     @property
     def table(self) -> str:
@@ -114,6 +118,21 @@
         """Call ``listener`` with each row that is new, changed or deleted."""
         self._listeners.append(listener)
 
+    def on_failed_row(self, listener: Callable[[str], None]) -> None:
+        """Call ``listener`` with the table's name for each row that isn't applied."""
+        self._on_failed_row = listener
+
+    def _apply_guarded(self, row: StoredRow, action: Callable[[], T]) -> T | None:
+        """Run ``action`` for a row; an error is logged and hurts that row alone."""
+        try:
+            return action()
+        except Exception as error:
+            logger.error(
+                "row_not_applied", table=self._table, row=row.key, error=repr(error)
+            )
+            self._on_failed_row(self._table)
+            return None
+
     def accepts(self, changes: Changes) -> bool:
         """Return whether changes continue the copy, or begin an era with all rows."""
         era = era_of(self._version)
@@ -189,7 +208,7 @@
         if current is not None and current.value == row.value:
             return
         for listener in self._listeners:
-            listener(row)
+            self._apply_guarded(row, partial(listener, row))
 
     def _prune_tombstones(self) -> None:
         deleted = [key for key, row in self._rows.items() if row.value is None]
@@ -253,7 +272,9 @@
     def _apply_row(self, row: StoredRow) -> None:
         current = self._rows.get(row.key)
         if row.value is not None:
-            version = self._document_version(row.value)
+            version = self._apply_guarded(
+                row, partial(self._document_version, row.value)
+            )
             if current is None or self._is_newer(row, version, current):
                 self._versions[row.key] = version
                 self._put_row(row)
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -99,6 +99,7 @@
             self._node.put_table(decode_routing_table(row.value))
         except MalformedRowError as error:
             logger.error("configuration_unreadable", reason=str(error))
+            self._node.metrics.count("rows_unreadable", OPERATOR_TABLE)
 
     def _apply_replica(self, row: StoredRow) -> None:
         if row.value is None:
@@ -108,6 +109,8 @@
             replica = decode_replica(row.key, row.value)
         except MalformedRowError as error:
             logger.warning("replica_row_unreadable", row=row.key, reason=str(error))
+            self._node.metrics.count("rows_unreadable", REPLICAS_TABLE)
+            self._node.drop_replica(row.key)
             return
         self._node.directory.put(replica, loop_time())
 
@@ -141,7 +144,7 @@
         await self._listen(listeners.front, FrontHandler(node.entry, bodies).handle)
         if listeners.completions is not None:
             await self._listen(listeners.completions, self._completions(bodies))
-        node.tasks.start(node.registration.register(), "register")
+        node.tasks.start_retried(node.registration.register, "register")
         logger.info(
             "daemon_started",
             vm=self._settings.vm,
--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -1,8 +1,12 @@
-"""Decodes rows of the platform's store: routing configuration and replicas."""
+"""Decodes rows of the platform's store: routing configuration and replicas.
 
-import json
-from typing import Any
+The rows may come from any writer. A decoder returns a value whose fields are of their
+types and within bounds, or raises MalformedRowError.
+"""
 
+import ipaddress
+
+from marjoramstile.json_fields import JSONObject, MalformedJSONError, parse_object
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.replica_types import Replica, ReplicaState, Stage
 from marjoramstile.routes.table import (
@@ -19,11 +23,15 @@
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
 REPLICAS_TABLE = "servers"
+PORT_MAX = 65_535
+# Upper bounds of what a replica or a route can state.
+SLOTS_MAX = 1_000_000
+ATTEMPTS_MAX = 1_000
+PRIORITY_MAX = 1_000
+DURATION_MAX_MS = 86_400_000.0
 
 logger = get_logger(__name__)
 
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
-
 
 class MalformedRowError(Exception):
     """A row's value is not valid for its table."""
@@ -32,15 +40,16 @@
 def decode_routing_table(value: bytes) -> RoutingTable:
     """Return a row's routing table; raises MalformedRowError."""
     try:
-        body = json.loads(value)
+        body = parse_object(value)
+        services = [_service(item) for item in body.objects("services")]
         return RoutingTable(
-            version=int(body["version"]),
-            routes=tuple(_route(item) for item in body["routes"]),
-            services={item["name"]: _service(item) for item in body["services"]},
-            limits=_limits(body["limits"]),
+            version=body.integer("version"),
+            routes=tuple(_route(item) for item in body.objects("routes")),
+            services={service.name: service for service in services},
+            limits=_limits(body.object("limits")),
         )
-    except _DECODE_ERRORS as error:
-        raise MalformedRowError(repr(error)) from error
+    except MalformedJSONError as error:
+        raise MalformedRowError(str(error)) from error
 
 
 def configuration_version(value: bytes) -> int | None:
@@ -52,25 +61,28 @@
         return None
 
 
-def _route(item: dict[str, Any]) -> Route:
-    gap_ms = item.get("gapTargetMs")
+def _route(item: JSONObject) -> Route:
+    timeout_s = _seconds(item, "timeoutMs")
     return Route(
-        name=item["name"],
-        host=item["host"].lower(),
-        prefix=item["prefix"],
-        kind=_route_kind(item["kind"]),
-        timeout_s=_seconds(item["timeoutMs"]),
-        target_latency_s=_seconds(item.get("targetLatencyMs", item["timeoutMs"])),
-        priority=int(item.get("priority", 0)),
+        name=item.text("name"),
+        host=item.text("host").lower(),
+        prefix=item.text("prefix"),
+        kind=_route_kind(item.text("kind")),
+        timeout_s=timeout_s,
+        target_latency_s=_seconds(item, "targetLatencyMs", timeout_s),
+        priority=item.integer("priority", maximum=PRIORITY_MAX, default=0),
         shares=_shares(item),
-        max_attempts=int(item.get("maxAttempts", 1)),
-        resumable=bool(item.get("resumable", False)),
-        gap_target_s=None if gap_ms is None else _seconds(gap_ms),
+        max_attempts=item.integer("maxAttempts", maximum=ATTEMPTS_MAX, default=1),
+        resumable=item.flag("resumable", False),
+        gap_target_s=_seconds(item, "gapTargetMs", None),
     )
 
 
-def _seconds(milliseconds: float) -> float:
-    return milliseconds / MILLISECONDS_PER_S
+def _seconds(item: JSONObject, name: str, *default: float | None) -> float | None:
+    """Return a duration that is stated in milliseconds, in seconds."""
+    if default and item.number(name, default=None) is None:
+        return default[0]
+    return item.number(name, maximum=DURATION_MAX_MS) / MILLISECONDS_PER_S
 
 
 def _route_kind(text: str) -> RouteKind:
@@ -81,64 +93,81 @@
         return RouteKind.NON_IDEMPOTENT
 
 
-def _shares(item: dict[str, Any]) -> tuple[ServiceShare, ...]:
-    if item.get("trafficSplit"):
-        return tuple(
-            ServiceShare(part["service"], float(part["weight"]))
-            for part in item["trafficSplit"]
-        )
-    return (ServiceShare(item["service"], 1.0),)
+def _shares(item: JSONObject) -> tuple[ServiceShare, ...]:
+    shares = tuple(
+        ServiceShare(part.text("service"), float(part.number("weight")))
+        for part in item.objects("trafficSplit", [])
+    )
+    if not shares:
+        return (ServiceShare(item.text("service"), 1.0),)
+    if not any(share.weight for share in shares):
+        raise MalformedJSONError("no part of trafficSplit has a weight")
+    return shares
 
 
-def _service(item: dict[str, Any]) -> RoutedService:
-    engine = item.get("engine")
+def _service(item: JSONObject) -> RoutedService:
+    engine = item.object("engine", None)
     return RoutedService(
-        name=item["name"],
-        engine=_engine(engine) if engine else None,
+        name=item.text("name"),
+        engine=None if engine is None else _engine(engine),
     )
 
 
-def _engine(item: dict[str, Any]) -> EngineTraits:
+def _engine(item: JSONObject) -> EngineTraits:
     return EngineTraits(
-        slots=int(item["slots"]),
-        kv_tokens=int(item["kvTokens"]),
-        hold_max_s=_seconds(item.get("holdMs", 0.0)),
-        switch_s=float(item.get("switchS", 0.0)),
-        stride=int(item.get("stride", 1)),
+        slots=item.integer("slots", maximum=SLOTS_MAX),
+        kv_tokens=item.integer("kvTokens"),
+        hold_max_s=_seconds(item, "holdMs", 0.0),
+        switch_s=item.number("switchS", default=0.0),
+        stride=item.integer("stride", minimum=1, default=1),
     )
 
 
-def _limits(item: dict[str, Any]) -> EntryLimits:
+def _limits(item: JSONObject) -> EntryLimits:
     return EntryLimits(
-        body_max_bytes=int(item["maxBodyBytes"]),
+        body_max_bytes=item.integer("maxBodyBytes"),
     )
 
 
 def decode_replica(replica_id: str, value: bytes) -> Replica:
     """Return the replica that a row describes; raises MalformedRowError."""
     try:
-        body = json.loads(value)
-        host, _, port = body["address"].rpartition(":")
-        stage = body.get("stage")
-        born = body.get("born", 0)
-        if not isinstance(born, int) or not isinstance(body["service"], str):
-            raise TypeError("born is not an integer or service not a string")
-        return Replica(
-            id=replica_id,
-            service=body["service"],
-            host=host,
-            port=int(port),
-            data_centre=str(body["zone"]),
-            slots=int(body["slots"]),
-            state=ReplicaState(body["state"]),
-            started_at_ms=born,
-            stage=Stage(stage) if stage else None,
-            version=_version(body.get("version")),
-        )
-    except _DECODE_ERRORS as error:
-        raise MalformedRowError(repr(error)) from error
+        return _replica(replica_id, parse_object(value))
+    except (MalformedJSONError, ValueError) as error:
+        raise MalformedRowError(str(error)) from error
+
+
+def _replica(replica_id: str, body: JSONObject) -> Replica:
+    """Return a replica; raises ValueError.
+
+    All fields that replicas write must be there, also those that aren't used: a row
+    without them is that of another writer.
+    """
+    body.integer("sequence")
+    body.number("coldRemainingMs")
+    host, port = _address(body.text("address"))
+    stage = body.text("stage", None)
+    return Replica(
+        id=replica_id,
+        service=body.text("service"),
+        host=host,
+        port=port,
+        data_centre=body.text("zone"),
+        slots=body.integer("slots", maximum=SLOTS_MAX),
+        state=ReplicaState(body.text("state")),
+        started_at_ms=body.integer("born", default=0),
+        stage=None if stage is None else Stage(stage),
+        version=body.text("version"),
+    )
 
 
-def _version(value: object) -> str:
-    """Return the version of a replica's software, empty if it is no text."""
-    return value if isinstance(value, str) else ""
+def _address(text: str) -> tuple[str, int]:
+    """Return the IP address and port of ``HOST:PORT``; raises ValueError."""
+    host, _, digits = text.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not digits.isascii() or not digits.isdecimal():
+        raise MalformedJSONError("the port is no number")
+    port = int(digits[:6])
+    if not 0 < port <= PORT_MAX:
+        raise MalformedJSONError(f"port {port} is not from 1 to {PORT_MAX}")
+    return host, port
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -4,6 +4,7 @@
 import random
 from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 
 from marjoramstile.crashes.blocklist import Blocklist
 from marjoramstile.crashes.coordinator import CrashCoordinator
@@ -133,8 +134,8 @@
         rng: random.Random,
     ):
         self.settings = settings
-        self.tasks = BackgroundTasks()
         self.metrics = Metrics()
+        self.tasks = BackgroundTasks(partial(self.metrics.count, "task_failures"))
         self.directory = ReplicaDirectory(ports.notices)
         self._ports = ports
         self._rng = rng
@@ -176,6 +177,11 @@
         keep_until = follower.store_recovered_at + MISSING_GRACE_S
         self.directory.remove(replica_id, keep_until, loop_time())
 
+    def drop_replica(self, replica_id: str) -> None:
+        """Drop a replica whose row names none any more."""
+        now = loop_time()
+        self.directory.remove(replica_id, keep_until=now, now=now)
+
     def _apply_orders(self, row: StoredRow) -> None:
         """Record the moves that a daemon has ordered: moving replicas are not used.
 
@@ -262,6 +268,8 @@
         mirrors = {
             table: follower.mirror for table, follower in self._followers.items()
         }
+        for mirror in mirrors.values():
+            mirror.on_failed_row(partial(self.metrics.count, "rows_not_applied"))
         self.registration = Registration(
             self.settings,
             self.view.own.incarnation,
@@ -516,11 +524,11 @@
         await self._start_datagrams(peers)
         for table, follower in self._followers.items():
             if follower.mirror is not self.configuration_mirror:
-                self.tasks.start(follower.run(), f"follow {table}")
-        self.tasks.start(self._follow_configuration(), "follow the configuration")
-        self.tasks.start(self.block_sharing.load(), "load the blocklist")
-        self.tasks.start(self.streams.load(), "load streams")
-        self.tasks.start(self._link_monitor.run(), "watch links to replicas")
+                self.tasks.start_retried(follower.run, f"follow {table}")
+        self.tasks.start_retried(self._follow_configuration, "follow the configuration")
+        self.tasks.start_retried(self.block_sharing.load, "load the blocklist")
+        self.tasks.start_retried(self.streams.load, "load streams")
+        self.tasks.start_retried(self._link_monitor.run, "watch links to replicas")
         self._every(STREAMS_PERIOD_S, self._store_streams, "store streams")
         self._every(LIST_PERIOD_S, self.prober.refresh_list, "list")
         self._every(PROBE_PERIOD_S, self.prober.step, "probe")
@@ -558,7 +566,7 @@
         self._sender.connect(transport)
 
     def _every(self, period_s: float, action, name: str) -> None:
-        self.tasks.start(run_every(period_s, action, name), name)
+        self.tasks.start_retried(partial(run_every, period_s, action, name), name)
 
     async def _rebalance_stages(self) -> None:
         if self.entry.ready:
--- a/marjoramstile/utils.py
+++ b/marjoramstile/utils.py
@@ -11,6 +11,9 @@
 
 TOKEN_BYTES = 12
 MILLISECONDS_PER_S = 1000
+# Pauses before a task that must last is started again, the first and the longest.
+RESTART_MIN_S = 0.05
+RESTART_MAX_S = 1.0
 
 logger = get_logger(__name__)
 
@@ -80,7 +83,9 @@
 class BackgroundTasks:
     """Owns background tasks and cancels them on ``close``."""
 
-    def __init__(self):
+    def __init__(self, on_failure: Callable[[str], None] = lambda name: None):
+        """``on_failure`` is called with the name of each task that fails."""
+        self._on_failure = on_failure
         self._tasks: set[asyncio.Task] = set()
         self._closed = False
 
@@ -99,15 +104,42 @@
         task.add_done_callback(self._handle_done)
         return task
 
+    def start_retried(
+        self, action: Callable[[], Awaitable[None]], name: str
+    ) -> asyncio.Future:
+        """Run ``action`` in the background; start it again until it doesn't fail.
+
+        Tasks that go on until they are cancelled are started so, too.
+        """
+        return self.start(self._run_until_done(action, name), name)
+
+    async def _run_until_done(
+        self, action: Callable[[], Awaitable[None]], name: str
+    ) -> None:
+        pause_s = RESTART_MIN_S
+        while True:
+            started = loop_time()
+            try:
+                await action()
+                return
+            except Exception as error:
+                self._record_failure("background_task_restarted", name, repr(error))
+            if loop_time() - started > RESTART_MAX_S:
+                pause_s = RESTART_MIN_S
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, RESTART_MAX_S)
+
     def _handle_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logger.error(
-                "background_task_failed",
-                task=task.get_name(),
-                error=repr(task.exception()),
+            self._record_failure(
+                "background_task_failed", task.get_name(), repr(task.exception())
             )
 
+    def _record_failure(self, event: str, name: str, error: str) -> None:
+        logger.error(event, task=name, error=error)
+        self._on_failure(name)
+
     async def close(self) -> None:
         """Cancel all tasks and wait for them to end."""
         self._closed = True
