--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -120,6 +120,7 @@
         hold_max_s=_seconds(item, "holdMs", 0.0),
         switch_s=item.number("switchS", default=0.0),
         stride=item.integer("stride", minimum=1, default=1),
+        handle_ttl_s=item.number("handleTtlS", default=0.0),
     )
 
 
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -15,6 +15,7 @@
     AnswerLostError,
     NotSentError,
     OutcomeUnknownError,
+    OutdatedChoiceError,
     RefusalReason,
     ReplicaError,
     Reply,
@@ -65,6 +66,10 @@
             replica = await self._next_replica(attempt)
             if replica is None:
                 return self._give_up(attempt)
+            try:
+                self._crashes.check_again(request)
+            except RequestRefusedError as refusal:
+                return attempt.give_up(refusal.reason, refusal.retry_after_s)
             suspect = self._crashes.is_suspect(request)
             sent_at = loop_time()
             try:
@@ -139,7 +144,7 @@
         """Return whether a request that reached no replica may reach another one."""
         if attempt.has_run or not attempt.last_was_unsent:
             return True
-        return await self._links.hold()
+        return attempt.last_was_outdated or await self._links.hold()
 
     def _may_retry(self, attempt: "_CallAttempts") -> bool:
         now = loop_time()
@@ -159,6 +164,7 @@
         self.request = request
         self.tried: set[str] = set()
         self.last_was_unsent = False
+        self.last_was_outdated = False
         self.permit_wait_s: float | None = None
         self._runs = 0
         self._lost = False
@@ -186,6 +192,7 @@
         """Record an attempt that got no answer."""
         self.tried.add(replica.id)
         self.last_was_unsent = isinstance(error, NotSentError)
+        self.last_was_outdated = isinstance(error, OutdatedChoiceError)
         if isinstance(error, AnswerLostError):
             self._runs += 1
             self._lost = True
--- a/marjoramstile/routes/failures.py
+++ b/marjoramstile/routes/failures.py
@@ -6,6 +6,7 @@
 from marjoramstile.routes.replicas import ReplicaDirectory
 from marjoramstile.routes.requests import (
     MisdirectedError,
+    OutdatedChoiceError,
     ReplicaError,
     RoutedRequest,
 )
@@ -24,7 +25,13 @@
     def record(
         self, replica: Replica, request: RoutedRequest, error: ReplicaError
     ) -> None:
-        """Record that a replica gave no usable answer to a request."""
+        """Record that a replica gave no usable answer to a request.
+
+        One that was not sent to, as it takes no more requests, has not failed.
+        """
+        if isinstance(error, OutdatedChoiceError):
+            logger.info("choice_outdated", request=request.id, replica=replica.id)
+            return
         if isinstance(error, MisdirectedError):
             self._directory.record_misdirected(replica)
         else:
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -28,8 +28,8 @@
     AnswerLostError,
     KVHandle,
     NotExecutedError,
-    NotSentError,
     OutcomeUnknownError,
+    OutdatedChoiceError,
     RefusalReason,
     ReplicaError,
     Reply,
@@ -49,6 +49,8 @@
 # Events after which a replica counts as having begun to answer: one that crashes while
 # it begins may have sent the first.
 BEGUN_EVENTS = 2
+# A KV cache whose lifetime ends sooner is not offered to another decode replica.
+HANDLE_MARGIN_S = 0.1
 OK = 200
 
 logger = get_logger(__name__)
@@ -62,7 +64,8 @@
     to which the request was sent at ``sent_at``. ``version`` is the software version
     that began the stream, ``origin`` the replica, if it began here; None before.
     ``runs`` counts the decode replicas that may have run the request, ``prefills`` the
-    attempts that requested a prefill.
+    attempts that requested a prefill. ``prefilled`` is a KV cache that no decode
+    replica was asked to fetch yet.
     """
 
     last_event: int | None
@@ -74,6 +77,15 @@
     origin: Replica | None = None
     runs: int = 0
     prefills: int = 0
+    prefilled: "PrefilledPrompt | None" = None
+
+
+@dataclass(frozen=True)
+class PrefilledPrompt:
+    """A KV cache that a prefill replica keeps until loop time ``expires_at``."""
+
+    handle: KVHandle
+    expires_at: float
 
 
 class GenerationRunner:
@@ -113,6 +125,18 @@
         progress = Progress(request.resume_after)
         if request.is_take_up:
             progress.version = await self._streams.require_version(request)
+        try:
+            return await self._run_attempts(request, engine, responder, progress)
+        finally:
+            self._release_prefilled(progress)
+
+    async def _run_attempts(
+        self,
+        request: RoutedRequest,
+        engine: EngineTraits,
+        responder: Responder,
+        progress: Progress,
+    ) -> Reply | None:
         failed: set[str] = set()
         while True:
             try:
@@ -154,21 +178,21 @@
             request, engine, resumed, failed, progress.version
         )
         hold_sent = False
-        handle = None
         outcome = LeaseOutcome.GIVEN_BACK
         try:
-            if placement.prefill is not None:
-                handle = await self._prefill(request, placement, progress, failed)
+            if not self._has_prefilled(progress) and placement.prefill is not None:
+                await self._prefill(request, engine, placement, progress, failed)
             hold_sent = True
-            reply = await self._decode(
-                request, engine, placement, handle, responder, progress
-            )
+            reply = await self._decode(request, engine, placement, responder, progress)
             outcome = LeaseOutcome.FINISHED
             return reply
         except BaseException as error:
-            if isinstance(error, _SendFailedError):
+            if isinstance(error, _SendFailedError) and not error.is_outdated:
                 outcome = LeaseOutcome.FAILED
-            self._release_in_background(placement, handle, hold_sent)
+                self._release_prefilled(progress)
+            if not hold_sent:
+                release = self._placer.release_reservation(placement)
+                self._tasks.start(release, "drop_hold")
             raise
         finally:
             self._placer.end_lease(placement, outcome)
@@ -176,10 +200,11 @@
     async def _prefill(
         self,
         request: RoutedRequest,
+        engine: EngineTraits,
         placement: Placement,
         progress: Progress,
         failed: frozenset[str],
-    ) -> KVHandle | None:
+    ) -> None:
         is_retry = progress.prefills > 0
         progress.prefills += 1
         began = loop_time()
@@ -188,37 +213,39 @@
         )
         if handle is not None:
             placement.lease.record_prefill(loop_time() - began)
-        return handle
-
-    def _release_in_background(
-        self,
-        placement: Placement,
-        handle: KVHandle | None,
-        hold_sent: bool,
-    ) -> None:
-        """Release in the background what a failed attempt holds at replicas."""
-        if not hold_sent:
-            self._tasks.start(self._placer.release_reservation(placement), "drop_hold")
-        elif handle is not None:
-            self._tasks.start(self._prefiller.release_kv_cache(handle), "free_handle")
+            expires_at = loop_time() + engine.handle_ttl_s - HANDLE_MARGIN_S
+            progress.prefilled = PrefilledPrompt(handle, expires_at)
+
+    def _has_prefilled(self, progress: Progress) -> bool:
+        """Return whether an earlier attempt's KV cache can still be fetched."""
+        prefilled = progress.prefilled
+        if prefilled is not None and loop_time() >= prefilled.expires_at:
+            self._release_prefilled(progress)
+        return progress.prefilled is not None
+
+    def _release_prefilled(self, progress: Progress) -> None:
+        """Release in the background a KV cache that will not be fetched."""
+        if progress.prefilled is not None:
+            release = self._prefiller.release_kv_cache(progress.prefilled.handle)
+            self._tasks.start(release, "free_handle")
+            progress.prefilled = None
 
     async def _decode(
         self,
         request: RoutedRequest,
         engine: EngineTraits,
         placement: Placement,
-        handle: KVHandle | None,
         responder: Responder,
         progress: Progress,
     ) -> Reply | None:
+        prefilled = progress.prefilled
         options = SendOptions(
-            hold=placement.hold, source=handle, resume_after=progress.last_event
+            hold=placement.hold,
+            source=None if prefilled is None else prefilled.handle,
+            resume_after=progress.last_event,
         )
-        if not self._placer.replica_accepts(placement):
-            error = NotSentError("the replica took the place back")
-            raise _SendFailedError(placement.replica, error, ran=False)
         if not await self._streams.may_continue(progress.version, placement.replica):
-            error = NotSentError("the replica may have started again")
+            error = OutdatedChoiceError("the replica may have started again")
             raise _SendFailedError(placement.replica, error, ran=False)
         left_s = request.deadline - loop_time()
         self._crashes.check_again(request)
@@ -234,6 +261,7 @@
                     self._crashes.record_begin(request, progress.sent_at)
                     return reply
                 progress.runs += 1
+                progress.prefilled = None
                 lease = placement.lease
                 await self._relay(
                     request,
@@ -390,6 +418,8 @@
             route = request.route
             if not route.resumable or progress.runs >= route.max_attempts:
                 return False
+        if failure.is_outdated:
+            return True
         return self._budget.try_consume(request.service, now)
 
     async def _may_have_crashed(self, request: RoutedRequest, replica: Replica) -> bool:
@@ -424,3 +454,8 @@
         self.replica = replica
         self.error = error
         self.ran = ran
+
+    @property
+    def is_outdated(self) -> bool:
+        """Whether nothing was sent, as the replica takes no more requests."""
+        return isinstance(self.error, OutdatedChoiceError)
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -46,6 +46,7 @@
     CarrierPeers,
     RequestCarrier,
 )
+from marjoramstile.routes.checked_client import CheckedReplicaClient
 from marjoramstile.routes.entry import RequestDispatcher
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
@@ -288,7 +289,7 @@
 
     def _build_requests(self) -> None:
         settings = self.settings
-        client = self._ports.replicas
+        client = CheckedReplicaClient(self._ports.replicas, self.directory)
         self.balancer = Balancer(settings.data_centre, self._rng)
         self._build_pools()
         self.budget = WindowedRetryBudget(
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -18,7 +18,7 @@
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.ports import ReplicaClient
 from marjoramstile.routes.replica_types import Replica, Stage
-from marjoramstile.routes.replicas import USABLE, ReplicaDirectory, Standing
+from marjoramstile.routes.replicas import ReplicaDirectory
 from marjoramstile.routes.requests import (
     Hold,
     RefusalReason,
@@ -42,8 +42,6 @@
 RETRY_AFTER_S = 1.0
 # A version that has left the list may come back if its row has only expired.
 VERSION_RETRY_S = 2.0
-# Standings in which a replica rejects requests even if it holds a reservation for them.
-REFUSING = frozenset({Standing.LEAVING, Standing.PAUSED})
 FINGERPRINT_CHARACTERS = 16
 
 logger = get_logger(__name__)
@@ -205,7 +203,7 @@
         replica = self._directory.get(replica_id)
         if replica is None or version not in (None, replica.version):
             return False
-        return self._directory.standing(replica) in USABLE
+        return self._directory.takes(replica)
 
     async def _reserve(
         self,
@@ -252,14 +250,6 @@
         outcome = LeaseOutcome.UNREACHABLE if links_hold else LeaseOutcome.GIVEN_BACK
         self._pool.end(lease, outcome)
 
-    def replica_accepts(self, placement: Placement) -> bool:
-        """Return whether the replica still accepts the request it has reserved for."""
-        replica = placement.replica
-        known = self._directory.get(replica.id)
-        if known is not None and not known.is_same_process(replica):
-            return False
-        return self._directory.standing(replica) not in REFUSING
-
     def end_lease(self, placement: Placement, outcome: LeaseOutcome) -> None:
         """End the lease of a generation."""
         self._pool.end(placement.lease, outcome)
--- a/marjoramstile/routes/prefiller.py
+++ b/marjoramstile/routes/prefiller.py
@@ -14,6 +14,7 @@
 from marjoramstile.routes.requests import (
     AnswerLostError,
     KVHandle,
+    OutdatedChoiceError,
     RefusalReason,
     ReplicaError,
     RequestRefusedError,
@@ -79,10 +80,15 @@
             if replica is None:
                 return None
             self._check_may_try(request, len(tried))
+            self._crashes.check_again(request)
             tried.add(replica.id)
             suspect = self._crashes.is_suspect(request)
             try:
                 return await self._prefill_at(replica, request)
+            except OutdatedChoiceError as error:
+                self._failures.record(replica, request, error)
+                tried.discard(replica.id)
+                avoid |= {replica.id}
             except ReplicaError as error:
                 self._failures.record(replica, request, error)
                 if self._links.lost:
--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -32,6 +32,9 @@
 
 
 USABLE = frozenset({Standing.USED, Standing.MISSING})
+# Standings in which a replica takes requests for which it holds a place: a move into
+# another stage waits for them.
+TAKES_HELD = USABLE | {Standing.MOVING}
 # Standings in which an engine counts in the split of its service.
 COUNTED_IN_SPLIT = USABLE | {Standing.MOVING, Standing.PAUSED}
 NOT_ACCEPTING = frozenset({PauseState.PAUSED, PauseState.TRYING})
@@ -191,6 +194,19 @@
             return Standing.MISSING
         return Standing.USED
 
+    def takes(self, chosen: Replica, holds_place: bool = False) -> bool:
+        """Return whether a replica that was chosen before still takes a request.
+
+        ``chosen`` is as it was then; what is known of it now decides. ``holds_place``
+        means that the replica holds a place for the request.
+        """
+        known = self._replicas.get(chosen.id)
+        if known is None or not known.is_same_process(chosen):
+            return False
+        if (known.service, known.stage) != (chosen.service, chosen.stage):
+            return False
+        return self.standing(known) in (TAKES_HELD if holds_place else USABLE)
+
     def get(self, replica_id: str) -> Replica | None:
         """Return a replica by id."""
         return self._replicas.get(replica_id)
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -114,6 +114,10 @@
     """No connection to the replica: it has not received the request."""
 
 
+class OutdatedChoiceError(NotSentError):
+    """The replica was chosen when it took requests, and takes no more of them."""
+
+
 class NotExecutedError(ReplicaError):
     """The replica's answer states that it did not run the request."""
 
--- a/marjoramstile/routes/table.py
+++ b/marjoramstile/routes/table.py
@@ -61,7 +61,7 @@
 
     ``kv_tokens`` is the KV memory of one engine, ``hold_max_s`` the longest
     reservation, ``switch_s`` the downtime of a change of stage, ``stride`` the tokens
-    of an event.
+    of an event, ``handle_ttl_s`` the time for which a prefilled KV cache is kept.
     """
 
     slots: int
@@ -69,6 +69,7 @@
     hold_max_s: float
     switch_s: float
     stride: int
+    handle_ttl_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -26,6 +26,7 @@
     CarrierPeers,
     RequestCarrier,
 )
+from marjoramstile.routes.checked_client import CheckedReplicaClient
 from marjoramstile.routes.entry import RequestDispatcher
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
@@ -59,7 +60,12 @@
 LLM = "llm"
 PLAIN = "ledger"
 ENGINE = EngineTraits(
-    slots=24, kv_tokens=33_466, hold_max_s=2.0, switch_s=6.0, stride=11
+    slots=24,
+    kv_tokens=33_466,
+    hold_max_s=2.0,
+    switch_s=6.0,
+    stride=11,
+    handle_ttl_s=0.5,
 )
 SIZE = GenerationSize(prompt=3200, max_output=781, expected_output=781)
 EVENTS = 71
@@ -111,7 +117,8 @@
         self.balancer = Balancer("a", random.Random(1))
         limits = BudgetLimits(0.2, 10.0, self.slack)
         self.budget = WindowedRetryBudget(limits, lambda: 1, started=-10.0)
-        common = (self.directory, self.pool, self.balancer)
+        self.client = CheckedReplicaClient(self.pool, self.directory)
+        common = (self.directory, self.client, self.balancer)
         own = ListedVM(self.vm, "10.0.0.1", "a", "r", ListedState.LIVE)
         self.view = View(own, "i1")
         self._build_crashes()
@@ -122,10 +129,10 @@
         )
         failures = FailureRecorder(self.directory, self.balancer)
         self.generations = GenerationRunner(
-            self.pool,
+            self.client,
             DecodePlacer(
                 self.directory,
-                self.pool,
+                self.client,
                 self.pool_client,
                 failures,
                 self.links,
@@ -185,7 +192,7 @@
         )
         self.directory.on_ended(self._handle_ended_replica)
         self.tasks.start(self.streams.load(), "load streams")
-        return StreamVersions(self.streams, self.directory, self.pool)
+        return StreamVersions(self.streams, self.directory, self.client)
 
     def dispatcher(self, table: Callable[[], RoutingTable]) -> RequestDispatcher:
         """Return an entry point over these components."""
