Answers not yet taken, the store's and peers' frames count against the daemon's memory

Cause: bytes in memory that no bound counts. Answers of replicas left the budget as soon as they were whole, though a slow caller keeps them; the transport copied what it could not send; the store's answers were read without a bound; peers' frames had a bound each and none in sum; one long body could use up the budget, so that short answers of sound replicas were lost.

Change: a reply holds its reservation until its caller has taken it (30 s at most) and is written in slices of 64 KiB. Bodies over 64 KiB leave a quarter of the budget to shorter ones. The store's answers and peers' frames are read into the budget; a feed's answer that is too long is replaced by a read page by page.

The check of the budget in test_endless is stricter: the reply's own bytes are counted until it is dropped.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -28,6 +28,7 @@
     parse_configuration,
 )
 from marjoramstile.configuration.edits import Edit, apply_edits
+from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.prober import Probe
 from marjoramstile.membership.view import PeerState, Report, View
@@ -252,9 +253,12 @@
 
 async def measure_messages() -> list[Measurement]:
     """Measure CPU time (of both sides together) and size of peer messages."""
-    server = PeerServer(_ImmediateHandler(), FRAME_MAX_BYTES)
+    buffers = BufferBudget(8 * FRAME_MAX_BYTES)
+    server = PeerServer(_ImmediateHandler(), FRAME_MAX_BYTES, buffers)
     await server.start(LOOPBACK, PEERS_PORT)
-    connection = await PeerConnection.open(LOOPBACK, PEERS_PORT, FRAME_MAX_BYTES)
+    connection = await PeerConnection.open(
+        LOOPBACK, PEERS_PORT, FRAME_MAX_BYTES, buffers
+    )
     measured = []
     for reports in (0, 10, 20):
         probe = Probe(
--- a/marjoramstile/daemon.py
+++ b/marjoramstile/daemon.py
@@ -14,6 +14,7 @@
 from marjoramstile.endpoints.plain import HTTPPlainClient
 from marjoramstile.entry.app import create_caller_app
 from marjoramstile.entry.web import WebServer
+from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop, io_uring_descriptors
 from marjoramstile.node import Node, Ports
@@ -30,6 +31,8 @@
 BAD_SETTINGS_EXIT = 78
 FORBIDDEN_LOOP_EXIT = 70
 DRAIN_POLL_S = 0.05
+# Longest frames of peers that are kept in memory at one time.
+FRAMES_AT_ONCE = 8
 LEAVING_RETRY_AFTER_S = 0.1
 
 logger = get_logger(__name__)
@@ -42,7 +45,9 @@
         self._settings = settings
         self._stopping = asyncio.Event()
         self._has_left = False
-        self._connections = PeerConnections(settings.limits.frame_max_bytes)
+        frame_max_bytes = settings.limits.frame_max_bytes
+        self._frames = BufferBudget(FRAMES_AT_ONCE * frame_max_bytes)
+        self._connections = PeerConnections(frame_max_bytes, self._frames)
         self._node = Node(settings, self._ports(session), random.Random())
         self._build_listeners()
 
@@ -76,7 +81,7 @@
         self._caller_server = WebServer(caller_app, settings.listeners.callers)
         self._operator_server = WebServer(operator_app, settings.listeners.operators)
         self._peer_server = PeerServer(
-            node.peer_handler, settings.limits.frame_max_bytes
+            node.peer_handler, settings.limits.frame_max_bytes, self._frames
         )
 
     async def _refuse_after_leaving(self, request: Request) -> None:
--- a/marjoramstile/fronts/answers.py
+++ b/marjoramstile/fronts/answers.py
@@ -1,18 +1,34 @@
-"""Chunked responses that are streamed to callers."""
+"""Responses to callers: streamed in chunks, or whole."""
+
+import asyncio
 
 from aiohttp import web
 from aiohttp.client_exceptions import ClientConnectionResetError
 from multidict import CIMultiDict
 
+from marjoramstile.logs import get_logger
 from marjoramstile.routes.requests import Headers
 
 BAD_GATEWAY = 502
+# Time for a caller to take a whole answer: longer than any of them waits for one.
+ANSWER_TIMEOUT_S = 30.0
+
+# Bytes of a body that are passed to the transport at a time.
+SLICE_BYTES = 65_536
+
+logger = get_logger(__name__)
 
 
 class CallerDisconnectedError(Exception):
     """The caller's connection closed while its response was being sent."""
 
 
+async def _write_slices(response: web.StreamResponse, body: bytes) -> None:
+    view = memoryview(body)
+    for start in range(0, len(body), SLICE_BYTES):
+        await response.write(view[start : start + SLICE_BYTES])
+
+
 class ResponseStream:
     """A chunked response to one request.
 
@@ -54,6 +70,36 @@
         except (ClientConnectionResetError, OSError) as error:
             raise CallerDisconnectedError from error
 
+    async def send_whole(
+        self, status: int, headers: Headers, body: bytes, close: bool
+    ) -> web.StreamResponse:
+        """Send a complete response; abort if the caller takes too long over it.
+
+        A long body is written in slices: the transport copies what it can't send yet.
+        """
+        fields = CIMultiDict(headers)
+        is_long = len(body) > SLICE_BYTES
+        if is_long:
+            response = web.StreamResponse(status=status, headers=fields)
+            response.content_length = len(body)
+        else:
+            response = web.Response(status=status, headers=fields, body=body)
+        if close:
+            response.force_close()
+        self._response = response
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await response.prepare(self._request)
+                if is_long:
+                    await _write_slices(response, body)
+                await response.write_eof()
+        except TimeoutError:
+            logger.warning("answer_not_taken", limit_s=ANSWER_TIMEOUT_S)
+            return self.abort()
+        except (ClientConnectionResetError, OSError) as error:
+            raise CallerDisconnectedError from error
+        return response
+
     def abort(self) -> web.StreamResponse:
         """Close the connection so that the response can't be taken for complete.
 
--- a/marjoramstile/fronts/buffers.py
+++ b/marjoramstile/fronts/buffers.py
@@ -1,8 +1,17 @@
-"""A memory budget shared by all bodies that a daemon buffers in full."""
+"""A memory budget shared by all bodies that a daemon buffers in full.
+
+Long bodies may not use all of it: one that grows without end, or that its reader takes
+slowly, leaves room for the short ones of everybody else.
+"""
 
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+# Bodies up to this size may use the whole budget.
+SHORT_BODY_BYTES = 65_536
+# Share of the budget up to which longer bodies may grow.
+LONG_BODIES_SHARE = 0.75
+
 
 class BufferFullError(Exception):
     """A body can't be buffered any further."""
@@ -17,9 +26,10 @@
 
 
 class BufferedBody:
-    """The buffered chunks of one body, counted against a budget.
+    """The buffered chunks of one body, counted against a budget until discarded.
 
-    Created by ``BufferBudget.body``, which discards it at the end of its block.
+    That is at the end of a ``BufferBudget.body`` block, or when the last reference to
+    a body of ``BufferBudget.open_body`` is dropped.
     """
 
     def __init__(self, budget: "BufferBudget", max_bytes: int):
@@ -37,13 +47,15 @@
         """Append a chunk; raises BodyTooLongError or BufferBudgetExceededError."""
         if self._size + len(chunk) > self._max_bytes:
             raise BodyTooLongError(f"more than {self._max_bytes} bytes")
-        self._budget.reserve(len(chunk))
+        self._budget.reserve(self._size, len(chunk))
         self._chunks.append(chunk)
         self._size += len(chunk)
 
     def to_bytes(self) -> bytes:
-        """Return all chunks joined."""
-        return b"".join(self._chunks)
+        """Return all chunks joined; they are kept as one from then on."""
+        if len(self._chunks) > 1:
+            self._chunks = [b"".join(self._chunks)]
+        return self._chunks[0] if self._chunks else b""
 
     def discard(self) -> None:
         """Drop the chunks and release their bytes.
@@ -54,6 +66,9 @@
         self._chunks.clear()
         self._size = 0
 
+    def __del__(self):
+        self.discard()
+
 
 class BufferBudget:
     """Limits the bytes of all bodies that are buffered at one time."""
@@ -67,9 +82,14 @@
         """Bytes buffered now."""
         return self._used
 
-    def reserve(self, count: int) -> None:
-        """Reserve bytes; raises BufferBudgetExceededError if too few are free."""
-        if self._used + count > self._max_bytes:
+    def reserve(self, size: int, count: int) -> None:
+        """Reserve more bytes for a body that has ``size`` of them.
+
+        Raises BufferBudgetExceededError if too few are free.
+        """
+        is_short = size + count <= SHORT_BODY_BYTES
+        share = 1.0 if is_short else LONG_BODIES_SHARE
+        if self._used + count > share * self._max_bytes:
             raise BufferBudgetExceededError(
                 f"{self._used} bytes of bodies are kept already"
             )
@@ -79,10 +99,14 @@
         """Return bytes that are no longer buffered to the budget."""
         self._used -= count
 
+    def open_body(self, max_bytes: int) -> BufferedBody:
+        """Return a body of at most ``max_bytes`` to be filled and kept."""
+        return BufferedBody(self, max_bytes)
+
     @contextmanager
     def body(self, max_bytes: int) -> Iterator[BufferedBody]:
         """Buffer one body of at most ``max_bytes``; released when the block ends."""
-        body = BufferedBody(self, max_bytes)
+        body = self.open_body(max_bytes)
         try:
             yield body
         finally:
--- a/marjoramstile/peers/connections.py
+++ b/marjoramstile/peers/connections.py
@@ -5,6 +5,7 @@
 
 from thriftpy2.thrift import TException
 
+from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.logs import get_logger
 from marjoramstile.peers.transport import PeerConnection
 
@@ -27,8 +28,10 @@
 class PeerConnections:
     """Calls peers by address; a call that fails in any way returns None."""
 
-    def __init__(self, max_frame_bytes: int):
+    def __init__(self, max_frame_bytes: int, buffers: BufferBudget):
+        """Answers are read into ``buffers``."""
         self._max_frame_bytes = max_frame_bytes
+        self._buffers = buffers
         self._idle: dict[str, list[PeerConnection]] = {}
 
     async def call(
@@ -60,7 +63,9 @@
                 return connection
         host, port = address.rsplit(":", 1)
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            return await PeerConnection.open(host, int(port), self._max_frame_bytes)
+            return await PeerConnection.open(
+                host, int(port), self._max_frame_bytes, self._buffers
+            )
 
     def _release(self, address: str, connection: PeerConnection) -> None:
         """Keep the connection for reuse; evict the least recently used address."""
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -11,6 +11,11 @@
 
 from thriftpy2.thrift import TException, TProcessor
 
+from marjoramstile.fronts.buffers import (
+    BufferBudget,
+    BufferedBody,
+    BufferFullError,
+)
 from marjoramstile.logs import get_logger
 from marjoramstile.loops import connect, listening_socket
 from marjoramstile.peers.frames import (
@@ -39,10 +44,13 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         max_bytes: int,
+        buffers: BufferBudget,
     ):
+        """Frames are read into ``buffers``, which other connections share."""
         self._reader = reader
         self._writer = writer
         self._max_bytes = max_bytes
+        self._buffers = buffers
 
     @property
     def usable(self) -> bool:
@@ -55,8 +63,20 @@
         (length,) = _FRAME_HEADER.unpack(header)
         if not 0 < length <= self._max_bytes:
             raise FrameError(f"frame length {length} is not in 1 to {self._max_bytes}")
-        async with asyncio.timeout(FRAME_TIMEOUT_S):
-            return await self._reader.readexactly(length)
+        with self._buffers.body(length) as frame:
+            async with asyncio.timeout(FRAME_TIMEOUT_S):
+                await self._read_into(frame, length)
+            return frame.to_bytes()
+
+    async def _read_into(self, frame: BufferedBody, length: int) -> None:
+        while frame.size < length:
+            chunk = await self._reader.read(length - frame.size)
+            if not chunk:
+                raise EOFError
+            try:
+                frame.add(chunk)
+            except BufferFullError as error:
+                raise FrameError(str(error)) from error
 
     async def write(self, message: bytes) -> None:
         """Write a message as one frame."""
@@ -75,10 +95,12 @@
         self._stream = stream
 
     @classmethod
-    async def open(cls, host: str, port: int, max_bytes: int) -> "PeerConnection":
+    async def open(
+        cls, host: str, port: int, max_bytes: int, buffers: BufferBudget
+    ) -> "PeerConnection":
         """Connect to a daemon's peer listener."""
         reader, writer = await connect(host, port)
-        return cls(FrameStream(reader, writer, max_bytes))
+        return cls(FrameStream(reader, writer, max_bytes, buffers))
 
     @property
     def usable(self) -> bool:
@@ -98,9 +120,11 @@
 class PeerServer:
     """Serves the calls of other daemons through ``handler``."""
 
-    def __init__(self, handler: object, max_bytes: int):
+    def __init__(self, handler: object, max_bytes: int, buffers: BufferBudget):
+        """Calls are read into ``buffers``."""
         self._processor = TProcessor(PeerService, handler)
         self._max_bytes = max_bytes
+        self._buffers = buffers
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task] = set()
 
@@ -114,7 +138,7 @@
     ) -> None:
         task = asyncio.current_task()
         self._connections.add(task)
-        stream = FrameStream(reader, writer, self._max_bytes)
+        stream = FrameStream(reader, writer, self._max_bytes, self._buffers)
         try:
             while True:
                 await self._answer(stream)
--- a/marjoramstile/platform/carriers.py
+++ b/marjoramstile/platform/carriers.py
@@ -12,8 +12,8 @@
 
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.platform import headers as platform_headers
+from marjoramstile.platform.bodies import body_chunks
 from marjoramstile.platform.replicas import (
-    body_chunks,
     read_reply,
     response_headers,
     send_request,
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -67,9 +67,9 @@
         links: ReplicaLinks,
     ):
         self._settings = settings
-        self._store = PlatformStore(store_session, str(settings.store))
-        notices = ReplicaNotices()
         self._buffers = BufferBudget(int(settings.memory_bytes * BUFFER_MEMORY_SHARE))
+        self._store = PlatformStore(store_session, str(settings.store), self._buffers)
+        notices = ReplicaNotices()
         replicas = HTTPReplicaClient(replica_session, notices, self._buffers, links)
         ports = RouterPorts(
             feed=self._store,
@@ -79,6 +79,7 @@
             notices=notices,
             links=links,
             carriers=HTTPCarrierClient(replica_session, self._buffers),
+            buffers=self._buffers,
         )
         self._node = RouterNode(
             settings,
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -1,7 +1,6 @@
 """HTTP front for callers on the platform, with its readiness and address endpoints."""
 
 from aiohttp import web
-from multidict import CIMultiDict
 
 from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
@@ -124,13 +123,18 @@
         await self._stream.finish()
 
     async def reply(self, reply: Reply) -> web.StreamResponse:
-        """Return a complete response."""
-        response = web.Response(
-            status=reply.status, headers=CIMultiDict(reply.headers), body=reply.body
-        )
-        if self._entry.stopping:
-            response.force_close()
-        return response
+        """Send a complete response, and return it.
+
+        The memory of its body is reserved until the caller has taken it. A caller that
+        has gone gets none.
+        """
+        close = self._entry.stopping
+        try:
+            return await self._stream.send_whole(
+                reply.status, reply.headers, reply.body, close
+            )
+        except CallerDisconnectedError:
+            return self.abort()
 
     def abort(self) -> web.StreamResponse:
         """Close the connection so that the response can't be taken for complete."""
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -22,10 +22,11 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from marjoramstile.fronts.buffers import BufferBudget, BufferFullError
+from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.logs import get_logger
 from marjoramstile.loops import connect
 from marjoramstile.platform import headers as platform_headers
+from marjoramstile.platform.bodies import body_chunks, read_body
 from marjoramstile.platform.connections import ReplicaConnector
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.notices import ReplicaNotices
@@ -294,7 +295,8 @@
     async def _read_control_answer(self, response: ClientResponse) -> bytes:
         """Return a whole body; raise AnswerLostError if truncated or too long."""
         chunks = body_chunks(response)
-        return await _read_all(chunks, self._buffers, CONTROL_ANSWER_MAX_BYTES)
+        body = await read_body(chunks, self._buffers, CONTROL_ANSWER_MAX_BYTES)
+        return body.to_bytes()
 
     @asynccontextmanager
     async def _exchange(
@@ -410,28 +412,5 @@
 
 async def read_reply(answer: StreamAnswer, buffers: BufferBudget) -> Reply:
     """Return a whole answer; raise AnswerLostError if truncated or too long."""
-    body = await _read_all(answer.chunks, buffers, ANSWER_MAX_BYTES)
-    return Reply(answer.status, answer.headers, body)
-
-
-async def _read_all(
-    chunks: AsyncIterator[bytes], buffers: BufferBudget, max_bytes: int
-) -> bytes:
-    """Return all bytes; raise AnswerLostError if truncated or too long."""
-    with buffers.body(max_bytes) as body:
-        try:
-            async for chunk in chunks:
-                body.add(chunk)
-        except BufferFullError as error:
-            logger.warning("answer_too_long", reason=str(error))
-            raise AnswerLostError(str(error)) from error
-        return body.to_bytes()
-
-
-async def body_chunks(response: ClientResponse) -> AsyncIterator[bytes]:
-    """Yield the body's bytes; raise AnswerLostError if it is truncated."""
-    try:
-        async for chunk in response.content.iter_any():
-            yield chunk
-    except (ClientError, OSError, TimeoutError, ValueError) as error:
-        raise AnswerLostError(repr(error)) from error
+    body = await read_body(answer.chunks, buffers, ANSWER_MAX_BYTES)
+    return Reply(answer.status, answer.headers, body.to_bytes(), body)
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -15,10 +15,12 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
 from result import Err, Ok, Result
 
+from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.logs import get_logger
+from marjoramstile.platform.bodies import AnswerTooLongError, body_chunks, read_body
 from marjoramstile.platform.eras import HEADER, StoreEras
 from marjoramstile.ports.feeds import (
     Changes,
@@ -30,6 +32,7 @@
 )
 from marjoramstile.ports.tables import ABSENT, Committed, Condition, StoreError, Write
 from marjoramstile.routes.order_ports import TimestampedRow
+from marjoramstile.routes.requests import AnswerLostError
 from marjoramstile.utils import MILLISECONDS_PER_S, loop_time
 
 # Longest time without data from the store, in addition to a feed's wait.
@@ -37,7 +40,11 @@
 # Additional time in which a response that has begun may arrive: links may be slow.
 TRANSFER_TIMEOUT_S = 2.5
 ROWS_PER_READ = 500
+# Longest answer that is read; a page has at most 1 MB of rows.
+ANSWER_MAX_BYTES = 8_388_608
 GONE = 410
+# Status given to answers that are too long, as if the store had refused them.
+TOO_LONG = 413
 CONFLICT = 412
 OK = 200
 MARKS_TABLE = "marjoramstile-marks"
@@ -60,8 +67,10 @@
 class PlatformStore:
     """Rows, feeds and transactions; implements TableFeed and OrderStore."""
 
-    def __init__(self, session: ClientSession, address: str):
+    def __init__(self, session: ClientSession, address: str, buffers: BufferBudget):
+        """Answers are read into ``buffers``."""
         self._session = session
+        self._buffers = buffers
         self._url = f"http://{address}/v1"
         self._eras = StoreEras()
 
@@ -96,7 +105,8 @@
     ) -> Result[Changes, StoreError | HistoryLostError]:
         """Return changes after a version; empty if there were none for ``wait_s``.
 
-        The history is lost with the end of the version's era, also during the call.
+        The history is lost with the end of the version's era, also during the call, and
+        if it is too long for one answer: whole tables are read page by page.
         """
         if era_of(after) < self._eras.current:
             return Err(HistoryLostError())
@@ -118,7 +128,7 @@
             "GET", "/rows-feed", query, timeout_s=wait_s + CALL_TIMEOUT_S
         )
         if answer.is_err():
-            if answer.unwrap_err().status == GONE:
+            if answer.unwrap_err().status in (GONE, TOO_LONG):
                 return Err(HistoryLostError())
             return answer
         page = answer.unwrap()
@@ -190,10 +200,16 @@
                     return Err(StoreError(f"status {status}", status))
                 if era is None:
                     return Err(StoreError("the store was restored", GONE))
-                return Ok(decode_page(await response.read(), era))
-        except (TimeoutError, ClientError, OSError, ValueError) as error:
+                return Ok(decode_page(await self._read(response), era))
+        except AnswerTooLongError as error:
+            return Err(StoreError(str(error), TOO_LONG))
+        except (AnswerLostError, ClientError, OSError, ValueError) as error:
             return Err(StoreError(repr(error)))
 
+    async def _read(self, response: ClientResponse) -> bytes:
+        chunks = body_chunks(response)
+        return (await read_body(chunks, self._buffers, ANSWER_MAX_BYTES)).to_bytes()
+
 
 class _TransactionBody:
     """A transaction's entries; conditional writes get marks and require the last ones.
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -10,6 +10,7 @@
 from marjoramstile.crashes.coordinator import CrashCoordinator
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.crashes.sharing import BlocklistSharing
+from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.logs import get_logger
@@ -118,6 +119,7 @@
     notices: ReplicaNotices
     links: ReplicaLinks
     carriers: CarrierClient
+    buffers: BufferBudget
 
 
 class RouterNode:
@@ -214,7 +216,7 @@
             ListedState.LIVE,
         )
         self.view = View(own, new_token())
-        self._connections = PeerConnections(FRAME_MAX_BYTES)
+        self._connections = PeerConnections(FRAME_MAX_BYTES, self._ports.buffers)
         self.peer_client = MembershipClient(
             self._connections, settings.listeners.peers.port, PROBE_TIMEOUT_S
         )
@@ -516,7 +518,7 @@
         handler = RouterPeerHandler(
             self.prober, self._followers, self.status.answer_peer
         )
-        self._peer_server = PeerServer(handler, FRAME_MAX_BYTES)
+        self._peer_server = PeerServer(handler, FRAME_MAX_BYTES, self._ports.buffers)
 
     async def start(self) -> None:
         """Listen for peers and begin to follow the store."""
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -61,11 +61,15 @@
 
 @dataclass(frozen=True)
 class Reply:
-    """A replica's complete answer."""
+    """A replica's complete answer.
+
+    ``reservation`` holds the memory of the body while there is a reference to it.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    reservation: object = field(default=None, compare=False, repr=False)
 
 
 class RefusalReason(StrEnum):
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -59,7 +59,8 @@
     begins to write the answer. Streams of an ``unframed`` replica have neither length
     nor chunks: one that breaks off ends within an event, and not with an error.
     ``endless_answers`` are answers with ``endless_status`` whose bodies have no end;
-    only the replica over the published protocol sends them.
+    only the replica over the published protocol sends them. Answers to calls have
+    ``answer_bytes`` more than the request's id.
     """
 
     refuse: bool = False
@@ -78,6 +79,7 @@
     unframed: bool = False
     endless_answers: int = 0
     endless_status: int = 500
+    answer_bytes: int = 0
 
 
 @dataclass(eq=False)
@@ -207,7 +209,7 @@
         if fake.faults.errors:
             fake.faults.errors -= 1
             return Reply(500, STAMP, b"error")
-        return Reply(OK, STAMP, request.id.encode())
+        return Reply(OK, STAMP, request.id.encode() + b"x" * fake.faults.answer_bytes)
 
     async def accepts_connections(self, replica: Replica) -> bool:
         """Return whether the replica accepts a connection."""
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -7,11 +7,16 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
+from aiohttp import ClientSession
+
+from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.platform.store import PlatformStore
 from marjoramstile.routes.replica_types import Replica, ReplicaState
 from marjoramstile.routes.requests import Headers, RoutedRequest
 from marjoramstile.routes.table import Route, RouteKind, ServiceShare
 
 HOST = "127.0.0.1"
+BUFFER_BYTES = 25_000_000
 
 Script = Callable[[bytes, asyncio.StreamWriter], Awaitable[None]]
 
@@ -39,6 +44,11 @@
     )
 
 
+def store_client(session: ClientSession, address: str) -> PlatformStore:
+    """Return a client of a store with a byte budget of its own."""
+    return PlatformStore(session, address, BufferBudget(BUFFER_BYTES))
+
+
 def reset_connection(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a TCP reset."""
     sock = writer.get_extra_info("socket")
--- a/tests/platform/test_endless.py
+++ b/tests/platform/test_endless.py
@@ -8,8 +8,10 @@
 
 import pytest
 import pytest_asyncio
+from aiohttp import ClientSession
 
 from marjoramstile.fronts.buffers import (
+    SHORT_BODY_BYTES,
     BodyTooLongError,
     BufferBudget,
     BufferBudgetExceededError,
@@ -20,6 +22,8 @@
     ReplicaConnection,
 )
 from marjoramstile.platform.replicas import HTTPReplicaClient, create_replica_session
+from marjoramstile.platform.store import TOO_LONG, PlatformStore
+from marjoramstile.ports.feeds import NO_VERSION, HistoryLostError
 from marjoramstile.routes.events import (
     EVENT_MAX_BYTES,
     EventSplitter,
@@ -27,7 +31,12 @@
 )
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.notices import ReplicaNotices
-from marjoramstile.routes.requests import AnswerLostError, ReplicaError, SendOptions
+from marjoramstile.routes.requests import (
+    AnswerLostError,
+    ReplicaError,
+    Reply,
+    SendOptions,
+)
 from tests.platform.support import raw_replica, request
 
 BUFFER_BYTES = 25_000_000
@@ -108,7 +117,10 @@
         answers = await asyncio.gather(*lost, return_exceptions=True)
     assert reply.body == b"ok"
     assert took_s < 2.0
-    assert {type(answer) for answer in answers} == {AnswerLostError}
+    answers_lost = [isinstance(answer, AnswerLostError) for answer in answers]
+    assert all(answers_lost), {repr(answer) for answer in answers}
+    assert buffers.used == len(reply.body)
+    del reply
     assert buffers.used == 0
     assert peak_memory_kb() - before_kb < MEMORY_MAX_KB
 
@@ -153,6 +165,23 @@
     assert peak_memory_kb() - before_kb < MEMORY_MAX_KB
 
 
+@pytest.mark.parametrize("kind", ["body to the end", "chunks", "long body"])
+async def test_answers_of_the_store_without_end_take_the_daemons_memory(kind):
+    """A feed's answer that is too long is replaced by a read page by page."""
+    before_kb = peak_memory_kb()
+    script = endless_script(*ENDLESS_RESPONSES[kind])
+    async with raw_replica(script) as address, ClientSession() as session:
+        buffers = BufferBudget(BUFFER_BYTES)
+        store = PlatformStore(session, address.address, buffers)
+        read = await store.read_table("op")
+        assert read.unwrap_err().status == TOO_LONG
+        assert (await store.transact([], [])).is_err()
+        fed = await store.wait_for_changes("op", NO_VERSION, 0.1)
+        assert isinstance(fed.unwrap_err(), HistoryLostError)
+    assert buffers.used == 0
+    assert peak_memory_kb() - before_kb < MEMORY_MAX_KB
+
+
 async def test_long_stream_is_not_cut_by_the_framing_limit(client):
     async def script(head, writer):
         writer.write(CHUNKED)
@@ -192,6 +221,37 @@
         splitter.feed(b"x" * 1000)
 
 
+def test_long_bodies_leave_room_for_short_ones():
+    """Answers without end, or taken slowly, used up the memory of everybody's calls."""
+    budget = BufferBudget(1_000_000)
+    with budget.body(2_000_000) as long, contextlib.suppress(BufferBudgetExceededError):
+        while True:
+            long.add(b"x" * 60_000)
+    long = budget.open_body(2_000_000)
+    for _ in range(12):
+        long.add(b"x" * 60_000)
+    with pytest.raises(BufferBudgetExceededError):
+        long.add(b"x" * 60_000)
+    with budget.body(SHORT_BODY_BYTES) as short:
+        short.add(b"x" * SHORT_BODY_BYTES)
+    with budget.body(2_000_000) as other:
+        other.add(b"x" * 30_000)
+        with pytest.raises(BufferBudgetExceededError):
+            other.add(b"x" * 40_000)
+
+
+def test_a_body_is_counted_until_its_last_reference_is_dropped():
+    budget = BufferBudget(1000)
+    body = budget.open_body(500)
+    body.add(b"x" * 300)
+    body.add(b"y" * 100)
+    kept = Reply(200, (), body.to_bytes(), body)
+    del body
+    assert budget.used == 400
+    del kept
+    assert budget.used == 0
+
+
 def test_buffer_budget_is_shared_and_released():
     budget = BufferBudget(1000)
     with budget.body(800) as first:
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -57,7 +57,8 @@
 
 
 async def test_request_is_rejected_without_running_when_buffers_are_full(harness):
-    harness.buffers.reserve(99_900)
+    for _ in range(2):
+        harness.buffers.reserve(0, 49_950)
     lines = head("/plain/x", "Content-Length: 500", method="POST")
     answer = await harness.exchange(lines + b"x" * 500)
     assert answer.startswith(b"HTTP/1.1 503")
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -10,6 +10,7 @@
 from marjoramstile.ports.feeds import HistoryLostError, era_of, number_of, unchanged
 from marjoramstile.ports.tables import ABSENT, Condition, Write
 from standins.published.store import create_app
+from tests.platform.support import store_client
 
 TABLE = "t"
 KEY = "k"
@@ -29,7 +30,11 @@
             async with session.post(url, json=body) as response:
                 response.raise_for_status()
 
-        yield PlatformStore(session, address), PlatformStore(session, address), restore
+        yield (
+            store_client(session, address),
+            store_client(session, address),
+            restore,
+        )
 
 
 async def write(store: PlatformStore, value: str):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,10 +7,10 @@
 from aiohttp import ClientSession
 from hypothesis import given, strategies as st
 
-from marjoramstile.platform.store import PlatformStore, decode_page
+from marjoramstile.platform.store import decode_page
 from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
 from marjoramstile.ports.tables import Condition, Write
-from tests.platform.support import raw_replica
+from tests.platform.support import raw_replica, store_client
 
 
 @asynccontextmanager
@@ -24,7 +24,7 @@
         )
 
     async with raw_replica(script) as address, ClientSession() as session:
-        yield PlatformStore(session, address.address)
+        yield store_client(session, address.address)
 
 
 def page(*rows, **fields) -> bytes:
--- a/tests/processes/test_endless_answers.py
+++ b/tests/processes/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Daemons as processes, beside replicas that send bodies without end."""
 
 import asyncio
+import contextlib
 import re
 from pathlib import Path
 
@@ -8,14 +9,17 @@
 import pytest_asyncio
 
 from demo.fleet import own_network
-from demo.published_fleet import PublishedFleet
+from demo.published_fleet import HOST_NAME, PublishedFleet
 from tests.processes.test_published import is_whole, send_request, stream
 
 # Memory of the users' smallest VMs, and of a daemon's process there.
 MEMORY_MAX_MB = 150
 WATCH_PERIOD_S = 0.02
-BOOKINGS_S = 3.0
+BOOKINGS_S = 1.5
 CALLERS = 6
+SLOW_CALLERS = 60
+SLOW_CALLERS_S = 6.0
+SLOW_CALLERS_PERIOD_S = 0.04
 BAD_REPLICAS = ("decode-1", "prefill-1", "service-1")
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
@@ -37,6 +41,21 @@
     return int(found.group(1)) / 1024 if found else 0.0
 
 
+async def take_slowly(fleet, until: float) -> int:
+    """Ask for a long answer and take a few bytes of it a second; return those taken."""
+    reader, writer = await asyncio.open_connection(*fleet.front(1).split(":"))
+    head = f"GET /first/look/x HTTP/1.1\r\nHost: {HOST_NAME}\r\nX-Request-Id: "
+    writer.write(f"{head}slow-{id(writer)}\r\nX-Deadline-Ms: 9000\r\n\r\n".encode())
+    taken = 0
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout_at(until):
+            while data := await reader.read(10_000):
+                taken += len(data)
+                await asyncio.sleep(0.5)
+    writer.transport.abort()
+    return taken
+
+
 async def watch_memory(fleet) -> None:
     """Fail, and kill the daemon, once it takes more memory than its VM has."""
     while True:
@@ -78,3 +97,24 @@
     async with asyncio.timeout(10):
         while not is_whole(await stream(fleet, fleet.front(1))):
             await asyncio.sleep(0.2)
+
+
+async def test_callers_that_take_long_answers_slowly_fill_the_daemons_memory(fleet):
+    """Answers that were read and not yet taken counted against no bound."""
+    await fleet.fail_replica("service-1", answer_bytes=4_000_000)
+    watching = asyncio.create_task(watch_memory(fleet))
+    until = asyncio.get_running_loop().time() + SLOW_CALLERS_S
+    slow = []
+    for _ in range(SLOW_CALLERS):
+        slow.append(asyncio.create_task(take_slowly(fleet, until)))
+        await asyncio.sleep(SLOW_CALLERS_PERIOD_S)
+    streams = [await stream(fleet, fleet.front(1)) for _ in range(3)]
+    await fleet.fail_replica("service-1")
+    statuses = await book(fleet, until)
+    taken = await asyncio.gather(*slow)
+    if watching.done():
+        watching.result()
+    watching.cancel()
+    assert any(taken)
+    assert all(is_whole(answer) for answer in streams)
+    assert set(statuses) == {200}
