--- a/marjoramstile/peers/connections.py
+++ b/marjoramstile/peers/connections.py
@@ -26,7 +26,11 @@
 
 
 class PeerConnections:
-    """Calls peers by address; a call that fails in any way returns None."""
+    """Calls peers by address; a call that fails in any way returns None.
+
+    A call that gets no answer in time closes the idle connections to its peer as well:
+    they may have fallen silent together, and each would cost one more call.
+    """
 
     def __init__(self, max_frame_bytes: int, buffers: BufferBudget):
         """Answers are read into ``buffers``."""
@@ -47,6 +51,8 @@
             logger.debug("peer_call_failed", peer=address, method=method, error=error)
             if connection is not None:
                 connection.close()
+            if isinstance(error, TimeoutError):
+                self._close_all(self._idle.pop(address, []))
             return None
         except asyncio.CancelledError:
             if connection is not None:
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from aiohttp import ClientSession, TCPConnector
+from aiohttp import ClientSession
 
 from marjoramstile.completions.handler import CompletionsHandler
 from marjoramstile.fronts.bodies import BodyReader
@@ -30,7 +30,7 @@
 from marjoramstile.platform.operators import OperatorEndpoints
 from marjoramstile.platform.replicas import HTTPReplicaClient, create_replica_session
 from marjoramstile.platform.settings import load_platform_settings, settings_path
-from marjoramstile.platform.store import PlatformStore
+from marjoramstile.platform.store import PlatformStore, create_store_session
 from marjoramstile.ports.feeds import StoredRow
 from marjoramstile.routes.entry import STOP_DEADLINE_SHARE
 from marjoramstile.routes.links import ReplicaLinks
@@ -202,7 +202,7 @@
 
 async def serve(settings: RouterSettings) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
-    store_session = ClientSession(connector=TCPConnector(limit=0))
+    store_session = create_store_session()
     links = ReplicaLinks()
     async with store_session, create_replica_session(links) as replica_session:
         daemon = PlatformDaemon(settings, store_session, replica_session, links)
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -15,7 +15,13 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
+from aiohttp import (
+    ClientError,
+    ClientResponse,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+)
 from result import Err, Ok, Result
 
 from marjoramstile.fronts.buffers import BufferBudget
@@ -66,6 +72,15 @@
     now_s: float
 
 
+def create_store_session() -> ClientSession:
+    """Return a session in which each call has a connection of its own.
+
+    Open connections may fall silent without a reset. One that is kept for later calls
+    would cost each of them a timeout; new ones work.
+    """
+    return ClientSession(connector=TCPConnector(limit=0, force_close=True))
+
+
 class PlatformStore:
     """Rows, feeds and transactions; implements TableFeed and OrderStore."""
 
