--- a/marjoramstile/streams/continuation.py
+++ b/marjoramstile/streams/continuation.py
@@ -59,12 +59,16 @@
     async def may_continue(self, version: str | None, replica: Replica) -> bool:
         """Return whether a stream of a version may be sent to a replica.
 
-        While several versions are about, the replica is asked whether it is still the
-        process that its row describes. Streams that have not begun may go anywhere.
+        The replica is asked whether it is still the process that its row describes: it
+        may have started again with another version, and the store be away. Streams that
+        have not begun may go anywhere.
         """
-        if version is None or not self._keeper.is_mixed(replica.service):
+        if version is None:
             return True
-        return await self._client.started_at_ms(replica) == replica.started_at_ms
+        started_at_ms = await self._client.started_at_ms(replica)
+        if started_at_ms is None and not replica.started_at_ms:
+            return not self._keeper.is_mixed(replica.service)
+        return started_at_ms == replica.started_at_ms
 
     def is_certain(self, origin: Replica) -> bool:
         """Return whether the replica that began a stream had the version of its row.
--- a/tests/routes/test_versions.py
+++ b/tests/routes/test_versions.py
@@ -1,5 +1,7 @@
 """Streams go on only at replicas of the software version that began them."""
 
+from dataclasses import replace
+
 import pytest
 
 from marjoramstile.routes.requests import RequestRefusedError, StreamBrokenError
@@ -60,6 +62,38 @@
     assert core.pool.versions["q"] == ["v1"]
 
 
+@pytest.mark.parametrize("another", [True, False])
+async def test_a_stream_goes_on_at_a_replica_that_came_back_with_another_version(
+    another,
+):
+    """Its row still names the old version while the store is away, as all others do."""
+    names = ("d0", "d1", "d2") if another else ("d0", "d1")
+    core = core_with(**dict.fromkeys(names, "v1"))
+    core.pool.replicas["d0"].faults.break_after_events = 9
+    for name in names[1:]:
+        core.pool.replicas[name].faults.full = True
+    caller = Caller()
+
+    async def start_again():
+        await caller.started.wait()
+        restarted = core.pool.replicas["d1"]
+        restarted.replica = replace(
+            restarted.replica, version="v2", started_at_ms=99_000
+        )
+        core.pool.replicas["d0"].faults.full = True
+        for name in names[1:]:
+            core.pool.replicas[name].faults.full = False
+
+    core.tasks.start(start_again(), "start again")
+    if another:
+        await core.generate(request("q", STREAM), caller)
+        assert caller.ids == list(range(1, EVENTS + 1))
+    else:
+        with pytest.raises(StreamBrokenError):
+            await core.generate(request("q", STREAM), caller)
+    assert core.pool.versions["q"] == ["v1"]
+
+
 async def test_a_broken_stream_does_not_go_on_at_its_own_version():
     core = core_with(d0="v1", d1="v2", d2="v1")
     for name in ("d1", "d2"):
