--- a/marjoramstile/mirrors/mirror.py
+++ b/marjoramstile/mirrors/mirror.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
+from heapq import nsmallest
 from typing import TypeVar
 
 from marjoramstile.logs import get_logger
@@ -15,7 +16,8 @@
 )
 from marjoramstile.utils import loop_time
 
-# Number of deleted rows that are kept, so that peers receive the deletions.
+# Number of deleted rows that are kept, so that peers receive the deletions. One that
+# lacks an older one gets all rows that exist.
 TOMBSTONES_MAX = 1024
 # Time after a restore of the store in which writers write their rows again.
 REWRITE_S = 2.0
@@ -71,6 +73,7 @@
         self._rows: dict[str, StoredRow] = {}
         self._version = NO_VERSION
         self._position = NO_VERSION
+        self._dropped_until = NO_VERSION
         self._listeners: list[Listener] = []
         self._on_failed_row: Callable[[str], None] = lambda table: None
 
@@ -211,20 +214,27 @@
             self._apply_guarded(row, partial(listener, row))
 
     def _prune_tombstones(self) -> None:
-        deleted = [key for key, row in self._rows.items() if row.value is None]
-        for key in deleted[: max(0, len(deleted) - TOMBSTONES_MAX)]:
-            del self._rows[key]
+        """Drop the oldest deletions, by when rows were deleted, not first written."""
+        deleted = [row for row in self._rows.values() if row.value is None]
+        excess = len(deleted) - TOMBSTONES_MAX
+        if excess <= 0:
+            return
+        for row in nsmallest(excess, deleted, key=lambda row: row.version):
+            del self._rows[row.key]
+            self._dropped_until = max(self._dropped_until, row.version)
 
     def changes_after(self, version: int) -> Changes:
         """Return the changes that a peer whose copy is at ``version`` lacks.
 
-        They are complete for a peer whose copy is of an earlier era.
+        They are complete for a peer whose copy is of an earlier era, or from before a
+        deletion that is no longer kept.
         """
         rows = self._rows.values()
         if self._returned:
             returned = {key: row for key, (row, _) in self._returned.items()}
             rows = {**self._rows, **returned}.values()
-        if version == NO_VERSION or era_of(version) < era_of(self._version):
+        is_behind = version < self._dropped_until or version == NO_VERSION
+        if is_behind or era_of(version) < era_of(self._version):
             stored = tuple(
                 row
                 for row in rows
--- a/tests/mirrors/test_mirrors.py
+++ b/tests/mirrors/test_mirrors.py
@@ -10,7 +10,7 @@
 from result import Err, Ok
 
 from marjoramstile.mirrors.follower import MirrorFollower
-from marjoramstile.mirrors.mirror import PeerChanges, TableMirror
+from marjoramstile.mirrors.mirror import TOMBSTONES_MAX, PeerChanges, TableMirror
 from marjoramstile.peers.membership_messages import changes_from_wire, changes_to_wire
 from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
 from marjoramstile.ports.tables import StoreError
@@ -204,3 +204,34 @@
     mirror, _, _ = await follow(feed, peers=peers, wait_s=8.0)
     assert mirror.rows["a"].value == b"5"
     assert len(feed.feeds) == 1
+
+
+def test_the_deletion_of_a_row_that_lived_long_is_dropped_before_older_ones():
+    """A peer that had not seen it kept the row, and sent to that replica for good."""
+    mirror = TableMirror("servers")
+    mirror.apply(Changes((StoredRow("old", 1, b"x"),), 1, complete=True))
+    version = 1
+    for number in range(TOMBSTONES_MAX + 100):
+        for value in (b"x", None):
+            version += 1
+            row = StoredRow(f"k{number}", version, value)
+            mirror.apply(Changes((row,), version, complete=False))
+    behind = version
+    deletion = StoredRow("old", version + 1, None)
+    mirror.apply(Changes((deletion,), version + 1, complete=False))
+    assert mirror.changes_after(behind).rows == (deletion,)
+
+
+def test_a_peer_that_lacks_a_dropped_deletion_keeps_its_row():
+    """It gets all rows that exist in place of the changes since its copy."""
+    mirror, peer = TableMirror("servers"), TableMirror("servers")
+    rows = tuple(
+        StoredRow(f"k{number}", 1, b"x") for number in range(2 * TOMBSTONES_MAX)
+    )
+    for copy in (mirror, peer):
+        copy.apply(Changes(rows, 1, complete=True))
+    for number in range(2 * TOMBSTONES_MAX - 1):
+        row = StoredRow(f"k{number}", 2 + number, None)
+        mirror.apply(Changes((row,), 2 + number, complete=False))
+    peer.apply(mirror.changes_after(peer.version))
+    assert set(peer.rows) == {f"k{2 * TOMBSTONES_MAX - 1}"}
