A 421 in one stage ends with a change of the stage (report)

The review's report, by reading alone: a replica that answered 421 in one stage, and went to another one and back, was not used until it started again. Shown by a test, which fails before.

Cause: the record of the 421 was kept beside the stage and matched again once the stage came back. Change: a new stage in the replica's row drops it.

--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -90,6 +90,8 @@
         self._replicas[replica.id] = replica
         self._missing_until.pop(replica.id, None)
         self._end_move(known, replica)
+        if known is not None and known.stage != replica.stage:
+            self._misdirected.pop(replica.id, None)
         if known != replica:
             self._changed_at[replica.id] = now
             self._usable.clear()
--- a/tests/routes/test_decisions.py
+++ b/tests/routes/test_decisions.py
@@ -138,6 +138,17 @@
     assert directory.usable("ledger", Stage.PREFILL)
 
 
+def test_a_replica_that_went_to_another_stage_and_back_stays_excluded():
+    """A 421 in its first stage kept it out for as long as its process ran."""
+    directory = ReplicaDirectory()
+    first = plain("r", stage=Stage.PREFILL)
+    directory.put(first)
+    directory.record_misdirected(first)
+    directory.put(plain("r", stage=Stage.DECODE))
+    directory.put(first)
+    assert directory.usable("ledger", Stage.PREFILL)
+
+
 def test_a_stage_change_expires_and_ends_with_its_incarnation():
     directory = ReplicaDirectory()
     before = plain("r", stage=Stage.DECODE)
