--- a/marjoramstile/reports/metrics.py
+++ b/marjoramstile/reports/metrics.py
@@ -9,11 +9,17 @@
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
 MICROSECONDS_PER_S = 1_000_000
+# A histogram takes about 27 KB, a counter 0.2 KB.
+HISTOGRAMS_MAX = 256
+COUNTERS_MAX = 8192
 PERCENTILES = (50, 90, 95, 99)
 
 
 class Metrics:
-    """Counters and latency histograms by name and service; durations in seconds."""
+    """Counters and latency histograms by name and service; durations in seconds.
+
+    Routes come and go: of each kind, those that were used last are kept.
+    """
 
     def __init__(self):
         self._counters: Counter[tuple[str, str]] = Counter()
@@ -21,7 +27,9 @@
 
     def count(self, name: str, service: str) -> None:
         """Add one to a counter."""
-        self._counters[name, service] += 1
+        self._counters[name, service] = self._counters.pop((name, service), 0) + 1
+        if len(self._counters) > COUNTERS_MAX:
+            del self._counters[next(iter(self._counters))]
 
     def value(self, name: str, service: str) -> int:
         """Return the value of a counter."""
@@ -29,11 +37,13 @@
 
     def observe(self, name: str, service: str, duration_s: float) -> None:
         """Add a duration to a histogram."""
-        histogram = self._histograms.get((name, service))
+        histogram = self._histograms.pop((name, service), None)
         if histogram is None:
             histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
-            self._histograms[name, service] = histogram
+        self._histograms[name, service] = histogram
         histogram.record_value(max(LOWEST_US, int(duration_s * MICROSECONDS_PER_S)))
+        if len(self._histograms) > HISTOGRAMS_MAX:
+            del self._histograms[next(iter(self._histograms))]
 
     def snapshot(self) -> list[dict[str, Any]]:
         """Return all metrics as rows, counters first."""
--- a/tests/reports/test_reports.py
+++ b/tests/reports/test_reports.py
@@ -3,7 +3,7 @@
 from marjoramstile.configuration.documents import LanguageService
 from marjoramstile.entry.measuring import meets_targets
 from marjoramstile.reports.burn import BurnReport, burn_rate
-from marjoramstile.reports.metrics import Metrics
+from marjoramstile.reports.metrics import COUNTERS_MAX, HISTOGRAMS_MAX, Metrics
 
 SERVICE = LanguageService("m", "p", "d")
 
@@ -31,6 +31,21 @@
     assert 0.094 <= row["p95_s"] <= 0.096
 
 
+def test_metrics_of_routes_that_are_no_longer_used_take_memory():
+    """Each route ever used kept a histogram: 100 MB after eleven configurations."""
+    metrics = Metrics()
+    for number in range(COUNTERS_MAX + 500):
+        metrics.count("requests_200", f"r{number}")
+        metrics.count("requests_200", "kept")
+    for number in range(HISTOGRAMS_MAX + 50):
+        metrics.observe("request_duration", f"r{number}", 0.1)
+        metrics.observe("request_duration", "kept", 0.1)
+    rows = metrics.snapshot()
+    assert len(rows) == COUNTERS_MAX + HISTOGRAMS_MAX
+    kept = [row["count"] for row in rows if row["service"] == "kept"]
+    assert kept == [COUNTERS_MAX + 500, HISTOGRAMS_MAX + 50]
+
+
 def test_an_answer_meets_its_targets_or_not():
     assert meets_targets(SERVICE, 0.0, [0.5, 0.55, 0.6])
     assert not meets_targets(SERVICE, 0.0, [0.7, 0.75])
