--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -238,6 +238,7 @@
         responder: Responder,
         progress: Progress,
     ) -> Reply | None:
+        placement = await self._renew(placement, engine)
         prefilled = progress.prefilled
         options = SendOptions(
             hold=placement.hold,
@@ -282,6 +283,13 @@
                 progress.runs += 1
             raise _SendFailedError(placement.replica, error, ran) from error
 
+    async def _renew(self, placement: Placement, engine: EngineTraits) -> Placement:
+        """Reserve the place again if it has lapsed while the prompt was read."""
+        try:
+            return await self._placer.renew(placement, engine)
+        except ReplicaError as error:
+            raise _SendFailedError(placement.replica, error, ran=False) from error
+
     @asynccontextmanager
     async def _open_stream(
         self,
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -21,6 +21,7 @@
 from marjoramstile.routes.replicas import ReplicaDirectory
 from marjoramstile.routes.requests import (
     Hold,
+    OutdatedChoiceError,
     RefusalReason,
     ReplicaError,
     RequestRefusedError,
@@ -33,6 +34,8 @@
 # run, a generation holds half of its answer.
 OUTPUT_MARGIN = 0.65
 HOLD_TTL_S = 2.0
+# A reservation that ends sooner is renewed before it is used.
+HOLD_MARGIN_S = 0.1
 # Grants that one request may try to turn into a reservation.
 TRIES_MAX = 6
 # Tries without a pause; the pause before later ones doubles each time up to a maximum.
@@ -49,11 +52,15 @@
 
 @dataclass(frozen=True)
 class Placement:
-    """A decode replica with a reservation for one generation."""
+    """A decode replica with a reservation for one generation.
+
+    The reservation ends at loop time ``expires_at``.
+    """
 
     replica: Replica
     hold: Hold
     lease: HeldLease
+    expires_at: float
 
     @property
     def prefill(self) -> str | None:
@@ -242,7 +249,26 @@
             prefill=lease.grant.prefill,
             waited_s=round(loop_time() - request.arrived, 4),
         )
-        return None if hold is None else Placement(replica, hold, lease)
+        if hold is None:
+            return None
+        return Placement(replica, hold, lease, loop_time() + ttl_s)
+
+    async def renew(self, placement: Placement, engine: EngineTraits) -> Placement:
+        """Return the placement, with a new reservation if the first one has lapsed.
+
+        Raises ReplicaError if the replica has no room any more, or doesn't answer.
+        """
+        if loop_time() < placement.expires_at - HOLD_MARGIN_S:
+            return placement
+        ttl_s = min(HOLD_TTL_S, engine.hold_max_s)
+        hold = await self._client.acquire_hold(
+            placement.replica, placement.lease.request.tokens, ttl_s
+        )
+        if hold is None:
+            raise OutdatedChoiceError(
+                "the reservation has lapsed, and there is no room"
+            )
+        return replace(placement, hold=hold, expires_at=loop_time() + ttl_s)
 
     async def _end_unreachable(self, lease: HeldLease) -> None:
         """End a lease; that a VM without links reaches a replica not says nothing."""
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -44,6 +44,8 @@
 
 
 DRIBBLE_S = 0.4
+# Tokens and end of a reservation that a replica doesn't know.
+NO_HOLD = (0, 0.0)
 
 
 @dataclass
@@ -282,7 +284,8 @@
         """Run a generation; its memory is freed when the block ends."""
         fake = self._fake(replica)
         self._record_arrival(replica, request)
-        held = options.hold is not None and fake.holds.pop(options.hold.id, None)
+        _, held_until = fake.holds.pop(options.hold.id if options.hold else "", NO_HOLD)
+        held = held_until > loop_time()
         if options.source is not None and not self._consume_handle(options.source):
             raise NotExecutedError(503)
         if not held and not fake.has_room(request.size.prompt):
--- a/tests/routes/test_outdated_choices.py
+++ b/tests/routes/test_outdated_choices.py
@@ -117,6 +117,30 @@
     assert_nothing_held(core)
 
 
+@pytest.mark.parametrize("full", [True, False])
+async def test_a_stream_is_sent_with_a_place_that_lapsed_while_its_prompt_was_read(
+    full,
+):
+    """The replica refused it, or ran it in the memory of others; the prompt was lost.
+
+    Its place is reserved again, or taken at another replica with the same KV cache.
+    """
+    core = core_with_slow_prefill()
+    running = asyncio.create_task(core.generate(request("q", ONCE)))
+    held = await change_chosen(core, lambda *_: None)
+    await asyncio.sleep(PREFILL_S / 2 - 0.3)
+    fake = core.pool.replicas[held.id]
+    assert fake.used_tokens == 0
+    fake.faults.full = full
+    caller = await running
+    assert caller.complete
+    assert len(core.pool.arrived_at[held.id]) == (0 if full else 1)
+    assert core.pool.runs["q"] == 1
+    assert core.pool.prefilled_tokens == SIZE.prompt
+    await asyncio.sleep(3.0)
+    assert_nothing_held(core)
+
+
 async def test_a_stream_without_another_replica_is_refused_and_has_not_run():
     core = core_with_slow_prefill(decode=1)
     running = asyncio.create_task(core.generate(request("q", ONCE)))
