Split: what answers are read by, and the state of a generation, have modules of their own

Moved without a change of behaviour: platform/answers.py (headers, bodies and replies of answers, for replicas, carriers and the store), routes/progress.py (Progress, PrefilledPrompt, SendFailedError).

--- a/marjoramstile/platform/bodies.py
+++ b/marjoramstile/platform/answers.py
@@ -1,4 +1,4 @@
-"""Reads the bodies of answers to the daemon's own calls, within bounds."""
+"""Answers to the daemon's own calls: their headers, and bodies within bounds."""
 
 from collections.abc import AsyncIterator
 
@@ -10,7 +10,12 @@
     BufferFullError,
 )
 from marjoramstile.logs import get_logger
-from marjoramstile.routes.requests import AnswerLostError
+from marjoramstile.platform import headers as platform_headers
+from marjoramstile.routes.ports import StreamAnswer
+from marjoramstile.routes.requests import AnswerLostError, Headers, Reply
+
+# Longest answer of a replica or a carrier that is read in full.
+ANSWER_MAX_BYTES = 8_388_608
 
 logger = get_logger(__name__)
 
@@ -19,6 +24,15 @@
     """An answer is longer than its bound, or than the memory that is left."""
 
 
+def response_headers(response: ClientResponse) -> Headers:
+    """Return the headers of a response that are passed on."""
+    raw = tuple(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in response.raw_headers
+    )
+    return platform_headers.forwarded_response_headers(raw)
+
+
 async def body_chunks(response: ClientResponse) -> AsyncIterator[bytes]:
     """Yield the body's bytes; raise AnswerLostError if it is truncated."""
     try:
@@ -47,3 +61,16 @@
         body.discard()
         raise
     return body
+
+
+def stream_answer(response: ClientResponse) -> StreamAnswer:
+    """Return the head of a response, and its bytes as they arrive."""
+    return StreamAnswer(
+        response.status, response_headers(response), body_chunks(response)
+    )
+
+
+async def read_reply(answer: StreamAnswer, buffers: BufferBudget) -> Reply:
+    """Return a whole answer; raise AnswerLostError if truncated or too long."""
+    body = await read_body(answer.chunks, buffers, ANSWER_MAX_BYTES)
+    return Reply(answer.status, answer.headers, body.to_bytes(), body)
--- a/marjoramstile/platform/carriers.py
+++ b/marjoramstile/platform/carriers.py
@@ -12,12 +12,8 @@
 
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.platform import headers as platform_headers
-from marjoramstile.platform.bodies import body_chunks
-from marjoramstile.platform.replicas import (
-    read_reply,
-    response_headers,
-    send_request,
-)
+from marjoramstile.platform.answers import read_reply, stream_answer
+from marjoramstile.platform.replicas import send_request
 from marjoramstile.results import ResultCode
 from marjoramstile.routes.carrying import CarriedSend, Carrier
 from marjoramstile.routes.ports import StreamAnswer
@@ -66,9 +62,7 @@
             named = response.headers.get(platform_headers.REQUEST_ID)
             if named not in (None, request.id):
                 raise AnswerLostError("the answer bears another request's id")
-            yield StreamAnswer(
-                response.status, response_headers(response), body_chunks(response)
-            )
+            yield stream_answer(response)
         finally:
             response.close()
 
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -26,7 +26,12 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.loops import connect
 from marjoramstile.platform import headers as platform_headers
-from marjoramstile.platform.bodies import body_chunks, read_body
+from marjoramstile.platform.answers import (
+    body_chunks,
+    read_body,
+    read_reply,
+    stream_answer,
+)
 from marjoramstile.platform.connections import ReplicaConnector
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.notices import ReplicaNotices
@@ -35,7 +40,6 @@
 from marjoramstile.routes.replica_types import Replica, Stage
 from marjoramstile.routes.requests import (
     AnswerLostError,
-    Headers,
     Hold,
     KVHandle,
     MisdirectedError,
@@ -51,8 +55,7 @@
 # Timeout of control calls, which replicas answer at once: holds, KV handles, stage
 # reports and orders.
 CONTROL_TIMEOUT_S = 0.35
-# Longest responses that are buffered: of calls, and of prefills and control calls.
-ANSWER_MAX_BYTES = 8_388_608
+# Longest responses to prefills and control calls that are buffered.
 CONTROL_ANSWER_MAX_BYTES = 262_144
 MISDIRECTED = 421
 UNAVAILABLE = 503
@@ -104,7 +107,7 @@
         async with self._exchange(
             replica, request, timeout_s, SendOptions()
         ) as response:
-            return await read_reply(_stream_answer(response), self._buffers)
+            return await read_reply(stream_answer(response), self._buffers)
 
     @asynccontextmanager
     async def stream(
@@ -116,7 +119,7 @@
     ) -> AsyncIterator[StreamAnswer]:
         """Send a request and open its stream; the connection closes after the block."""
         async with self._exchange(replica, request, timeout_s, options) as response:
-            yield _stream_answer(response)
+            yield stream_answer(response)
 
     async def read_reply(self, answer: StreamAnswer) -> Reply:
         """Return a whole answer; raise AnswerLostError if truncated or too long."""
@@ -398,24 +401,3 @@
         raise NotExecutedError(response.status)
     if response.headers.get(platform_headers.REQUEST_ID) != request.id:
         raise AnswerLostError("the answer bears another request's id")
-
-
-def response_headers(response: ClientResponse) -> Headers:
-    """Return the headers of a response that are passed on."""
-    raw = tuple(
-        (name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in response.raw_headers
-    )
-    return platform_headers.forwarded_response_headers(raw)
-
-
-def _stream_answer(response: ClientResponse) -> StreamAnswer:
-    return StreamAnswer(
-        response.status, response_headers(response), body_chunks(response)
-    )
-
-
-async def read_reply(answer: StreamAnswer, buffers: BufferBudget) -> Reply:
-    """Return a whole answer; raise AnswerLostError if truncated or too long."""
-    body = await read_body(answer.chunks, buffers, ANSWER_MAX_BYTES)
-    return Reply(answer.status, answer.headers, body.to_bytes(), body)
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -27,7 +27,7 @@
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.json_fields import JSONObject, MalformedJSONError, parse_object
 from marjoramstile.logs import get_logger
-from marjoramstile.platform.bodies import AnswerTooLongError, body_chunks, read_body
+from marjoramstile.platform.answers import AnswerTooLongError, body_chunks, read_body
 from marjoramstile.platform.eras import HEADER, StoreEras
 from marjoramstile.ports.feeds import (
     NUMBER_MAX,
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -7,7 +7,6 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
 
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.logs import get_logger
@@ -23,10 +22,14 @@
     RETRY_AFTER_S,
     Prefiller,
 )
+from marjoramstile.routes.progress import (
+    PrefilledPrompt,
+    Progress,
+    SendFailedError,
+)
 from marjoramstile.routes.replica_types import Replica
 from marjoramstile.routes.requests import (
     AnswerLostError,
-    KVHandle,
     NotExecutedError,
     OutcomeUnknownError,
     OutdatedChoiceError,
@@ -56,38 +59,6 @@
 logger = get_logger(__name__)
 
 
-@dataclass
-class Progress:
-    """What the caller of one stream has received, and the attempts made for it.
-
-    ``events`` counts all of them, ``replica_events`` those of the last replica alone,
-    to which the request was sent at ``sent_at``. ``version`` is the software version
-    that began the stream, ``origin`` the replica, if it began here; None before.
-    ``runs`` counts the decode replicas that may have run the request, ``prefills`` the
-    attempts that requested a prefill. ``prefilled`` is a KV cache that no decode
-    replica was asked to fetch yet.
-    """
-
-    last_event: int | None
-    started: bool = False
-    events: int = 0
-    replica_events: int = 0
-    sent_at: float = 0.0
-    version: str | None = None
-    origin: Replica | None = None
-    runs: int = 0
-    prefills: int = 0
-    prefilled: "PrefilledPrompt | None" = None
-
-
-@dataclass(frozen=True)
-class PrefilledPrompt:
-    """A KV cache that a prefill replica keeps until loop time ``expires_at``."""
-
-    handle: KVHandle
-    expires_at: float
-
-
 class GenerationRunner:
     """Runs generations on prefill and decode replicas and relays their streams."""
 
@@ -143,7 +114,7 @@
                 return await self._attempt(
                     request, engine, responder, progress, frozenset(failed)
                 )
-            except _SendFailedError as failure:
+            except SendFailedError as failure:
                 failed.add(failure.replica.id)
                 self._record_failure(request, progress, failure)
                 if not await self._may_retry(request, progress, failure):
@@ -187,7 +158,7 @@
             outcome = LeaseOutcome.FINISHED
             return reply
         except BaseException as error:
-            if isinstance(error, _SendFailedError) and not error.is_outdated:
+            if isinstance(error, SendFailedError) and not error.is_outdated:
                 outcome = LeaseOutcome.FAILED
                 self._release_prefilled(progress)
             if not hold_sent:
@@ -247,7 +218,7 @@
         )
         if not await self._streams.may_continue(progress.version, placement.replica):
             error = OutdatedChoiceError("the replica may have started again")
-            raise _SendFailedError(placement.replica, error, ran=False)
+            raise SendFailedError(placement.replica, error, ran=False)
         left_s = request.deadline - loop_time()
         self._crashes.check_again(request)
         runs_before = progress.runs
@@ -276,19 +247,19 @@
                     self._crashes.record_begin(request, progress.sent_at)
                 return None
         except NotExecutedError as error:
-            raise _SendFailedError(placement.replica, error, ran=False) from error
+            raise SendFailedError(placement.replica, error, ran=False) from error
         except ReplicaError as error:
             ran = isinstance(error, AnswerLostError)
             if ran and progress.runs == runs_before:
                 progress.runs += 1
-            raise _SendFailedError(placement.replica, error, ran) from error
+            raise SendFailedError(placement.replica, error, ran) from error
 
     async def _renew(self, placement: Placement, engine: EngineTraits) -> Placement:
         """Reserve the place again if it has lapsed while the prompt was read."""
         try:
             return await self._placer.renew(placement, engine)
         except ReplicaError as error:
-            raise _SendFailedError(placement.replica, error, ran=False) from error
+            raise SendFailedError(placement.replica, error, ran=False) from error
 
     @asynccontextmanager
     async def _open_stream(
@@ -391,7 +362,7 @@
             raise AnswerLostError("no event came in time") from None
 
     def _record_failure(
-        self, request: RoutedRequest, progress: Progress, failure: "_SendFailedError"
+        self, request: RoutedRequest, progress: Progress, failure: SendFailedError
     ) -> None:
         logger.info(
             "attempt_failed",
@@ -406,7 +377,7 @@
         self._failures.record(failure.replica, request, failure.error)
 
     async def _may_retry(
-        self, request: RoutedRequest, progress: Progress, failure: "_SendFailedError"
+        self, request: RoutedRequest, progress: Progress, failure: SendFailedError
     ) -> bool:
         """Return whether a request may be sent to another replica.
 
@@ -440,9 +411,7 @@
             return await self._carrier.links.hold()
         return self._crashes.is_suspect(request)
 
-    def _final_error(
-        self, progress: Progress, failure: "_SendFailedError"
-    ) -> Exception:
+    def _final_error(self, progress: Progress, failure: SendFailedError) -> Exception:
         if progress.runs == 0:
             return RequestRefusedError(RefusalReason.SHED, RETRY_AFTER_S)
         return self._incomplete_error(progress, str(failure.error))
@@ -452,18 +421,3 @@
         if progress.started:
             return StreamBrokenError(message)
         return OutcomeUnknownError(message)
-
-
-class _SendFailedError(Exception):
-    """A decode replica failed; ``ran`` is set if it may have run the request."""
-
-    def __init__(self, replica: Replica, error: ReplicaError, ran: bool):
-        super().__init__(str(error))
-        self.replica = replica
-        self.error = error
-        self.ran = ran
-
-    @property
-    def is_outdated(self) -> bool:
-        """Whether nothing was sent, as the replica takes no more requests."""
-        return isinstance(self.error, OutdatedChoiceError)
