--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -1,13 +1,14 @@
 """The callers' HTTP front over real sockets, with fake replicas."""
 
 import asyncio
+import contextlib
 import json
 
 import pytest
 import pytest_asyncio
 from aiohttp.test_utils import make_mocked_request
 
-from marjoramstile.fronts import bodies
+from marjoramstile.fronts import answers, bodies
 from marjoramstile.platform.front import FrontHandler, PlatformEndpoints
 from standins.replica_pool import ReplicaModel
 from tests.fronts.support import FrontHarness
@@ -39,6 +40,33 @@
     assert answer.endswith(b"q1")
 
 
+async def test_a_long_answer_arrives_in_slices_and_whole(harness):
+    for fake in harness.core.pool.replicas.values():
+        fake.faults.answer_bytes = 1_000_000
+    head_bytes, _, body = (await harness.exchange(head("/plain/x"))).partition(
+        b"\r\n\r\n"
+    )
+    assert b"Content-Length: 1000002" in head_bytes
+    assert b"X-Server-Stamp: s" in head_bytes
+    assert body == b"q1" + b"x" * 1_000_000
+
+
+async def test_a_caller_that_takes_no_answer_is_cut_off(harness, monkeypatch):
+    """It kept the memory of its answer for as long as its connection lasted."""
+    monkeypatch.setattr(answers, "ANSWER_TIMEOUT_S", 0.3)
+    for fake in harness.core.pool.replicas.values():
+        fake.faults.answer_bytes = 30_000_000
+    reader, writer = await asyncio.open_connection(HOST, harness.port, limit=1000)
+    writer.write(head("/plain/x"))
+    await asyncio.sleep(1.0)
+    taken = 0
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(1_000_000):
+            taken += len(data)
+    assert 0 < taken < 30_000_000
+    writer.close()
+
+
 async def test_a_chunked_body_is_read_whole(harness):
     body = b"3\r\nabc\r\n0\r\n\r\n"
     lines = head("/plain/x", "Transfer-Encoding: chunked", method="POST")
