--- a/tests/processes/test_published.py
+++ b/tests/processes/test_published.py
@@ -231,7 +231,7 @@
     answers = await asyncio.gather(*running)
     assert all(is_whole(answer) for answer in answers)
     fleet.launch_replica("decode", 1, "lexis-pool", "decode")
-    await asyncio.sleep(1.5)
+    await wait_until_used(fleet, "decode-1")
 
 
 async def test_a_booking_with_a_lost_answer_is_not_retried(fleet):
@@ -282,6 +282,11 @@
     process.kill()
     process.wait()
     fleet.launch_replica(kind, number, PLAIN_SERVICE, "")
+    await wait_until_used(fleet, name)
+
+
+async def wait_until_used(fleet, name: str) -> None:
+    """Wait until a replica has started and all daemons send requests to it."""
     async with asyncio.timeout(60):
         while not await is_used_by_all(fleet, name):
             await asyncio.sleep(0.1)
