Durations with and without a default are read by functions of their own

Found in the read-through: _seconds took its default as a variable argument and read the field twice; an except named an error beside its own base class. Behaviour stays: the same bounds, the same typed error.

--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -71,22 +71,26 @@
         prefix=item.text("prefix"),
         kind=_route_kind(item.text("kind")),
         timeout_s=timeout_s,
-        target_latency_s=_seconds(item, "targetLatencyMs", timeout_s),
+        target_latency_s=_seconds_or(item, "targetLatencyMs", timeout_s),
         priority=item.integer("priority", maximum=PRIORITY_MAX, default=0),
         shares=_shares(item),
         max_attempts=item.integer("maxAttempts", maximum=ATTEMPTS_MAX, default=1),
         resumable=item.flag("resumable", False),
-        gap_target_s=_seconds(item, "gapTargetMs", None),
+        gap_target_s=_seconds_or(item, "gapTargetMs", None),
     )
 
 
-def _seconds(item: JSONObject, name: str, *default: float | None) -> float | None:
+def _seconds(item: JSONObject, name: str) -> float:
     """Return a duration that is stated in milliseconds, in seconds."""
-    if default and item.number(name, default=None) is None:
-        return default[0]
     return item.number(name, maximum=DURATION_MAX_MS) / MILLISECONDS_PER_S
 
 
+def _seconds_or(item: JSONObject, name: str, default_s: float | None) -> float | None:
+    """Return a duration as ``_seconds`` does, or the default if it is not stated."""
+    value_ms = item.number(name, maximum=DURATION_MAX_MS, default=None)
+    return default_s if value_ms is None else value_ms / MILLISECONDS_PER_S
+
+
 def _route_kind(text: str) -> RouteKind:
     """Return the route kind; requests of an unknown kind must not be retried."""
     try:
@@ -119,7 +123,7 @@
     return EngineTraits(
         slots=item.integer("slots", maximum=SLOTS_MAX),
         kv_tokens=item.integer("kvTokens"),
-        hold_max_s=_seconds(item, "holdMs", 0.0),
+        hold_max_s=_seconds_or(item, "holdMs", 0.0),
         switch_s=item.number("switchS", default=0.0),
         stride=item.integer("stride", minimum=1, default=1),
         handle_ttl_s=item.number("handleTtlS", default=0.0),
@@ -136,7 +140,7 @@
     """Return the replica that a row describes; raises MalformedRowError."""
     try:
         return _replica(replica_id, parse_object(value))
-    except (MalformedJSONError, ValueError) as error:
+    except ValueError as error:
         raise MalformedRowError(str(error)) from error
 
 
