--- a/marjoramstile/pools/decisions.py
+++ b/marjoramstile/pools/decisions.py
@@ -114,6 +114,16 @@
             return False
         return peak_tokens(generations) <= limit
 
+    def count_fitting(self, generation: Generation) -> int:
+        """Return at least how many such generations fit now, beside each other."""
+        if not self.fits_beside(self.generations, generation):
+            return 0
+        free_slots = self.slots - len(self.generations)
+        limit = MEMORY_LIMIT_FRACTION * self.kv_tokens
+        free_tokens = limit - peak_tokens(self.generations)
+        peak = max(1, generation.tokens + generation.remaining)
+        return max(1, min(free_slots, int(free_tokens / peak)))
+
 
 @dataclass(frozen=True)
 class PrefillSnapshot:
@@ -275,12 +285,13 @@
     """Return the times at which a replica fits a generation, another one, and so on.
 
     Times are counted in tokens that each running generation adds until then. After the
-    first time, each generation that ends is taken to make room for one more. A backoff
+    first times, each generation that ends is taken to make room for one more. A backoff
     is ignored: a refused reservation predicts little about later capacity.
     """
     ends = sorted(item.remaining for item in replica.generations)
-    if replica.fits_beside(replica.generations, generation):
-        return [0, *ends]
+    fitting = replica.count_fitting(generation)
+    if fitting:
+        return [0] * fitting + ends
     return ends[_first_end_that_fits(replica, generation, ends) :]
 
 
--- a/tests/pools/test_decisions.py
+++ b/tests/pools/test_decisions.py
@@ -236,3 +236,9 @@
     assert statistics.profile().prompt_tokens == pytest.approx(5200)
     statistics.replace(GenerationProfile(100.0, 10.0, 0.004, 30_000.0), 3.0)
     assert statistics.profile().prompt_tokens == pytest.approx(100)
+
+
+@pytest.mark.parametrize(("slots", "count"), [(24, 8), (3, 3)])
+def test_an_idle_replica_has_capacity_for_all_that_fit_beside_each_other(slots, count):
+    replica = decode_replica("a", slots=slots)
+    assert capacity_times(replica, TYPICAL) == [0] * count
