--- a/marjoramstile/pools/decisions.py
+++ b/marjoramstile/pools/decisions.py
@@ -311,14 +311,18 @@
     )
 
 
-def first_to_fit(pool: PoolSnapshot, generation: Generation) -> str | None:
+def first_to_fit(
+    pool: PoolSnapshot, generation: Generation, avoid: tuple[str, ...]
+) -> str | None:
     """Return the id of the decode replica expected to fit a generation first.
 
-    None if no replica is expected to.
+    None if no replica but those to ``avoid`` is expected to.
     """
     found = None
     best = math.inf
     for replica in pool.decode:
+        if replica.replica_id in avoid:
+            continue
         if replica.fits_beside(replica.generations, generation):
             return replica.replica_id
         ends = sorted(
--- a/marjoramstile/pools/refusals.py
+++ b/marjoramstile/pools/refusals.py
@@ -76,10 +76,19 @@
     def _forecast_s(
         self, waiting: WaitingRequest, pool: PoolSnapshot, statistics: PoolStatistics
     ) -> float | None:
-        """Return the expected wait; None if it can't be estimated."""
+        """Return the expected wait; None if it can't be estimated.
+
+        Queued requests that can use no replica now, as streams whose software version
+        is away, delay nobody.
+        """
         if not pool.decode:
             return None
-        ahead = self._queue.ahead_of(waiting)
+        usable = {replica.replica_id for replica in pool.decode}
+        ahead = [
+            item
+            for item in self._queue.ahead_of(waiting)
+            if not usable.issubset(item.request.avoid)
+        ]
         position = len(ahead)
         if waiting.urgency == Urgency.LATE:
             position += late_reserve(pool)
--- a/marjoramstile/pools/scheduler.py
+++ b/marjoramstile/pools/scheduler.py
@@ -61,15 +61,18 @@
 MIN_WAIT_FRACTION = 0.25
 # Least wait limit of a request that was placed before and must be placed again.
 RETRIED_WAIT_S = 0.25
-# Wait limit of a resumed stream: callers abandon a stream after a gap of two seconds or
-# more.
+# Wait limit of a resumed stream, in seconds and in targets, the larger one: callers
+# abandon a stream after a gap of two seconds or four targets.
 RESUME_WAIT_S = 1.5
+RESUME_WAIT_TARGETS = 3.0
 # Wait limit of a late request, in seconds and as a fraction of the time to its
 # deadline.
 LATE_WAIT_S = 0.5
 LATE_TIME_LEFT_FRACTION = 0.25
-# Queued requests that are examined for one that can be placed.
+# Queued requests that are examined for one that can be placed: so many of each set of
+# replicas to avoid, as others may have room, and of so many sets.
 MAX_EXAMINED = 6
+MAX_AVOIDED_SETS = 4
 # Length from which a queue is processed at most once a period, and that period.
 LONG_QUEUE = 4
 LONG_QUEUE_PERIOD_S = 0.02
@@ -155,11 +158,23 @@
         if waiting not in self._queue:
             return
         pool = self.pool_snapshot(now)
-        if self._refusals.would_time_out(waiting, pool, self.statistics, now):
+        if self._is_hopeless(waiting, pool, now):
             self._refuse(waiting, pool, now)
         else:
             self._answers.append(PlacementQueued(request.id))
 
+    def _is_hopeless(
+        self, waiting: WaitingRequest, pool: PoolSnapshot, now: float
+    ) -> bool:
+        """Return whether a new request is better refused than queued.
+
+        A stream that has begun can go on nowhere else: it waits for what its replicas
+        free, and for replicas of its version that are away.
+        """
+        if waiting.urgency == Urgency.RESUMED:
+            return not self._state.can_decode
+        return self._refusals.would_time_out(waiting, pool, self.statistics, now)
+
     def _answer_repeated(self, request: PlacementRequest, now: float) -> bool:
         """Answer a request that is already known; return whether it is."""
         lease = self._leases.get(request.id)
@@ -204,7 +219,8 @@
     def _wait_limit_s(self, request: PlacementRequest, urgency: Urgency) -> float:
         """Return for how long a request may wait to be placed."""
         if urgency == Urgency.RESUMED:
-            return min(RESUME_WAIT_S, request.time_left_s)
+            limit_s = max(RESUME_WAIT_S, RESUME_WAIT_TARGETS * request.target_s)
+            return min(limit_s, request.time_left_s)
         if urgency == Urgency.LATE:
             return min(LATE_WAIT_S, LATE_TIME_LEFT_FRACTION * request.time_left_s)
         prefill_s = self._estimator.prefill_s(request.prompt_tokens)
@@ -335,7 +351,7 @@
         pool = self.pool_snapshot(now)
         blocked: list[WaitingRequest] = []
         reserved: set[str] = set()
-        for waiting in self._queue.first(MAX_EXAMINED):
+        for waiting in self._queue.first_by_avoided(MAX_EXAMINED, MAX_AVOIDED_SETS):
             is_first = not blocked and not reserved
             if not is_first and waiting.urgency == Urgency.LATE:
                 return None
@@ -405,7 +421,9 @@
     """Return the decode replicas expected to fit the blocked requests first."""
     reserved: set[str] = set()
     for waiting in blocked:
-        first = first_to_fit(_without(pool, reserved), waiting.generation)
+        first = first_to_fit(
+            _without(pool, reserved), waiting.generation, waiting.request.avoid
+        )
         if first is not None:
             reserved.add(first)
     return reserved
--- a/marjoramstile/pools/waiting.py
+++ b/marjoramstile/pools/waiting.py
@@ -2,6 +2,7 @@
 
 import bisect
 import itertools
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -83,9 +84,21 @@
             (item for item in self._items if item.request.id == request_id), None
         )
 
-    def first(self, count: int) -> list[WaitingRequest]:
-        """Return the first ``count`` requests."""
-        return self._items[:count]
+    def first_by_avoided(self, count: int, sets: int) -> list[WaitingRequest]:
+        """Return the first ``count`` requests of each set of replicas to avoid.
+
+        Only requests of the first ``sets`` such sets are returned, in their order.
+        """
+        found = []
+        counts: Counter[tuple[str, ...]] = Counter()
+        for item in self._items:
+            avoided = item.request.avoid
+            if avoided not in counts and len(counts) == sets:
+                continue
+            counts[avoided] += 1
+            if counts[avoided] <= count:
+                found.append(item)
+        return found
 
     def ahead_of(self, waiting: WaitingRequest) -> list[WaitingRequest]:
         """Return the requests that are placed before a request."""
