Metrics by ddsketch: the build needs no C compiler on arm64

hdrhistogram has wheels for x86-64 only; on arm64 pip compiles it. With CC=false, no pip cache and a clean clone, the build installed nothing and the daemons ended with ModuleNotFoundError.

ddsketch (with six) is pure Python. The meaning of the metrics stays: count, p50, p90, p95, p99 by nearest rank (its own quantiles take the rank below, which for few durations is another one), relative error 1%, from 1 us to an hour.

Ruled out: declaring a compiler as a system package (the build would depend on it on one processor only); tdigest (needs Cython), crick, fastdigest (compiled, other error bound).

--- a/marjoramstile/reports/metrics.py
+++ b/marjoramstile/reports/metrics.py
@@ -3,18 +3,44 @@
 from collections import Counter
 from typing import Any
 
-from hdrh.histogram import HdrHistogram
+from ddsketch import LogCollapsingLowestDenseDDSketch
 
-LOWEST_US = 1
-HIGHEST_US = 3_600_000_000
-SIGNIFICANT_DIGITS = 2
-MICROSECONDS_PER_S = 1_000_000
-# A histogram takes about 27 KB, a counter 0.2 KB.
+LOWEST_S = 1e-6
+HIGHEST_S = 3600.0
+# Largest error of a percentile, relative to the exact value.
+RELATIVE_ERROR = 0.01
+# Beyond these, the bins of the shortest durations are merged: the error bound holds
+# for durations of up to 1 / 4,000,000 of the longest one.
+BINS_MAX = 768
+# A histogram takes at most 25 KB, a counter 0.2 KB.
 HISTOGRAMS_MAX = 256
 COUNTERS_MAX = 8192
 PERCENTILES = (50, 90, 95, 99)
 
 
+class Histogram:
+    """Durations in seconds, in logarithmic bins."""
+
+    def __init__(self):
+        self._sketch = LogCollapsingLowestDenseDDSketch(RELATIVE_ERROR, BINS_MAX)
+
+    @property
+    def count(self) -> int:
+        """Number of durations."""
+        return int(self._sketch.count)
+
+    def record(self, duration_s: float) -> None:
+        """Add a duration."""
+        self._sketch.add(min(max(duration_s, LOWEST_S), HIGHEST_S))
+
+    def percentile(self, percent: float) -> float:
+        """Return the duration of nearest rank; there must be at least one."""
+        rank = max(1, int(percent / 100 * self.count + 0.5))
+        # The sketch counts ranks from 0 and takes the first that exceeds the quantile.
+        quantile = (rank - 0.5) / max(1, self.count - 1)
+        return self._sketch.get_quantile_value(min(1.0, quantile))
+
+
 class Metrics:
     """Counters and latency histograms by name and service; durations in seconds.
 
@@ -23,7 +49,7 @@
 
     def __init__(self):
         self._counters: Counter[tuple[str, str]] = Counter()
-        self._histograms: dict[tuple[str, str], HdrHistogram] = {}
+        self._histograms: dict[tuple[str, str], Histogram] = {}
 
     def count(self, name: str, service: str) -> None:
         """Add one to a counter."""
@@ -39,9 +65,9 @@
         """Add a duration to a histogram."""
         histogram = self._histograms.pop((name, service), None)
         if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            histogram = Histogram()
         self._histograms[name, service] = histogram
-        histogram.record_value(max(LOWEST_US, int(duration_s * MICROSECONDS_PER_S)))
+        histogram.record(duration_s)
         if len(self._histograms) > HISTOGRAMS_MAX:
             del self._histograms[next(iter(self._histograms))]
 
@@ -57,12 +83,7 @@
 
     def _summarize(self, name: str, service: str) -> dict[str, Any]:
         histogram = self._histograms[name, service]
-        row = {
-            "metric": name,
-            "service": service,
-            "count": histogram.get_total_count(),
-        }
+        row = {"metric": name, "service": service, "count": histogram.count}
         for percentile in PERCENTILES:
-            value_us = histogram.get_value_at_percentile(percentile)
-            row[f"p{percentile}_s"] = round(value_us / MICROSECONDS_PER_S, 6)
+            row[f"p{percentile}_s"] = round(histogram.percentile(percentile), 6)
         return row
--- a/tests/reports/test_reports.py
+++ b/tests/reports/test_reports.py
@@ -1,9 +1,23 @@
 """Tests of metrics and of service-level burn."""
 
+import random
+import tracemalloc
+
+import pytest
+
 from marjoramstile.configuration.documents import LanguageService
 from marjoramstile.entry.measuring import meets_targets
 from marjoramstile.reports.burn import BurnReport, burn_rate
-from marjoramstile.reports.metrics import COUNTERS_MAX, HISTOGRAMS_MAX, Metrics
+from marjoramstile.reports.metrics import (
+    COUNTERS_MAX,
+    HIGHEST_S,
+    HISTOGRAMS_MAX,
+    LOWEST_S,
+    PERCENTILES,
+    RELATIVE_ERROR,
+    Histogram,
+    Metrics,
+)
 
 SERVICE = LanguageService("m", "p", "d")
 
@@ -31,6 +45,43 @@
     assert 0.094 <= row["p95_s"] <= 0.096
 
 
+@pytest.mark.parametrize("count", [1, 2, 3, 10, 100, 5000])
+def test_percentiles_are_those_of_nearest_rank_within_the_error(count):
+    draws = random.Random(count)
+    durations = sorted(draws.lognormvariate(-2, 2) for _ in range(count))
+    histogram = Histogram()
+    for duration_s in durations:
+        histogram.record(duration_s)
+    assert histogram.count == count
+    for percent in PERCENTILES:
+        exact_s = durations[max(1, int(percent / 100 * count + 0.5)) - 1]
+        error_s = abs(histogram.percentile(percent) - exact_s)
+        assert error_s <= exact_s * RELATIVE_ERROR * (1 + 1e-9)
+
+
+def test_durations_beyond_the_range_are_counted_at_its_ends():
+    histogram = Histogram()
+    for duration_s in (-1.0, 0.0, 1e9):
+        histogram.record(duration_s)
+    assert histogram.count == 3
+    assert histogram.percentile(1) <= histogram.percentile(50) <= 0.001
+    assert histogram.percentile(99) == pytest.approx(HIGHEST_S, rel=RELATIVE_ERROR)
+
+
+def test_a_histogram_of_all_durations_stays_within_its_memory():
+    draws = random.Random(1)
+    tracemalloc.start()
+    try:
+        histogram = Histogram()
+        for _ in range(20_000):
+            histogram.record(LOWEST_S * (HIGHEST_S / LOWEST_S) ** draws.random())
+        taken_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert histogram.count == 20_000
+    assert taken_bytes <= 27_000
+
+
 def test_metrics_of_routes_that_are_no_longer_used_take_memory():
     """Each route ever used kept a histogram: 100 MB after eleven configurations."""
     metrics = Metrics()
