Idle connections of callers no longer take the descriptors that a daemon needs

Nobody read limits.maxFds: callers could open connections until no descriptor was left for replicas, the store and the readiness address. 4,600 idle connections at 4,100 descriptors: not ready, bookings on kept connections got 503 for as long as it lasted.

The connections of both fronts share a bound now (two fifths of the sockets), those of the addresses, readiness and metrics have one each, and a listener's backlog, which is accepted at one time, is at most an eighth of the descriptors. At the bound, the connections that were idle for longest are closed: those on which no byte was received if they hold half of it, so that a flood of silent ones doesn't push out callers in use. A connection with a request in progress, or received in part, is never closed. If none is idle, a request on a new connection is read and refused with 503, Retry-After and Connection: close, for a sixteenth beyond the bound: a caller that only sees its connection close can't know whether its request has run. Further ones are closed unread. connections_at_limit (one line a second) and two counters tell it.

--- a/marjoramstile/completions/handler.py
+++ b/marjoramstile/completions/handler.py
@@ -47,6 +47,7 @@
     GenerationSize,
     Headers,
     OutcomeUnknownError,
+    RefusalReason,
     Reply,
     RequestRefusedError,
     StreamBrokenError,
@@ -61,6 +62,7 @@
 }
 PARSERS = {CompletionKind.TEXT: parse_text_body, CompletionKind.CHAT: parse_chat_body}
 RETRY_AFTER_START_S = 0.5
+RETRY_AFTER_NO_ROOM_S = 1.0
 COMPLETION_MAX_BYTES = 8_388_608
 MESSAGE_MAX_CHARACTERS = 500
 
@@ -81,6 +83,12 @@
     stride: int
 
 
+def _error_response(error: CompletionError) -> web.Response:
+    return web.json_response(
+        error.to_body(), status=error.status, headers=error.to_headers()
+    )
+
+
 class CompletionsHandler:
     """Serves ``/v1/completions``, ``/v1/chat/completions`` and ``/v1/models``."""
 
@@ -101,13 +109,18 @@
         try:
             response = await self._dispatch(request, self._require_table())
         except CompletionError as error:
-            response = web.json_response(
-                error.to_body(), status=error.status, headers=error.to_headers()
-            )
+            response = _error_response(error)
         if self._dispatcher.stopping:
             response.force_close()
         return response
 
+    def refuse(self) -> web.Response:
+        """Return the response to a request on a connection that exceeds the limit."""
+        refusal = RequestRefusedError(
+            RefusalReason.NO_CONNECTION, RETRY_AFTER_NO_ROOM_S
+        )
+        return _error_response(request_refused_error(refusal))
+
     def _require_table(self) -> RoutingTable:
         table = self._table()
         if table is None:
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -5,14 +5,19 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.logs import get_logger
 
 # Longer than any caller of the routes waits for its response.
 HEAD_TIMEOUT_S = 30.0
+UNAVAILABLE = 503
+# Room for a connection may be made at any moment.
+RETRY_AFTER_REFUSED_S = 1
 
 logger = get_logger(__name__)
 
@@ -20,8 +25,9 @@
 class CallerConnection(RequestHandler):
     """aiohttp's server protocol with a timeout for incomplete request heads."""
 
-    def __init__(self, *args, **options):
+    def __init__(self, *args, limit: ConnectionLimit | None = None, **options):
         super().__init__(*args, **options)
+        self._limit = limit
         self._body = None
         self._head_timer: asyncio.TimerHandle | None = None
 
@@ -32,12 +38,30 @@
             return True
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the next request is awaited, and no byte of it was received."""
+        awaits_request = self._waiter is not None and not self._waiter.done()
+        return awaits_request and self._head_timer is None and not self.is_busy
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection; abort it if there is no room for it."""
+        super().connection_made(transport)
+        if self._limit is not None and not self._limit.add(self):
+            transport.abort()
+
+    def close_idle(self) -> None:
+        """Close the connection to make room for another one."""
+        self.force_close()
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser and start or stop the head timer.
 
         Bytes that neither belong to a body nor complete a head are part of an
         incomplete head; the first of them start the timer.
         """
+        if self._limit is not None:
+            self._limit.record_received(self)
         requests_before = self._request_count
         is_body = self._body is not None and not self._body.is_eof()
         super().data_received(data)
@@ -54,6 +78,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the head timer of the lost connection."""
         self._cancel_head_timer()
+        if self._limit is not None:
+            self._limit.remove(self)
         super().connection_lost(exc)
 
     def _cancel_head_timer(self) -> None:
@@ -69,8 +95,28 @@
             self.force_close()
 
 
+def refuse_connection() -> web.Response:
+    """Return the response to a request for whose connection there is no room."""
+    headers = {"Retry-After": str(RETRY_AFTER_REFUSED_S)}
+    return web.Response(status=UNAVAILABLE, headers=headers)
+
+
 class CallerServer(web.Server):
-    """aiohttp's server with the head timeout on its connections."""
+    """aiohttp's server with the head timeout and a limit on its connections."""
+
+    def __init__(
+        self,
+        handler,
+        *,
+        limit: ConnectionLimit | None = None,
+        refuse: Callable[[], web.Response] = refuse_connection,
+        **options,
+    ):
+        """``refuse`` returns the response to requests that exceed ``limit``."""
+        super().__init__(self._handle, **options)
+        self._handler = handler
+        self._limit = limit
+        self._refuse = refuse
 
     @property
     def is_busy(self) -> bool:
@@ -79,4 +125,14 @@
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
+        return CallerConnection(
+            self, limit=self._limit, loop=self._loop, **self._kwargs
+        )
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Handle a request unless there is no room for its connection."""
+        if self._limit is not None and self._limit.refuses(request.protocol):
+            response = self._refuse()
+            response.force_close()
+            return response
+        return await self._handler(request)
--- a/marjoramstile/loops.py
+++ b/marjoramstile/loops.py
@@ -68,10 +68,12 @@
     return found
 
 
-def listening_socket(host: str, port: int) -> socket.socket:
+def listening_socket(
+    host: str, port: int, backlog: int = LISTEN_BACKLOG
+) -> socket.socket:
     """Return a non-blocking socket that listens on an IP address."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.create_server((host, port), family=family, backlog=LISTEN_BACKLOG)
+    listener = socket.create_server((host, port), family=family, backlog=backlog)
     listener.setblocking(False)
     return listener
 
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -4,13 +4,17 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 
 from aiohttp import ClientSession
+from aiohttp.web import Response
 
 from marjoramstile.completions.handler import CompletionsHandler
+from marjoramstile.descriptors import DescriptorShares
 from marjoramstile.fronts.bodies import BodyReader
 from marjoramstile.fronts.buffers import BufferBudget
-from marjoramstile.fronts.listening import CallerServer
+from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.fronts.listening import CallerServer, refuse_connection
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop, listening_socket
@@ -90,6 +94,7 @@
         )
         self._node.configuration_mirror.subscribe(self._apply_configuration)
         self._node.replicas_mirror.subscribe(self._apply_replica)
+        self._shares = DescriptorShares.of(settings.descriptors)
         self._stopping = asyncio.Event()
         self._servers: list[tuple[CallerServer, asyncio.Server]] = []
 
@@ -138,13 +143,27 @@
             node.metrics_text, node.status, node.block_sharing
         )
         bodies = BodyReader(self._buffers)
+        front = FrontHandler(node.entry, bodies)
+        shares = self._shares
+        callers = self._limit("callers", shares.callers)
         await node.start()
-        await self._listen(listeners.ready, endpoints.ready)
-        await self._listen(listeners.addresses, endpoints.resolve)
-        await self._listen(listeners.metrics, operators.handle)
-        await self._listen(listeners.front, FrontHandler(node.entry, bodies).handle)
+        await self._listen(
+            listeners.ready, endpoints.ready, self._limit("ready", shares.ready)
+        )
+        await self._listen(
+            listeners.addresses,
+            endpoints.resolve,
+            self._limit("addresses", shares.addresses),
+        )
+        await self._listen(
+            listeners.metrics, operators.handle, self._limit("metrics", shares.metrics)
+        )
+        await self._listen(listeners.front, front.handle, callers, front.refuse)
         if listeners.completions is not None:
-            await self._listen(listeners.completions, self._completions(bodies))
+            completions = self._completions(bodies)
+            await self._listen(
+                listeners.completions, completions.handle, callers, completions.refuse
+            )
         node.tasks.start_retried(node.registration.register, "register")
         logger.info(
             "daemon_started",
@@ -153,16 +172,27 @@
             front=listeners.front,
         )
 
-    def _completions(self, bodies: BodyReader):
+    def _limit(self, name: str, max_open: int) -> ConnectionLimit:
+        return ConnectionLimit(name, max_open, self._node.metrics.count)
+
+    def _completions(self, bodies: BodyReader) -> CompletionsHandler:
         """Return the handler of the completions front."""
         node = self._node
         return CompletionsHandler(
             node.entry, lambda: node.table, bodies, generation_headers
-        ).handle
+        )
 
-    async def _listen(self, address: Address, handler) -> None:
+    async def _listen(
+        self,
+        address: Address,
+        handler,
+        limit: ConnectionLimit,
+        refuse: Callable[[], Response] = refuse_connection,
+    ) -> None:
         server = CallerServer(
             handler,
+            limit=limit,
+            refuse=refuse,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             lingering_time=LINGERING_TIME_S,
@@ -171,7 +201,7 @@
             max_line_size=16384,
             max_field_size=16384,
         )
-        listener = listening_socket(address.host, address.port)
+        listener = listening_socket(address.host, address.port, self._shares.backlog)
         loop = asyncio.get_running_loop()
         self._servers.append((server, await loop.create_server(server, sock=listener)))
 
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -22,6 +22,7 @@
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 RETRY_AFTER_START_S = 0.5
+RETRY_AFTER_NO_ROOM_S = 1.0
 # Result codes of refusals; those that aren't listed are for lack of capacity.
 _REFUSAL_CODES = {
     RefusalReason.NOT_CONFIGURED: ResultCode.FENCED,
@@ -57,6 +58,12 @@
             )
             return self._error_response(error.status, failure, close=True)
 
+    def refuse(self) -> web.Response:
+        """Return the response to a request on a connection that exceeds the limit."""
+        return self._refusal_response(
+            RequestRefusedError(RefusalReason.NO_CONNECTION, RETRY_AFTER_NO_ROOM_S)
+        )
+
     async def _run(self, request: web.BaseRequest, body: bytes) -> web.StreamResponse:
         """Route one request whose body is complete."""
         incoming = _decode_request(request, body)
--- a/marjoramstile/platform/settings.py
+++ b/marjoramstile/platform/settings.py
@@ -9,6 +9,7 @@
 import yaml
 from result import Err, Ok, Result
 
+from marjoramstile.descriptors import process_descriptors
 from marjoramstile.routes.budget import BudgetLimits
 from marjoramstile.routes.settings import (
     Address,
@@ -99,6 +100,7 @@
         store=document.section("platform").get("address", _address),
         bounds=_bounds(document),
         memory_bytes=_memory_bytes(document),
+        descriptors=_descriptors(document),
     )
 
 
@@ -110,6 +112,23 @@
     return int(megabytes * BYTES_PER_MB)
 
 
+def _descriptors(document: _Section) -> int:
+    """Return the descriptors of the process; the system's limit holds in any case."""
+    limit = process_descriptors()
+    if not document.has("limits"):
+        return limit
+    return min(
+        limit, document.section("limits").get("maxFds", _descriptor_count, limit)
+    )
+
+
+def _descriptor_count(value: Any) -> int:
+    count = int(value)
+    if count <= 0:
+        raise ValueError("must be positive")
+    return count
+
+
 def _listeners(document: _Section, ip: str) -> RouterListeners:
     listen = document.section("listen")
     return RouterListeners(
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -87,6 +87,7 @@
     VERSION_GONE = "stream_version_gone"
     STOPPING = "stopping"
     TIMED_OUT = "timed_out"
+    NO_CONNECTION = "too_many_connections"
 
 
 class RequestRefusedError(Exception):
--- a/marjoramstile/routes/settings.py
+++ b/marjoramstile/routes/settings.py
@@ -57,7 +57,10 @@
 
 @dataclass(frozen=True)
 class RouterSettings:
-    """One VM's routing daemon."""
+    """One VM's routing daemon.
+
+    ``descriptors`` is how many files and sockets the process may open.
+    """
 
     vm: str
     ip: str
@@ -67,4 +70,5 @@
     store: Address
     bounds: RouterBounds
     memory_bytes: int
+    descriptors: int
     log_level: str = "info"
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -6,6 +6,7 @@
 import yaml
 from hypothesis import given, strategies as st
 
+from marjoramstile.descriptors import DESCRIPTORS_MAX, process_descriptors
 from marjoramstile.platform import headers as platform_headers
 from marjoramstile.platform.documents import (
     MalformedRowError,
@@ -248,6 +249,23 @@
     assert str(settings.listeners.completions) == "10.1.0.35:8150"
 
 
+@pytest.mark.parametrize(
+    ("limits", "descriptors"),
+    [
+        ({}, process_descriptors()),
+        ({"limits": {"memoryMb": 128}}, process_descriptors()),
+        ({"limits": {"maxFds": 300}}, 300),
+        ({"limits": {"maxFds": 2 * DESCRIPTORS_MAX}}, process_descriptors()),
+    ],
+    ids=["no limits", "other limits", "limited", "more than the system allows"],
+)
+def test_descriptors_are_those_of_the_settings_and_the_system(
+    tmp_path, limits, descriptors
+):
+    path = write(tmp_path, {**SETTINGS, **limits})
+    assert load_platform_settings(path).unwrap().descriptors == descriptors
+
+
 @pytest.mark.parametrize(
     ("change", "path"),
     [
@@ -259,6 +277,8 @@
         ({"internalPorts": [7660]}, "internalPorts"),
         ({"internalPorts": [7660, 99999]}, "internalPorts"),
         ({"platform": {}}, "platform.address"),
+        ({"limits": {"maxFds": "many"}}, "limits.maxFds"),
+        ({"limits": {"maxFds": 0}}, "limits.maxFds"),
     ],
 )
 def test_invalid_setting_is_reported_with_its_path(tmp_path, change, path):
