Peers' connections are bounded, and a daemon without descriptors blames no replica

Connections to the peers' port had no bound either, and up to 256 idle ones were kept to other daemons whatever the limit. Both follow the process's descriptors now; at the bound the connection that was idle for longest is closed.

When no descriptor is left all the same, sends fail with EMFILE. That was recorded as a failure of the replica and of the VM's links: replica_links_lost, though nothing had been tried, and replicas were avoided afterwards. NoDescriptorError says what it is, is logged as no_descriptor, and counts against nobody; the request is refused as not run.

test_a_daemon_without_descriptors_for_a_time_serves_again_afterwards: its daemon can open no descriptor for 3 s.

--- a/marjoramstile/peers/connections.py
+++ b/marjoramstile/peers/connections.py
@@ -32,8 +32,17 @@
     they may have fallen silent together, and each would cost one more call.
     """
 
-    def __init__(self, max_frame_bytes: int, buffers: BufferBudget):
-        """Answers are read into ``buffers``."""
+    def __init__(
+        self,
+        max_frame_bytes: int,
+        buffers: BufferBudget,
+        idle_addresses_max: int = IDLE_ADDRESSES_MAX,
+    ):
+        """Answers are read into ``buffers``.
+
+        ``idle_addresses_max`` is the number of peers whose connections are kept.
+        """
+        self._idle_addresses_max = idle_addresses_max
         self._max_frame_bytes = max_frame_bytes
         self._buffers = buffers
         self._idle: dict[str, list[PeerConnection]] = {}
@@ -81,7 +90,7 @@
             idle.append(connection)
         else:
             connection.close()
-        if len(self._idle) > IDLE_ADDRESSES_MAX:
+        if len(self._idle) > self._idle_addresses_max:
             oldest = next(iter(self._idle))
             self._close_all(self._idle.pop(oldest))
 
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -16,8 +16,9 @@
     BufferedBody,
     BufferFullError,
 )
+from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.logs import get_logger
-from marjoramstile.loops import connect, listening_socket
+from marjoramstile.loops import LISTEN_BACKLOG, connect, listening_socket
 from marjoramstile.peers.frames import (
     decode_answer,
     decode_call,
@@ -51,15 +52,25 @@
         self._writer = writer
         self._max_bytes = max_bytes
         self._buffers = buffers
+        self._awaits_frame = False
 
     @property
     def usable(self) -> bool:
         """Whether another frame can be written."""
         return not self._writer.is_closing()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the next frame is awaited."""
+        return self._awaits_frame
+
     async def read(self) -> bytes:
         """Return the next frame's message; EOFError at the stream's end."""
-        header = await self._reader.readexactly(_FRAME_HEADER.size)
+        self._awaits_frame = True
+        try:
+            header = await self._reader.readexactly(_FRAME_HEADER.size)
+        finally:
+            self._awaits_frame = False
         (length,) = _FRAME_HEADER.unpack(header)
         if not 0 < length <= self._max_bytes:
             raise FrameError(f"frame length {length} is not in 1 to {self._max_bytes}")
@@ -87,6 +98,10 @@
         """Close the stream."""
         self._writer.close()
 
+    def close_idle(self) -> None:
+        """Close the stream to make room for another one."""
+        self.close()
+
 
 class PeerConnection:
     """A connection to another daemon; one call at a time."""
@@ -120,8 +135,17 @@
 class PeerServer:
     """Serves the calls of other daemons through ``handler``."""
 
-    def __init__(self, handler: object, max_bytes: int, buffers: BufferBudget):
-        """Calls are read into ``buffers``."""
+    def __init__(
+        self,
+        handler: object,
+        max_bytes: int,
+        buffers: BufferBudget,
+        limit: ConnectionLimit | None = None,
+        backlog: int = LISTEN_BACKLOG,
+    ):
+        """Calls are read into ``buffers``; ``limit`` bounds the open connections."""
+        self._limit = limit
+        self._backlog = backlog
         self._processor = TProcessor(PeerService, handler)
         self._max_bytes = max_bytes
         self._buffers = buffers
@@ -130,7 +154,7 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host``:``port``."""
-        listener = listening_socket(host, port)
+        listener = listening_socket(host, port, self._backlog)
         self._server = await asyncio.start_server(self._serve, sock=listener)
 
     async def _serve(
@@ -140,6 +164,8 @@
         self._connections.add(task)
         stream = FrameStream(reader, writer, self._max_bytes, self._buffers)
         try:
+            if self._limit is not None and not self._limit.add(stream):
+                return
             while True:
                 await self._answer(stream)
         except (TException, OSError, EOFError, TimeoutError):
@@ -150,10 +176,14 @@
             logger.warning("peer_connection_failed", error=repr(error))
         finally:
             self._connections.discard(task)
+            if self._limit is not None:
+                self._limit.remove(stream)
             stream.close()
 
     async def _answer(self, stream: FrameStream) -> None:
         message = await stream.read()
+        if self._limit is not None:
+            self._limit.record_received(stream)
         try:
             call = decode_call(self._processor, message)
         except Exception as error:
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -21,6 +21,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from marjoramstile.descriptors import is_shortage
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.json_fields import JSONObject, MalformedJSONError, parse_object
 from marjoramstile.logs import get_logger
@@ -43,6 +44,7 @@
     Hold,
     KVHandle,
     MisdirectedError,
+    NoDescriptorError,
     NotExecutedError,
     NotSentError,
     Reply,
@@ -297,8 +299,9 @@
                 answer = parse_object(data) if is_object else JSONObject({})
                 return response.status, answer
         except (ClientError, OSError, TimeoutError, ValueError) as error:
-            self._links.record_failure()
-            raise NotSentError(repr(error)) from error
+            failure = _not_sent_error(error)
+            self._record_link_failure(failure)
+            raise failure from error
 
     async def _read_control_answer(self, response: ClientResponse) -> bytes:
         """Return a whole body; raise AnswerLostError if truncated or too long."""
@@ -340,10 +343,20 @@
             return await send_request(
                 self._session, replica.address, request, headers, timeout_s
             )
-        except NotSentError:
-            self._links.record_failure()
+        except NotSentError as error:
+            self._record_link_failure(error)
             raise
 
+    def _record_link_failure(self, error: NotSentError) -> None:
+        """Record a failed connection; one that was not tried says nothing of links."""
+        if not isinstance(error, NoDescriptorError):
+            self._links.record_failure()
+
+
+def _not_sent_error(error: Exception) -> NotSentError:
+    kind = NoDescriptorError if is_shortage(error) else NotSentError
+    return kind(repr(error))
+
 
 async def send_request(
     session: ClientSession,
@@ -369,7 +382,7 @@
             allow_redirects=False,
         )
     except (ClientConnectorError, ConnectionTimeoutError) as error:
-        raise NotSentError(repr(error)) from error
+        raise _not_sent_error(error) from error
     except (ClientError, OSError, TimeoutError, ValueError) as error:
         raise AnswerLostError(repr(error)) from error
 
--- a/marjoramstile/routes/failures.py
+++ b/marjoramstile/routes/failures.py
@@ -6,6 +6,7 @@
 from marjoramstile.routes.replicas import ReplicaDirectory
 from marjoramstile.routes.requests import (
     MisdirectedError,
+    NoDescriptorError,
     OutdatedChoiceError,
     ReplicaError,
     RoutedRequest,
@@ -27,11 +28,15 @@
     ) -> None:
         """Record that a replica gave no usable answer to a request.
 
-        One that was not sent to, as it takes no more requests, has not failed.
+        One that was not sent to, as it takes no more requests or as this process can
+        open no more connections, has not failed.
         """
         if isinstance(error, OutdatedChoiceError):
             logger.info("choice_outdated", request=request.id, replica=replica.id)
             return
+        if isinstance(error, NoDescriptorError):
+            logger.warning("no_descriptor", request=request.id, replica=replica.id)
+            return
         if isinstance(error, MisdirectedError):
             self._directory.record_misdirected(replica)
         else:
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -10,7 +10,9 @@
 from marjoramstile.crashes.coordinator import CrashCoordinator
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.crashes.sharing import BlocklistSharing
+from marjoramstile.descriptors import DescriptorShares
 from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.logs import get_logger
@@ -26,7 +28,7 @@
     TableMirror,
 )
 from marjoramstile.mirrors.peers import PeerChangeSource
-from marjoramstile.peers.connections import PeerConnections
+from marjoramstile.peers.connections import IDLE_ADDRESSES_MAX, PeerConnections
 from marjoramstile.peers.membership_client import MembershipClient
 from marjoramstile.peers.pool_datagrams import DatagramSender, PoolProtocol
 from marjoramstile.peers.router_handler import RouterPeerHandler
@@ -137,6 +139,7 @@
         rng: random.Random,
     ):
         self.settings = settings
+        self._shares = DescriptorShares.of(settings.descriptors)
         self.metrics = Metrics()
         self.tasks = BackgroundTasks(partial(self.metrics.count, "task_failures"))
         self.directory = ReplicaDirectory(ports.notices)
@@ -216,7 +219,11 @@
             ListedState.LIVE,
         )
         self.view = View(own, new_token())
-        self._connections = PeerConnections(FRAME_MAX_BYTES, self._ports.buffers)
+        self._connections = PeerConnections(
+            FRAME_MAX_BYTES,
+            self._ports.buffers,
+            min(IDLE_ADDRESSES_MAX, self._shares.peer_addresses),
+        )
         self.peer_client = MembershipClient(
             self._connections, settings.listeners.peers.port, PROBE_TIMEOUT_S
         )
@@ -518,7 +525,13 @@
         handler = RouterPeerHandler(
             self.prober, self._followers, self.status.answer_peer
         )
-        self._peer_server = PeerServer(handler, FRAME_MAX_BYTES, self._ports.buffers)
+        self._peer_server = PeerServer(
+            handler,
+            FRAME_MAX_BYTES,
+            self._ports.buffers,
+            ConnectionLimit("peers", self._shares.peers, self.metrics.count),
+            self._shares.backlog,
+        )
 
     async def start(self) -> None:
         """Listen for peers and begin to follow the store."""
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -119,6 +119,10 @@
     """No connection to the replica: it has not received the request."""
 
 
+class NoDescriptorError(NotSentError):
+    """This process can open no more connections; the replica has not failed."""
+
+
 class OutdatedChoiceError(NotSentError):
     """The replica was chosen when it took requests, and takes no more of them."""
 
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -7,6 +7,7 @@
 from aiohttp.test_utils import TestServer
 
 from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.peers.connections import PeerConnections
 from marjoramstile.peers.transport import PeerServer
 from marjoramstile.platform.store import (
@@ -19,6 +20,8 @@
 from tests.platform.support import BUFFER_BYTES, HOST
 
 TABLE = "servers"
+# Connections that a daemon accepts from its peers.
+PEERS_MAX = 8
 WAIT_S = 0.2
 # Longest time of a call on a connection that works.
 WORKING_S = 0.4
@@ -96,3 +99,25 @@
     peers.close()
     await proxy.close()
     await server.close()
+
+
+async def test_silent_connections_to_a_daemon_do_not_keep_its_peers_out():
+    buffers = BufferBudget(BUFFER_BYTES)
+    limit = ConnectionLimit("peers", PEERS_MAX, lambda name, listener: None)
+    server = PeerServer(Echo(), FRAME_MAX_BYTES, buffers, limit)
+    await server.start(HOST, 0)
+    port = server._server.sockets[0].getsockname()[1]
+    peers = PeerConnections(FRAME_MAX_BYTES, buffers)
+
+    async def call() -> bool | None:
+        address = f"{HOST}:{port}"
+        return await peers.call(address, "probe_through", "vm", timeout_s=0.3)
+
+    for _ in range(3):
+        silent = [await asyncio.open_connection(HOST, port) for _ in range(PEERS_MAX)]
+        assert await asyncio.gather(*(call() for _ in range(3))) == [True] * 3
+    assert limit.open <= PEERS_MAX
+    for _, writer in silent:
+        writer.close()
+    peers.close()
+    await server.close()
--- a/tests/processes/test_descriptors.py
+++ b/tests/processes/test_descriptors.py
@@ -10,12 +10,24 @@
 from aiohttp import ClientSession
 
 from demo.fleet import own_network
-from demo.published_fleet import FRONT_PORT, HOST_NAME, METRICS_PORT, PublishedFleet
+from demo.published_fleet import (
+    ADDRESSES_PORT,
+    COMPLETIONS_PORT,
+    FRONT_PORT,
+    HOST_NAME,
+    METRICS_PORT,
+    PEERS_PORT,
+    READY_PORT,
+    PublishedFleet,
+)
 
 pytestmark = pytest.mark.asyncio(loop_scope="function")
 
 DESCRIPTORS = 256
 SILENT = 300
+# Silent connections to each of the ports below.
+SILENT_OF_A_PORT = 100
+PORTS = (ADDRESSES_PORT, COMPLETIONS_PORT, METRICS_PORT, PEERS_PORT, READY_PORT)
 # Connections that are opened at a time, and the pause after them.
 OPENED_AT_ONCE = 10
 OPEN_PERIOD_S = 0.05
@@ -23,6 +35,10 @@
 BOOK_PERIOD_S = 0.05
 WATCHED_S = 3.0
 LIMIT_S = 60.0
+# Fewer than a daemon has open.
+FEW = 12
+SHORT_S = 3.0
+RECOVERY_S = 5.0
 _ids = itertools.count()
 
 
@@ -105,6 +121,39 @@
         return await response.text()
 
 
+async def lose_descriptors(fleet, seconds: float) -> None:
+    """Let the daemon open no more descriptors for some time."""
+    process = fleet.get("router-1").process
+    limits = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (FEW, limits[1]))
+    await asyncio.sleep(seconds)
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+
+
+async def test_a_daemon_without_descriptors_for_a_time_serves_again_afterwards(fleet):
+    stopped = asyncio.Event()
+    kept = [await Caller.connect(fleet) for _ in range(KEPT)]
+    booking = [asyncio.create_task(keep_booking(caller, stopped)) for caller in kept]
+    await asyncio.sleep(1.0)
+    await lose_descriptors(fleet, SHORT_S)
+    async with asyncio.timeout(RECOVERY_S):
+        await fleet.wait_for_ready(1)
+    new = await Caller.connect(fleet)
+    async with asyncio.timeout(RECOVERY_S):
+        while await new.book() != 200:
+            await asyncio.sleep(BOOK_PERIOD_S)
+    await asyncio.sleep(1.0)
+    stopped.set()
+    for statuses in await asyncio.gather(*booking):
+        assert set(statuses) <= {200, 503}
+        assert statuses[-1] == 200
+    daemon = fleet.get("router-1")
+    assert daemon.process.poll() is None
+    log = daemon.log.read_text()
+    assert "event=no_descriptor" in log
+    assert "event=replica_links_lost" not in log
+
+
 async def test_idle_connections_of_callers_do_not_take_all_descriptors(fleet):
     stopped = asyncio.Event()
     kept = [await Caller.connect(fleet) for _ in range(KEPT)]
@@ -121,3 +170,18 @@
     assert "marjoramstile_connections_closed_total" in await scrape(fleet)
     for caller in kept + silent + new:
         caller.close()
+
+
+async def test_idle_connections_to_any_other_port_do_not_take_all_descriptors(fleet):
+    silent = []
+    for port in PORTS:
+        silent += await open_silent(fleet, SILENT_OF_A_PORT, port)
+    ready = await watch_ready(fleet, 1.0)
+    assert ready == [True] * len(ready)
+    assert await fleet.addresses(1) == [fleet.front(1)]
+    assert await (await Caller.connect(fleet)).book() == 200
+    metrics = await scrape(fleet)
+    for name in ("addresses", "callers", "metrics", "peers", "ready"):
+        assert f'connections_closed_total{{service="{name}"}}' in metrics
+    for caller in silent:
+        caller.close()
