--- a/tools/generate_peer_types.py
+++ b/tools/generate_peer_types.py
@@ -150,8 +150,10 @@
 
 
 def main() -> None:
-    """Write the generated source to OUTPUT_PATH."""
-    OUTPUT_PATH.write_text(generate())
+    """Replace OUTPUT_PATH by the generated source, which is written in full first."""
+    written = OUTPUT_PATH.with_suffix(".new")
+    written.write_text(generate())
+    written.replace(OUTPUT_PATH)
 
 
 if __name__ == "__main__":
