--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -87,6 +87,7 @@
     VERSION_GONE = "stream_version_gone"
     STOPPING = "stopping"
     TIMED_OUT = "timed_out"
+    NO_CONNECTION = "too_many_connections"
 
 
 class RequestRefusedError(Exception):
@@ -118,6 +119,10 @@
     """No connection to the replica: it has not received the request."""
 
 
+class NoDescriptorError(NotSentError):
+    """This process can open no more connections; the replica has not failed."""
+
+
 class OutdatedChoiceError(NotSentError):
     """The replica was chosen when it took requests, and takes no more of them."""
 
