--- a/marjoramstile/completions/handler.py
+++ b/marjoramstile/completions/handler.py
@@ -40,6 +40,7 @@
 from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
 from marjoramstile.fronts.buffers import BufferFullError
+from marjoramstile.fronts.listening import note_request
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.entry import IncomingRequest, RequestDispatcher
 from marjoramstile.routes.ports import Responder
@@ -167,6 +168,7 @@
         stride = table.services[body.model].engine.stride
         completion = Completion(new_token(), kind, body, route, stride)
         incoming = self._build_incoming(request, completion, data)
+        note_request(request, incoming.id, incoming.sends)
         try:
             if body.stream:
                 return await self._complete_streaming(request, completion, incoming)
--- a/marjoramstile/fronts/answers.py
+++ b/marjoramstile/fronts/answers.py
@@ -6,6 +6,8 @@
 from aiohttp.client_exceptions import ClientConnectionResetError
 from multidict import CIMultiDict
 
+from marjoramstile.fronts.closing import CloseReason
+from marjoramstile.fronts.listening import note_closing
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.requests import Headers
 
@@ -95,16 +97,20 @@
                 await response.write_eof()
         except TimeoutError:
             logger.warning("answer_not_taken", limit_s=ANSWER_TIMEOUT_S)
-            return self.abort()
+            return self.abort(CloseReason.ANSWER_NOT_TAKEN)
         except (ClientConnectionResetError, OSError) as error:
             raise CallerDisconnectedError from error
         return response
 
-    def abort(self) -> web.StreamResponse:
+    def abort(
+        self, reason: CloseReason = CloseReason.STREAM_BROKEN
+    ) -> web.StreamResponse:
         """Close the connection so that the response can't be taken for complete.
 
         Returns the response that was started, else an unsent 502.
         """
-        if self._request.transport is not None:
-            self._request.transport.close()
+        transport = self._request.transport
+        if transport is not None and not transport.is_closing():
+            note_closing(self._request, reason)
+            transport.close()
         return self._response or web.Response(status=BAD_GATEWAY)
--- a/marjoramstile/fronts/bodies.py
+++ b/marjoramstile/fronts/bodies.py
@@ -12,6 +12,8 @@
     BufferBudgetExceededError,
     BufferedBody,
 )
+from marjoramstile.fronts.closing import CloseReason
+from marjoramstile.fronts.listening import note_closing
 from marjoramstile.logs import get_logger
 
 # By then some of the bodies that use up the buffer budget have probably been released.
@@ -62,6 +64,14 @@
             yield await self._read(request, buffered)
 
     async def _read(self, request: web.BaseRequest, buffered: BufferedBody) -> bytes:
+        try:
+            return await self._read_in_time(request, buffered)
+        except BodyRefusedError:
+            note_closing(request, CloseReason.BODY_REFUSED)
+            raise
+
+    @staticmethod
+    async def _read_in_time(request: web.BaseRequest, buffered: BufferedBody) -> bytes:
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 return await _read_all(request, buffered)
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -1,7 +1,7 @@
 """Server connections with a timeout for receiving the head of a request.
 
 aiohttp limits the size of a head and the idle time between requests, but not the time
-that a head takes from its first bytes on.
+that a head takes from its first bytes on. It doesn't tell why a connection ended.
 """
 
 import asyncio
@@ -9,21 +9,39 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from marjoramstile.fronts.closing import (
+    CUT_SHORT,
+    ClosedConnection,
+    CloseReason,
+    ClosingReport,
+)
 from marjoramstile.logs import get_logger
+from marjoramstile.reports.metrics import Metrics
+from marjoramstile.routes.requests import SendRecord
 
 # Longer than any caller of the routes waits for its response.
 HEAD_TIMEOUT_S = 30.0
+SERVER_ERROR = 500
 
 logger = get_logger(__name__)
 
 
 class CallerConnection(RequestHandler):
-    """aiohttp's server protocol with a timeout for incomplete request heads."""
+    """aiohttp's server protocol with a timeout for incomplete request heads.
 
-    def __init__(self, *args, **options):
-        super().__init__(*args, **options)
+    It reports its end to its server, with the first reason that was noted.
+    """
+
+    def __init__(self, server: "CallerServer", **options):
+        super().__init__(server, **options)
+        self._server = server
         self._body = None
         self._head_timer: asyncio.TimerHandle | None = None
+        self._reason: CloseReason | None = None
+        # The request whose answer is not whole yet, its id, and what was sent of it.
+        self._unanswered: web.BaseRequest | None = None
+        self._request_id = ""
+        self._sends = SendRecord()
 
     @property
     def is_busy(self) -> bool:
@@ -52,10 +70,68 @@
             )
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the head timer of the lost connection."""
+        """Report the end, and cancel the head timer."""
         self._cancel_head_timer()
+        self._server.report_closed(self._describe_end(exc))
         super().connection_lost(exc)
 
+    def note_closing(self, reason: CloseReason) -> None:
+        """Record why this connection is about to be closed; the first reason holds."""
+        self._reason = self._reason or reason
+
+    def note_request(self, request_id: str, sends: SendRecord) -> None:
+        """Record the id of the request in progress, and what tells of its sends."""
+        self._request_id = request_id
+        self._sends = sends
+
+    def _describe_end(self, exc: BaseException | None) -> ClosedConnection:
+        reason = self._reason
+        if reason is None:
+            is_last = not self._keepalive or self._close
+            reason = CloseReason.ANSWERED if is_last else CloseReason.CALLER_GONE
+        queued = [payload for _, payload in self._messages]
+        current = self._unanswered
+        bodies = queued if current is None else [current.content, *queued]
+        return ClosedConnection(
+            self._server.name,
+            reason,
+            sum(body.is_eof() for body in bodies),
+            self._request_id if current is not None else "",
+            current is not None and self._sends.may_have_run,
+            repr(exc) if exc is not None else "",
+        )
+
+    async def _handle_request(self, request, start_time, request_handler):
+        self._unanswered = request
+        self._request_id = ""
+        self._sends = SendRecord()
+        response, reset = await super()._handle_request(
+            request, start_time, request_handler
+        )
+        if not reset and self._reason not in CUT_SHORT:
+            self._unanswered = None
+        return response, reset
+
+    def _make_error_handler(self, err_info):
+        self.note_closing(CloseReason.BAD_REQUEST)
+        return super()._make_error_handler(err_info)
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Return the answer to a request that is unreadable, or whose handler failed.
+
+        Nothing else than its own connection is closed.
+        """
+        if status >= SERVER_ERROR:
+            self.note_closing(CloseReason.HANDLER_FAILED)
+            logger.error("handler_failed", request=self._request_id, error=repr(exc))
+        return super().handle_error(request, status, exc, message)
+
+    def _process_keepalive(self) -> None:
+        was_open = self.transport is not None
+        super()._process_keepalive()
+        if was_open and self.transport is None:
+            self.note_closing(CloseReason.KEEP_ALIVE_ENDED)
+
     def _cancel_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -66,17 +142,57 @@
         self._head_timer = None
         if self._current_request is None and not self._messages:
             logger.warning("head_not_whole", limit_s=HEAD_TIMEOUT_S)
+            self.note_closing(CloseReason.HEAD_TIMEOUT)
             self.force_close()
 
 
 class CallerServer(web.Server):
-    """aiohttp's server with the head timeout on its connections."""
+    """aiohttp's server with the head timeout on its connections.
+
+    ``name`` is that of its listener; ``closings`` gets the ends of its connections.
+    """
+
+    def __init__(
+        self,
+        handler,
+        *,
+        name: str = "",
+        closings: ClosingReport | None = None,
+        **options,
+    ):
+        super().__init__(handler, **options)
+        self.name = name
+        self._closings = closings or ClosingReport(Metrics())
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress, or bytes of an answer are not sent yet."""
         return any(connection.is_busy for connection in self.connections)
 
+    def report_closed(self, closed: ClosedConnection) -> None:
+        """Record the end of one of its connections."""
+        self._closings.record(closed)
+
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Close all connections, those with requests after ``timeout`` seconds."""
+        for connection in self.connections:
+            is_busy = connection.is_busy
+            reason = CloseReason.STOP_FORCED if is_busy else CloseReason.STOP_IDLE
+            connection.note_closing(reason)
+        await super().shutdown(timeout)
+
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
         return CallerConnection(self, loop=self._loop, **self._kwargs)
+
+
+def note_closing(request: web.BaseRequest, reason: CloseReason) -> None:
+    """Record why the connection of a request is about to be closed."""
+    if isinstance(request.protocol, CallerConnection):
+        request.protocol.note_closing(reason)
+
+
+def note_request(request: web.BaseRequest, request_id: str, sends: SendRecord) -> None:
+    """Record the id of a request, and what tells of its sends, at its connection."""
+    if isinstance(request.protocol, CallerConnection):
+        request.protocol.note_request(request_id, sends)
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -10,6 +10,7 @@
 from marjoramstile.completions.handler import CompletionsHandler
 from marjoramstile.fronts.bodies import BodyReader
 from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.fronts.closing import ClosingReport
 from marjoramstile.fronts.listening import CallerServer
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
@@ -90,6 +91,7 @@
         )
         self._node.configuration_mirror.subscribe(self._apply_configuration)
         self._node.replicas_mirror.subscribe(self._apply_replica)
+        self._closings = ClosingReport(self._node.metrics)
         self._stopping = asyncio.Event()
         self._servers: list[tuple[CallerServer, asyncio.Server]] = []
 
@@ -139,12 +141,14 @@
         )
         bodies = BodyReader(self._buffers)
         await node.start()
-        await self._listen(listeners.ready, endpoints.ready)
-        await self._listen(listeners.addresses, endpoints.resolve)
-        await self._listen(listeners.metrics, operators.handle)
-        await self._listen(listeners.front, FrontHandler(node.entry, bodies).handle)
+        await self._listen("ready", listeners.ready, endpoints.ready)
+        await self._listen("addresses", listeners.addresses, endpoints.resolve)
+        await self._listen("metrics", listeners.metrics, operators.handle)
+        front = FrontHandler(node.entry, bodies)
+        await self._listen("front", listeners.front, front.handle)
         if listeners.completions is not None:
-            await self._listen(listeners.completions, self._completions(bodies))
+            completions = self._completions(bodies)
+            await self._listen("completions", listeners.completions, completions)
         node.tasks.start_retried(node.registration.register, "register")
         logger.info(
             "daemon_started",
@@ -160,9 +164,11 @@
             node.entry, lambda: node.table, bodies, generation_headers
         ).handle
 
-    async def _listen(self, address: Address, handler) -> None:
+    async def _listen(self, name: str, address: Address, handler) -> None:
         server = CallerServer(
             handler,
+            name=name,
+            closings=self._closings,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             lingering_time=LINGERING_TIME_S,
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -4,6 +4,7 @@
 
 from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
+from marjoramstile.fronts.listening import note_request
 from marjoramstile.platform import headers as platform_headers
 from marjoramstile.results import Failure, Ran, ResultCode
 from marjoramstile.routes.addresses import FrontAddresses
@@ -63,6 +64,7 @@
         if incoming is None:
             failure = Failure(ResultCode.BAD_BODY, "X-Request-Id is missing")
             return self._error_response(BAD_REQUEST, failure)
+        note_request(request, incoming.id, incoming.sends)
         responder = HTTPResponder(request, self._entry)
         try:
             reply = await self._entry.handle(incoming, responder)
--- a/marjoramstile/routes/carrying.py
+++ b/marjoramstile/routes/carrying.py
@@ -16,6 +16,7 @@
 from marjoramstile.membership.nodes import NodeEntry
 from marjoramstile.membership.view import View
 from marjoramstile.routes.budget import WindowedRetryBudget
+from marjoramstile.routes.checked_client import recorded_send
 from marjoramstile.routes.events import EventSplitter, EventTooLongError
 from marjoramstile.routes.links import LinkState, ReplicaLinks
 from marjoramstile.routes.ports import Responder, StreamAnswer
@@ -212,7 +213,8 @@
             if runs == 0:
                 break
             try:
-                return await self._send(carrier, request, runs, responder, progress)
+                with recorded_send(request):
+                    return await self._send(carrier, request, runs, responder, progress)
             except NotSentError as error:
                 message = str(error)
             except AnswerLostError as error:
--- a/marjoramstile/routes/checked_client.py
+++ b/marjoramstile/routes/checked_client.py
@@ -5,8 +5,8 @@
 reservations of the routing core pass here, without a wait between check and send.
 """
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 from marjoramstile.routes.ports import ReplicaClient, StreamAnswer
 from marjoramstile.routes.replica_types import Replica
@@ -14,6 +14,8 @@
 from marjoramstile.routes.requests import (
     Hold,
     KVHandle,
+    NotExecutedError,
+    NotSentError,
     OutdatedChoiceError,
     Reply,
     RoutedRequest,
@@ -21,6 +23,18 @@
 )
 
 
+@contextmanager
+def recorded_send(request: RoutedRequest) -> Iterator[None]:
+    """Record that a request may run, unless the block tells that it did not."""
+    before = request.sends.may_have_run
+    request.sends.may_have_run = True
+    try:
+        yield
+    except (NotSentError, NotExecutedError):
+        request.sends.may_have_run = before
+        raise
+
+
 class CheckedReplicaClient:
     """A ReplicaClient whose sends raise OutdatedChoiceError to unusable replicas."""
 
@@ -37,7 +51,8 @@
     ) -> Reply:
         """Send a request and return the complete answer."""
         self._check(replica)
-        return await self._client.call(replica, request, timeout_s)
+        with recorded_send(request):
+            return await self._client.call(replica, request, timeout_s)
 
     @asynccontextmanager
     async def stream(
@@ -49,8 +64,11 @@
     ) -> AsyncIterator[StreamAnswer]:
         """Send a request and open its stream; exiting closes the connection."""
         self._check(replica, holds_place=options.hold is not None)
-        async with self._client.stream(replica, request, timeout_s, options) as answer:
-            yield answer
+        with recorded_send(request):
+            async with self._client.stream(
+                replica, request, timeout_s, options
+            ) as answer:
+                yield answer
 
     async def read_reply(self, answer: StreamAnswer) -> Reply:
         """Return a whole answer; raise AnswerLostError if truncated or too long."""
@@ -61,7 +79,8 @@
     ) -> KVHandle:
         """Prefill the prompt; return a handle to its KV cache."""
         self._check(replica)
-        return await self._client.prefill(replica, request, timeout_s)
+        with recorded_send(request):
+            return await self._client.prefill(replica, request, timeout_s)
 
     async def accepts_connections(self, replica: Replica) -> bool:
         """Return whether the replica accepts a connection; never raises."""
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.logs import get_logger
@@ -21,6 +21,7 @@
     Reply,
     RequestRefusedError,
     RoutedRequest,
+    SendRecord,
     StreamBrokenError,
 )
 from marjoramstile.routes.service_levels import TimedResponder, meets_targets
@@ -45,6 +46,7 @@
     ``time_left_s`` is how long the caller waits; None if it set no limit.
     ``shared_parts`` and ``resumes`` are as in RoutedRequest. ``carried_for`` is the VM
     whose daemon has sent it here, ``carried_runs`` how many replicas may run it then.
+    ``sends`` tells its front whether it has been passed on.
     """
 
     id: str
@@ -61,6 +63,7 @@
     resumes: str | None = None
     carried_for: str | None = None
     carried_runs: int | None = None
+    sends: SendRecord = field(default_factory=SendRecord, compare=False)
 
 
 class RequestDispatcher:
@@ -213,6 +216,7 @@
             shared_parts=incoming.shared_parts,
             resumes=incoming.resumes,
             is_carried=incoming.carried_runs is not None,
+            sends=incoming.sends,
         )
 
     async def _dispatch(
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -19,6 +19,13 @@
     expected_output: int
 
 
+@dataclass
+class SendRecord:
+    """Whether a request has been sent to a replica that may run it."""
+
+    may_have_run: bool = False
+
+
 @dataclass(frozen=True)
 class RoutedRequest:
     """One attempt of a caller: opaque bytes with their route and service.
@@ -30,7 +37,8 @@
     order, without the last one, which belongs to the request or its session.
     ``resumes`` is the id of the caller's attempt that brought the first event of a
     stream that this one takes up; None if it names none. ``is_carried`` means that
-    another VM's daemon has sent it, which reaches no replicas.
+    another VM's daemon has sent it, which reaches no replicas. ``sends`` is kept up to
+    date while the request runs.
     """
 
     id: str
@@ -47,6 +55,7 @@
     shared_parts: tuple[str, ...] = ()
     resumes: str | None = None
     is_carried: bool = False
+    sends: SendRecord = field(default_factory=SendRecord, compare=False)
 
     @property
     def is_take_up(self) -> bool:
--- a/tests/fronts/support.py
+++ b/tests/fronts/support.py
@@ -7,8 +7,10 @@
 
 from marjoramstile.fronts.bodies import BodyReader
 from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.fronts.closing import ClosedConnection, ClosingReport
 from marjoramstile.fronts.listening import CallerServer
 from marjoramstile.loops import listening_socket
+from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.table import (
     EntryLimits,
     RoutedService,
@@ -22,6 +24,20 @@
 FAST = ReplicaModel(step_s=0.0005, work_s=0.01)
 
 
+class KeptClosings(ClosingReport):
+    """Keeps the ends of connections as well."""
+
+    def __init__(self):
+        self.metrics = Metrics()
+        super().__init__(self.metrics)
+        self.closed: list[ClosedConnection] = []
+
+    def record(self, closed: ClosedConnection) -> None:
+        """Record an end and keep it."""
+        super().record(closed)
+        self.closed.append(closed)
+
+
 class FrontHarness:
     """A front over fake replicas: two stream routes and one to a plain service.
 
@@ -31,6 +47,7 @@
     def __init__(self):
         self.buffers = BufferBudget(100_000)
         self.bodies = BodyReader(self.buffers)
+        self.closings = KeptClosings()
         self.core = RoutingCore()
         self.core.add_engines(1, 2, FAST)
         self.core.add_plain(2)
@@ -58,7 +75,10 @@
     @asynccontextmanager
     async def serve(self, handler) -> AsyncIterator[None]:
         """Serve a handler on HOST at a free port, which is stored in ``port``."""
-        server = CallerServer(handler, handler_cancellation=True)
+        server = CallerServer(
+            handler, name="front", closings=self.closings, handler_cancellation=True
+        )
+        self.server = server
         listener = listening_socket(HOST, 0)
         self.port = listener.getsockname()[1]
         loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/fronts/test_closing.py
@@ -0,0 +1,127 @@
+"""What is recorded at the end of a caller's connection."""
+
+import asyncio
+import contextlib
+
+import pytest_asyncio
+
+from marjoramstile.fronts import answers, bodies, listening
+from marjoramstile.fronts.closing import CloseReason
+from marjoramstile.platform.front import FrontHandler
+from tests.fronts.support import FrontHarness
+from tests.platform.support import HOST
+
+
+@pytest_asyncio.fixture
+async def harness():
+    """Run the front with its fake replicas for one test."""
+    result = FrontHarness()
+    handler = FrontHandler(result.entry, result.bodies).handle
+    async with result.serve(handler):
+        yield result
+
+
+def request(path: str, *lines: str) -> bytes:
+    """Return a request q1 without a body."""
+    fixed = ["Host: h.example", "X-Request-Id: q1", *lines]
+    return "\r\n".join([f"POST {path} HTTP/1.1", *fixed, "", ""]).encode()
+
+
+async def the_end(harness):
+    """Return what is recorded of the only connection, once it has ended."""
+    async with asyncio.timeout(2.0):
+        while not harness.closings.closed:
+            await asyncio.sleep(0.01)
+    (closed,) = harness.closings.closed
+    name = "caller_connections_closed"
+    assert harness.closings.metrics.value(name, closed.reason) == 1
+    assert closed.listener == "front"
+    return closed
+
+
+async def test_head_that_is_late_is_named(harness, monkeypatch):
+    monkeypatch.setattr(listening, "HEAD_TIMEOUT_S", 0.1)
+    await harness.exchange(b"POST /plain/x HTTP/1.1\r\nHost:")
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.HEAD_TIMEOUT, 0)
+
+
+async def test_body_that_is_late_is_named(harness, monkeypatch):
+    monkeypatch.setattr(bodies, "BODY_TIMEOUT_S", 0.1)
+    await harness.exchange(request("/plain/x", "Content-Length: 9") + b"abc")
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.BODY_REFUSED, 0)
+
+
+async def test_unreadable_request_is_named(harness):
+    answer = await harness.exchange(b"no request\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.0 400")
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.BAD_REQUEST, 0)
+
+
+async def test_last_answer_of_a_connection_is_named(harness):
+    await harness.exchange(request("/plain/x", "Connection: close"))
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.ANSWERED, 0)
+
+
+async def test_caller_that_leaves_is_named_with_its_request(harness):
+    for fake in harness.core.pool.replicas.values():
+        fake.model = fake.model.__class__(work_s=1.0)
+    _, writer = await asyncio.open_connection(HOST, harness.port)
+    writer.write(request("/plain/x"))
+    await asyncio.sleep(0.1)
+    writer.close()
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.CALLER_GONE, 1)
+    assert (closed.request, closed.passed_on) == ("q1", True)
+    count = harness.closings.metrics.value("caller_requests_unanswered", closed.reason)
+    assert count == 1
+
+
+async def test_broken_stream_is_named_with_its_request(harness):
+    for name in ("d0", "d1"):
+        harness.core.pool.replicas[name].faults.break_after_events = 3
+    await harness.exchange(request("/once/x", "X-Token-Count: 3200,110"))
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.STREAM_BROKEN, 1)
+    assert (closed.request, closed.passed_on) == ("q1", True)
+
+
+async def test_answer_that_is_not_taken_is_named(harness, monkeypatch):
+    monkeypatch.setattr(answers, "ANSWER_TIMEOUT_S", 0.3)
+    for fake in harness.core.pool.replicas.values():
+        fake.faults.answer_bytes = 30_000_000
+    reader, writer = await asyncio.open_connection(HOST, harness.port, limit=1000)
+    writer.write(request("/plain/x"))
+    await asyncio.sleep(0.6)
+    with contextlib.suppress(ConnectionError):
+        while await reader.read(1_000_000):
+            pass
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.ANSWER_NOT_TAKEN, 1)
+    writer.close()
+
+
+async def test_refused_request_counts_as_not_passed_on(harness):
+    for name in ("d0", "d1"):
+        harness.core.pool.replicas[name].faults.full = True
+    answer = await harness.exchange(
+        request("/stream/x", "X-Token-Count: 3200,110", "Connection: close")
+    )
+    assert answer.startswith(b"HTTP/1.1 503")
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.ANSWERED, 0)
+
+
+async def test_idle_connection_is_named(harness):
+    reader, writer = await asyncio.open_connection(HOST, harness.port)
+    await asyncio.sleep(0.05)
+    (connection,) = harness.server.connections
+    connection._next_keepalive_close_time = 0.0
+    connection._process_keepalive()
+    assert await reader.read() == b""
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.KEEP_ALIVE_ENDED, 0)
+    writer.close()
