--- a/marjoramstile/completions/handler.py
+++ b/marjoramstile/completions/handler.py
@@ -40,7 +40,7 @@
 from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
 from marjoramstile.fronts.buffers import BufferFullError
-from marjoramstile.fronts.listening import note_request
+from marjoramstile.fronts.listening import close_when_idle, note_request
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.entry import IncomingRequest, RequestDispatcher
 from marjoramstile.routes.ports import Responder
@@ -106,7 +106,7 @@
                 error.to_body(), status=error.status, headers=error.to_headers()
             )
         if self._dispatcher.stopping:
-            response.force_close()
+            close_when_idle(request)
         return response
 
     def _require_table(self) -> RoutingTable:
--- a/marjoramstile/fronts/answers.py
+++ b/marjoramstile/fronts/answers.py
@@ -7,7 +7,11 @@
 from multidict import CIMultiDict
 
 from marjoramstile.fronts.closing import CloseReason
-from marjoramstile.fronts.listening import note_closing
+from marjoramstile.fronts.listening import (
+    announce_close,
+    close_when_idle,
+    note_closing,
+)
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.requests import Headers
 
@@ -48,11 +52,12 @@
         return self._response
 
     async def start(self, status: int, headers: Headers, close: bool) -> None:
-        """Send the head; ``close`` closes the connection after the response."""
+        """Send the head; ``close`` closes the connection when it is idle."""
         self._response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
         self._response.enable_chunked_encoding()
         if close:
-            self._response.force_close()
+            close_when_idle(self._request)
+        announce_close(self._request, self._response)
         try:
             await self._response.prepare(self._request)
         except (ClientConnectionResetError, OSError) as error:
@@ -87,7 +92,8 @@
         else:
             response = web.Response(status=status, headers=fields, body=body)
         if close:
-            response.force_close()
+            close_when_idle(self._request)
+        announce_close(self._request, response)
         self._response = response
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import select
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
@@ -22,6 +23,9 @@
 # Longer than any caller of the routes waits for its response.
 HEAD_TIMEOUT_S = 30.0
 SERVER_ERROR = 500
+# Time for the first request on a connection that was opened as its listener closed.
+FIRST_REQUEST_WAIT_S = 0.1
+IDLE_CHECK_S = 0.005
 
 logger = get_logger(__name__)
 
@@ -42,6 +46,9 @@
         self._unanswered: web.BaseRequest | None = None
         self._request_id = ""
         self._sends = SendRecord()
+        self._opened_at = 0.0
+        self._closes_when_idle = False
+        self._idle_check: asyncio.Handle | None = None
 
     @property
     def is_busy(self) -> bool:
@@ -50,6 +57,59 @@
             return True
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
+    @property
+    def closes_when_idle(self) -> bool:
+        """Whether answers announce that this connection is about to be closed."""
+        return self._closes_when_idle
+
+    @property
+    def _waits_for_request(self) -> bool:
+        """Whether nothing is left to answer, to send or to read."""
+        if self.is_busy or self._head_timer is not None:
+            return False
+        if self._waiter is None or self._waiter.done():
+            return False
+        if self._request_count == 0 and self._age_s < FIRST_REQUEST_WAIT_S:
+            return False
+        return not has_unread_bytes(self.transport)
+
+    @property
+    def _age_s(self) -> float:
+        return self._loop.time() - self._opened_at
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to serve a new connection."""
+        super().connection_made(transport)
+        self._opened_at = self._loop.time()
+        if self._server.closes_when_idle:
+            self.close_when_idle()
+
+    def close_when_idle(self) -> None:
+        """Close the connection when all that was sent on it is answered."""
+        self._closes_when_idle = True
+        self._check_idle_later(0.0)
+
+    def cut_off(self) -> None:
+        """Close the connection at once, so that no begun answer can look whole."""
+        if self.transport is not None:
+            self.note_closing(CloseReason.STOP_FORCED)
+            self.transport.abort()
+
+    def _check_idle_later(self, delay_s: float) -> None:
+        if self._idle_check is None:
+            self._idle_check = self._loop.call_later(delay_s, self._check_idle)
+
+    def _check_idle(self) -> None:
+        """Close the connection if it is idle; the end of a request checks again."""
+        self._idle_check = None
+        if self.transport is None:
+            return
+        if self._waits_for_request:
+            self.note_closing(CloseReason.STOP_IDLE)
+            self.force_close()
+        elif not self._request_in_progress:
+            self._check_idle_later(IDLE_CHECK_S)
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser and start or stop the head timer.
 
@@ -72,6 +132,8 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report the end, and cancel the head timer."""
         self._cancel_head_timer()
+        if self._idle_check is not None:
+            self._idle_check.cancel()
         self._server.report_closed(self._describe_end(exc))
         super().connection_lost(exc)
 
@@ -105,9 +167,15 @@
         self._unanswered = request
         self._request_id = ""
         self._sends = SendRecord()
-        response, reset = await super()._handle_request(
-            request, start_time, request_handler
-        )
+        if self._server.closes_when_idle:
+            self.close_when_idle()
+        try:
+            response, reset = await super()._handle_request(
+                request, start_time, _announcing(request_handler)
+            )
+        finally:
+            if self._closes_when_idle:
+                self._check_idle_later(IDLE_CHECK_S)
         if not reset and self._reason not in CUT_SHORT:
             self._unanswered = None
         return response, reset
@@ -163,6 +231,7 @@
         super().__init__(handler, **options)
         self.name = name
         self._closings = closings or ClosingReport(Metrics())
+        self._closes_when_idle = False
 
     @property
     def is_busy(self) -> bool:
@@ -173,6 +242,22 @@
         """Record the end of one of its connections."""
         self._closings.record(closed)
 
+    @property
+    def closes_when_idle(self) -> bool:
+        """Whether all connections are closed as soon as they are idle."""
+        return self._closes_when_idle
+
+    def close_when_idle(self) -> None:
+        """Close each connection, also new ones, when all on it is answered."""
+        self._closes_when_idle = True
+        for connection in self.connections:
+            connection.close_when_idle()
+
+    def cut_off(self) -> None:
+        """Close all connections at once."""
+        for connection in self.connections:
+            connection.cut_off()
+
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close all connections, those with requests after ``timeout`` seconds."""
         for connection in self.connections:
@@ -196,3 +281,35 @@
     """Record the id of a request, and what tells of its sends, at its connection."""
     if isinstance(request.protocol, CallerConnection):
         request.protocol.note_request(request_id, sends)
+
+
+def close_when_idle(request: web.BaseRequest) -> None:
+    """Close a request's connection when all that was sent on it is answered."""
+    if isinstance(request.protocol, CallerConnection):
+        request.protocol.close_when_idle()
+
+
+def announce_close(request: web.BaseRequest, response: web.StreamResponse) -> None:
+    """Tell in a response, before it is sent, that its connection will be closed."""
+    connection = request.protocol
+    if isinstance(connection, CallerConnection) and connection.closes_when_idle:
+        response.headers["Connection"] = "close"
+
+
+def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the kernel holds bytes, or an end, that were not read yet."""
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
+def _announcing(handler):
+    """Return a handler whose answers announce that their connection closes."""
+
+    async def handle(request: web.BaseRequest) -> web.StreamResponse:
+        response = await handler(request)
+        if not response.prepared:
+            announce_close(request, response)
+        return response
+
+    return handle
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -11,6 +11,7 @@
 from marjoramstile.fronts.bodies import BodyReader
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.closing import ClosingReport
+from marjoramstile.fronts.draining import drain
 from marjoramstile.fronts.listening import CallerServer
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
@@ -33,7 +34,6 @@
 from marjoramstile.platform.settings import load_platform_settings, settings_path
 from marjoramstile.platform.store import PlatformStore, create_store_session
 from marjoramstile.ports.feeds import StoredRow
-from marjoramstile.routes.entry import STOP_DEADLINE_SHARE
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.node import RouterNode, RouterPorts
 from marjoramstile.routes.notices import ReplicaNotices
@@ -51,8 +51,11 @@
 ADDRESS_CACHE_TTLS = 3
 # Largest share of the grace period for which an idle daemon waits for such callers.
 DRAIN_WAIT_SHARE = 0.6
-# Timeout for closing a server's connections at shutdown.
-SERVER_SHUTDOWN_S = 0.2
+# Share of the grace period by which callers must have taken the last answers.
+STOP_FLUSH_SHARE = 0.95
+# Time in which the other listeners' connections end after the callers'.
+OTHER_DRAIN_S = 0.1
+CALLER_LISTENERS = ("front", "completions")
 
 logger = get_logger(__name__)
 
@@ -183,27 +186,36 @@
 
     async def _stop(self) -> None:
         """Withdraw the address, drain, and shut down within the grace period."""
-        grace_s = self._settings.bounds.grace_s
         started_at = loop_time()
         self._node.entry.stop()
         logger.info("daemon_stopping", running=self._node.entry.running)
         await self._node.leave()
+        await self._serve_late_callers(started_at)
+        self._node.entry.refuse_new()
+        await self._drain_listeners(started_at)
+        await self._node.close()
+        logger.info("daemon_stopped", cut=self._node.entry.running)
+
+    async def _serve_late_callers(self, started_at: float) -> None:
+        """Serve until callers' addresses have expired and nothing is in progress."""
+        grace_s = self._settings.bounds.grace_s
         cached_s = ADDRESS_CACHE_TTLS * self._node.addresses.ttl_s
         drain_wait_s = min(cached_s, DRAIN_WAIT_SHARE * grace_s)
-        while loop_time() < started_at + STOP_DEADLINE_SHARE * grace_s:
+        while loop_time() < self._node.entry.cut_at:
             busy = any(server.is_busy for server, _ in self._servers)
             if not busy and loop_time() >= started_at + drain_wait_s:
                 break
             await asyncio.sleep(STOP_POLL_S)
-        for _, listener in self._servers:
-            listener.close()
-        for server, _ in self._servers:
-            server.pre_shutdown()
-        await asyncio.gather(
-            *(server.shutdown(timeout=SERVER_SHUTDOWN_S) for server, _ in self._servers)
-        )
-        await self._node.close()
-        logger.info("daemon_stopped", cut=self._node.entry.running)
+
+    async def _drain_listeners(self, started_at: float) -> None:
+        """End all listeners, those of callers first; the readiness address last."""
+        deadline = started_at + STOP_FLUSH_SHARE * self._settings.bounds.grace_s
+        callers = [item for item in self._servers if item[0].name in CALLER_LISTENERS]
+        others = [item for item in self._servers if item not in callers]
+        await asyncio.gather(*(drain(*item, deadline) for item in callers))
+        deadline = loop_time() + OTHER_DRAIN_S
+        for item in reversed(others):
+            await drain(*item, deadline)
 
 
 async def serve(settings: RouterSettings) -> None:
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -4,7 +4,7 @@
 
 from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
-from marjoramstile.fronts.listening import note_request
+from marjoramstile.fronts.listening import close_when_idle, note_request
 from marjoramstile.platform import headers as platform_headers
 from marjoramstile.results import Failure, Ran, ResultCode
 from marjoramstile.routes.addresses import FrontAddresses
@@ -43,6 +43,12 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request."""
+        response = await self._handle(request)
+        if self._entry.stopping:
+            close_when_idle(request)
+        return response
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         limits = self._entry.limits
         if limits is None:
             return self._refusal_response(
@@ -95,7 +101,7 @@
         if failure.retry_after_s is not None:
             retry_after = f"{failure.retry_after_s:.3f}"
             response.headers[platform_headers.RETRY_AFTER] = retry_after
-        if close or self._entry.stopping:
+        if close:
             response.force_close()
         return response
 
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -1,5 +1,6 @@
 """Entry point of the routing core for callers' requests."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -97,6 +98,8 @@
         self._rng = rng
         self.burn = BurnReport()
         self._stopping_since: float | None = None
+        self._accepts = True
+        self._runs: set[asyncio.Timeout] = set()
         self._running = 0
 
     @property
@@ -121,9 +124,22 @@
         """Number of requests in flight."""
         return self._running
 
+    @property
+    def cut_at(self) -> float | None:
+        """Loop time at which what still runs is ended; None without a stop."""
+        if self._stopping_since is None:
+            return None
+        return self._stopping_since + STOP_DEADLINE_SHARE * self._grace_s
+
     def stop(self) -> None:
-        """Begin a planned stop."""
+        """Begin a planned stop, at whose end all requests are ended with an answer."""
         self._stopping_since = loop_time()
+        for run in self._runs:
+            run.reschedule(self.cut_at)
+
+    def refuse_new(self) -> None:
+        """Refuse all requests from now on; those that run are not affected."""
+        self._accepts = False
 
     async def handle(
         self, incoming: IncomingRequest, responder: Responder
@@ -175,7 +191,7 @@
         good = False
         times = TimedResponder(responder)
         try:
-            reply = await self._dispatch(request, table, times)
+            reply = await self._dispatch_until_cut(request, table, times)
             good = meets_targets(request, reply, times, loop_time())
             outcome = "answered" if reply is None else str(reply.status)
             return reply
@@ -219,6 +235,21 @@
             sends=incoming.sends,
         )
 
+    async def _dispatch_until_cut(
+        self, request: RoutedRequest, table: RoutingTable, times: TimedResponder
+    ) -> Reply | None:
+        run = asyncio.timeout_at(self.cut_at)
+        try:
+            async with run:
+                self._runs.add(run)
+                return await self._dispatch(request, table, times)
+        except TimeoutError:
+            if not run.expired():
+                raise
+            raise _cut_error(request, times) from None
+        finally:
+            self._runs.discard(run)
+
     async def _dispatch(
         self, request: RoutedRequest, table: RoutingTable, responder: Responder
     ) -> Reply | None:
@@ -250,9 +281,10 @@
         """Return whether the stop could cut a request off."""
         if self._stopping_since is None:
             return False
+        if not self._accepts:
+            return True
         accepted_until = self._stopping_since + STOP_ACCEPT_SHARE * self._grace_s
-        cut_at = self._stopping_since + STOP_DEADLINE_SHARE * self._grace_s
-        return request.arrived > accepted_until and request.deadline > cut_at
+        return request.arrived > accepted_until and request.deadline > self.cut_at
 
     def _record_end(
         self, request: RoutedRequest, table: RoutingTable, outcome: str, reason: str
@@ -274,6 +306,16 @@
         )
 
 
+def _cut_error(request: RoutedRequest, times: TimedResponder) -> Exception:
+    """Return the error of a request that is ended by a planned stop."""
+    message = "the daemon stops"
+    if times.started:
+        return StreamBrokenError(message)
+    if request.sends.may_have_run:
+        return OutcomeUnknownError(message)
+    return RequestRefusedError(RefusalReason.STOPPING, RETRY_AFTER_STOP_S)
+
+
 _FAILURES = frozenset({"refused", "outcome_unknown", "broken_off"})
 _OUTCOMES = {
     RequestRefusedError: "refused",
--- a/marjoramstile/routes/service_levels.py
+++ b/marjoramstile/routes/service_levels.py
@@ -14,11 +14,13 @@
     def __init__(self, responder: Responder):
         self._responder = responder
         self._last_at: float | None = None
+        self.started = False
         self.first_at: float | None = None
         self.longest_gap_s = 0.0
 
     async def start(self, status: int, headers: Headers) -> None:
         """Relay the head."""
+        self.started = True
         await self._responder.start(status, headers)
 
     async def write(self, data: bytes) -> None:
--- a/tests/processes/test_late_calls.py
+++ b/tests/processes/test_late_calls.py
@@ -1,9 +1,11 @@
-"""Calls on kept connections until a daemon that is stopped as planned has ended."""
+"""Calls until a daemon that is stopped as planned has ended."""
 
 import asyncio
+import itertools
 import signal
 import time
 from collections import Counter
+from dataclasses import dataclass
 
 import pytest
 import pytest_asyncio
@@ -11,6 +13,7 @@
 
 from demo.fleet import own_network
 from demo.published_fleet import (
+    FRONT_PORT,
     GRACE_S,
     HOST_NAME,
     PLAIN_SERVICE,
@@ -23,6 +26,12 @@
 # Times after SIGTERM at which calls are sent: until after the daemon's end.
 FIRST_S = 0.2
 LAST_S = 1.05 * GRACE_S
+# Callers that go on without a pause until the daemon's end.
+NEW_PERIOD_S = 0.005
+KEPT_CALLERS = 20
+KEPT_PERIOD_S = 0.04
+# Time in which the end of a connection crosses a request that nobody has read.
+LOSS_SLACK_S = 0.2
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 
 
@@ -89,3 +98,112 @@
     assert cut == []
     assert outcomes.count(200) >= CALLERS // 4
     assert 503 in outcomes
+    fleet.launch_router(2)
+    await fleet.wait_for_ready(2)
+
+
+@dataclass(frozen=True)
+class Sent:
+    """A request, its status (0 without an answer), and the time until its end."""
+
+    id: str
+    status: int
+    took_s: float
+
+
+class SteadyCallers:
+    """Callers that send whole requests to one daemon until it has ended."""
+
+    def __init__(self, host: str):
+        self._host = host
+        self._numbers = itertools.count()
+        self.sent: list[Sent] = []
+        self.refused = 0
+        self.ended = asyncio.Event()
+
+    async def keep_calling(self) -> None:
+        """Send on one connection, and on a new one when it has ended."""
+        writer = None
+        while not self.ended.is_set():
+            if writer is None:
+                reader, writer = await self._connect()
+            if writer is not None and await self._ask(reader, writer):
+                writer.close()
+                writer = None
+            await asyncio.sleep(KEPT_PERIOD_S)
+
+    async def call_anew(self) -> None:
+        """Send each request on a connection of its own."""
+        async with asyncio.TaskGroup() as calls:
+            while not self.ended.is_set():
+                calls.create_task(self._call_once())
+                await asyncio.sleep(NEW_PERIOD_S)
+
+    async def _call_once(self) -> None:
+        reader, writer = await self._connect()
+        if writer is not None:
+            await self._ask(reader, writer)
+            writer.close()
+
+    async def _connect(self):
+        try:
+            return await asyncio.open_connection(self._host, FRONT_PORT)
+        except ConnectionError:
+            self.refused += 1
+            return None, None
+
+    async def _ask(self, reader, writer) -> bool:
+        """Send a request and record its end; return whether the connection ends."""
+        request_id = f"steady-{next(self._numbers)}"
+        lines = (
+            "POST /first/book/x HTTP/1.1",
+            f"Host: {HOST_NAME}",
+            f"X-Request-Id: {request_id}",
+            "Content-Length: 0",
+        )
+        began = time.monotonic()
+        try:
+            writer.write("\r\n".join([*lines, "", ""]).encode())
+            head = (await reader.readuntil(b"\r\n\r\n")).lower()
+            await reader.readexactly(_content_length(head))
+        except (ConnectionError, asyncio.IncompleteReadError):
+            head = b"- 0"
+        status = int(head.split()[1])
+        self.sent.append(Sent(request_id, status, time.monotonic() - began))
+        return status == 0 or b"connection: close" in head
+
+
+def _content_length(head: bytes) -> int:
+    lines = [
+        line for line in head.split(b"\r\n") if line.startswith(b"content-length:")
+    ]
+    return int(lines[0].partition(b":")[2]) if lines else 0
+
+
+async def test_no_request_that_was_read_is_left_unanswered_as_a_daemon_ends(fleet):
+    """Callers go on, on new connections and kept ones, until the process is gone."""
+    callers = SteadyCallers(fleet.vm_host(2))
+    process = fleet.get("router-2").process
+    async with asyncio.TaskGroup() as calling:
+        calling.create_task(callers.call_anew())
+        for _ in range(KEPT_CALLERS):
+            calling.create_task(callers.keep_calling())
+        await asyncio.sleep(0.5)
+        fleet.signal("router-2", signal.SIGTERM)
+        while process.poll() is None:
+            await asyncio.sleep(0.01)
+        callers.ended.set()
+    assert process.returncode == 0
+    runs = Counter()
+    for name in ("service-1", "service-2", "service-3"):
+        runs.update((await fleet.runs(name))["runs"])
+    lost = [
+        item
+        for item in callers.sent
+        if item.status == 0 and (item.took_s > LOSS_SLACK_S or runs[item.id])
+    ]
+    assert lost == []
+    statuses = Counter(item.status for item in callers.sent)
+    assert statuses[200] > 50
+    assert statuses[503] > 50
+    assert callers.refused > 0
