--- a/marjoramstile/pools/host.py
+++ b/marjoramstile/pools/host.py
@@ -92,6 +92,11 @@
             if known == service:
                 scheduler.statistics.adopt(profile, loop_time())
 
+    def profile(self, service: str) -> GenerationProfile | None:
+        """Return the averages of a service's generations; None if too few are known."""
+        scheduler = self._schedulers.get((service, 0))
+        return None if scheduler is None else scheduler.statistics.profile()
+
     def lease_totals(self, replica: Replica) -> LeaseTotals:
         """Return the totals of the leases at a replica in this daemon's schedulers."""
         total = NO_LEASES
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -12,6 +12,7 @@
 from marjoramstile.routes.budget import WindowedRetryBudget
 from marjoramstile.routes.calls import PlainCallRunner
 from marjoramstile.routes.carrying import RequestCarrier
+from marjoramstile.routes.durations import DurationForecast
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.ports import Responder
 from marjoramstile.routes.requests import (
@@ -32,8 +33,9 @@
 NOT_FOUND = 404
 RETRY_AFTER_START_S = 0.5
 RETRY_AFTER_STOP_S = 0.05
-# Share of the grace period of a planned stop in which any request is still started;
-# later, only those are that end before the share after which all are cut off.
+# Share of the grace period of a planned stop in which requests are started that are
+# expected to end before the share after which all are cut off, or of which nothing is
+# known; later, only those are whose deadline is before that.
 STOP_ACCEPT_SHARE = 0.3
 STOP_DEADLINE_SHARE = 0.9
 
@@ -82,6 +84,7 @@
         crashes: CrashDetector,
         carrier: RequestCarrier,
         budget: WindowedRetryBudget,
+        forecast: DurationForecast,
         metrics: Metrics,
         grace_s: float,
         rng: random.Random,
@@ -93,6 +96,7 @@
         self._crashes = crashes
         self._carrier = carrier
         self._budget = budget
+        self._forecast = forecast
         self._metrics = metrics
         self._grace_s = grace_s
         self._rng = rng
@@ -192,6 +196,7 @@
         times = TimedResponder(responder)
         try:
             reply = await self._dispatch_until_cut(request, table, times)
+            self._forecast.observe(request, loop_time() - request.arrived)
             good = meets_targets(request, reply, times, loop_time())
             outcome = "answered" if reply is None else str(reply.status)
             return reply
@@ -283,6 +288,9 @@
             return False
         if not self._accepts:
             return True
+        expected_s = self._forecast.expected_s(request)
+        if expected_s is not None and request.arrived + expected_s > self.cut_at:
+            return True
         accepted_until = self._stopping_since + STOP_ACCEPT_SHARE * self._grace_s
         return request.arrived > accepted_until and request.deadline > self.cut_at
 
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -48,6 +48,7 @@
     RequestCarrier,
 )
 from marjoramstile.routes.checked_client import CheckedReplicaClient
+from marjoramstile.routes.durations import DurationForecast
 from marjoramstile.routes.entry import RequestDispatcher
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
@@ -327,6 +328,7 @@
             crashes,
             self._carrier,
             self.budget,
+            DurationForecast(self.schedulers.profile, self._engine_of),
             self.metrics,
             settings.bounds.grace_s,
             self._rng,
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -27,6 +27,7 @@
     RequestCarrier,
 )
 from marjoramstile.routes.checked_client import CheckedReplicaClient
+from marjoramstile.routes.durations import DurationForecast
 from marjoramstile.routes.entry import RequestDispatcher
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
@@ -204,6 +205,10 @@
             self.crashes,
             self.carrier,
             self.budget,
+            DurationForecast(
+                self.schedulers.profile,
+                lambda service: self.engine if service == LLM else None,
+            ),
             Metrics(),
             8.0,
             self.balancer._rng,
--- a/tests/routes/test_stops.py
+++ b/tests/routes/test_stops.py
@@ -6,6 +6,7 @@
 import pytest
 import pytest_asyncio
 
+from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.routes.entry import IncomingRequest
 from marjoramstile.routes.requests import (
     OutcomeUnknownError,
@@ -20,6 +21,8 @@
 GRACE_S = 8.0
 CUT_S = 0.9 * GRACE_S
 TIMEOUT_S = 30.0
+# With the prior, prompts of 3,200 tokens take .1 s and answers of 781 tokens 6.7 s.
+SLOW_PACE = GenerationProfile(3200.0, 781.0, 0.009, 32_000.0)
 
 
 @pytest_asyncio.fixture
@@ -32,10 +35,16 @@
     await result.core.tasks.close()
 
 
-def send(harness, path: str, size=None, caller: Caller | None = None) -> asyncio.Task:
+def send(
+    harness,
+    path: str,
+    size=None,
+    caller: Caller | None = None,
+    resume_after: int | None = None,
+) -> asyncio.Task:
     """Send a request to the core."""
     incoming = IncomingRequest(
-        f"q{path}", "GET", "h.example", path, path, (), b"", None, size, None
+        f"q{path}", "GET", "h.example", path, path, (), b"", None, size, resume_after
     )
     return asyncio.create_task(harness.entry.handle(incoming, caller or Caller()))
 
@@ -95,3 +104,52 @@
         await send(harness, "/plain/x")
     assert refusal.value.reason == RefusalReason.STOPPING
     assert harness.core.pool.runs["q/plain/x"] == 0
+
+
+def know_pace(harness) -> None:
+    """Let the daemon know how fast the pool is."""
+    harness.core.scheduler.statistics.replace(SLOW_PACE, loop_time())
+
+
+async def test_stream_that_can_not_fit_is_refused_at_once(harness):
+    know_pace(harness)
+    harness.entry.stop()
+    await asyncio.sleep(0.5)
+    began = loop_time()
+    with pytest.raises(RequestRefusedError) as refusal:
+        await send(harness, "/stream/x", SIZE)
+    assert refusal.value.reason == RefusalReason.STOPPING
+    assert loop_time() == began
+    assert harness.core.pool.runs["q/stream/x"] == 0
+
+
+@pytest.mark.parametrize(("after_s", "hint"), [(0.0, 781), (0.3, 781), (2.3, 390)])
+async def test_stream_that_fits_is_served(harness, after_s, hint):
+    know_pace(harness)
+    harness.entry.stop()
+    await asyncio.sleep(after_s)
+    size = replace(SIZE, expected_output=hint)
+    caller = Caller()
+    await send(harness, "/stream/x", size, caller)
+    assert caller.complete
+
+
+async def test_stream_of_a_pool_without_known_pace_is_started_as_before(harness):
+    harness.entry.stop()
+    await asyncio.sleep(2.3)
+    caller = Caller()
+    await send(harness, "/stream/x", SIZE, caller)
+    assert caller.complete
+
+
+async def test_call_that_takes_too_long_by_its_route_is_refused_at_once(harness):
+    for fake in harness.core.pool.replicas.values():
+        fake.model = replace(fake.model, work_s=6.0)
+    for _ in range(8):
+        await send(harness, "/plain/x")
+    harness.entry.stop()
+    await asyncio.sleep(1.3)
+    with pytest.raises(RequestRefusedError) as refusal:
+        await send(harness, "/plain/y")
+    assert refusal.value.reason == RefusalReason.STOPPING
+    assert harness.core.pool.runs["q/plain/y"] == 0
