--- a/marjoramstile/completions/handler.py
+++ b/marjoramstile/completions/handler.py
@@ -37,7 +37,7 @@
     StreamingResponder,
     TokenCounter,
 )
-from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
+from marjoramstile.fronts.answers import ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
 from marjoramstile.fronts.buffers import BufferFullError
 from marjoramstile.fronts.listening import close_when_idle, note_request
@@ -45,6 +45,7 @@
 from marjoramstile.routes.entry import IncomingRequest, RequestDispatcher
 from marjoramstile.routes.ports import Responder
 from marjoramstile.routes.requests import (
+    CallerDisconnectedError,
     GenerationSize,
     Headers,
     OutcomeUnknownError,
--- a/marjoramstile/fronts/answers.py
+++ b/marjoramstile/fronts/answers.py
@@ -13,7 +13,7 @@
     note_closing,
 )
 from marjoramstile.logs import get_logger
-from marjoramstile.routes.requests import Headers
+from marjoramstile.routes.requests import CallerDisconnectedError, Headers
 
 BAD_GATEWAY = 502
 # Time for a caller to take a whole answer: longer than any of them waits for one.
@@ -25,10 +25,6 @@
 logger = get_logger(__name__)
 
 
-class CallerDisconnectedError(Exception):
-    """The caller's connection closed while its response was being sent."""
-
-
 async def _write_slices(response: web.StreamResponse, body: bytes) -> None:
     view = memoryview(body)
     for start in range(0, len(body), SLICE_BYTES):
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -187,12 +187,17 @@
     def handle_error(self, request, status=500, exc=None, message=None):
         """Return the answer to a request that is unreadable, or whose handler failed.
 
-        Nothing else than its own connection is closed.
+        After a failure, what else was sent on the connection is answered as well.
         """
-        if status >= SERVER_ERROR:
-            self.note_closing(CloseReason.HANDLER_FAILED)
-            logger.error("handler_failed", request=self._request_id, error=repr(exc))
-        return super().handle_error(request, status, exc, message)
+        if status < SERVER_ERROR:
+            return super().handle_error(request, status, exc, message)
+        self.note_closing(CloseReason.HANDLER_FAILED)
+        logger.error("handler_failed", request=self._request_id, error=repr(exc))
+        response = super().handle_error(request, status, exc, message)
+        self.close_when_idle()
+        answer = web.Response(status=status, text=response.text)
+        announce_close(request, answer)
+        return answer
 
     def _process_keepalive(self) -> None:
         was_open = self.transport is not None
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -2,7 +2,7 @@
 
 from aiohttp import web
 
-from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
+from marjoramstile.fronts.answers import ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
 from marjoramstile.fronts.listening import close_when_idle, note_request
 from marjoramstile.platform import headers as platform_headers
@@ -10,6 +10,7 @@
 from marjoramstile.routes.addresses import FrontAddresses
 from marjoramstile.routes.entry import IncomingRequest, RequestDispatcher
 from marjoramstile.routes.requests import (
+    CallerDisconnectedError,
     Headers,
     OutcomeUnknownError,
     RefusalReason,
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -16,6 +16,7 @@
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.ports import Responder
 from marjoramstile.routes.requests import (
+    CallerDisconnectedError,
     GenerationSize,
     Headers,
     OutcomeUnknownError,
@@ -204,6 +205,12 @@
             outcome = _OUTCOMES[type(error)]
             reason = str(error)
             raise
+        except CallerDisconnectedError:
+            raise
+        except Exception as error:
+            outcome = "failed"
+            reason = repr(error)
+            raise
         finally:
             self._crashes.end(request)
             self._record_end(request, table, outcome, reason)
@@ -324,7 +331,7 @@
     return RequestRefusedError(RefusalReason.STOPPING, RETRY_AFTER_STOP_S)
 
 
-_FAILURES = frozenset({"refused", "outcome_unknown", "broken_off"})
+_FAILURES = frozenset({"refused", "outcome_unknown", "broken_off", "failed"})
 _OUTCOMES = {
     RequestRefusedError: "refused",
     OutcomeUnknownError: "outcome_unknown",
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -119,6 +119,10 @@
     """A stream of which the caller has received a part can't be completed."""
 
 
+class CallerDisconnectedError(Exception):
+    """The caller's connection closed while its response was being sent."""
+
+
 class ReplicaError(Exception):
     """A replica gave no usable answer."""
 
--- a/tests/fronts/support.py
+++ b/tests/fronts/support.py
@@ -70,7 +70,8 @@
             },
             EntryLimits(1000),
         )
-        self.entry = self.core.dispatcher(lambda: self.table)
+        self.metrics = Metrics()
+        self.entry = self.core.dispatcher(lambda: self.table, self.metrics)
 
     @asynccontextmanager
     async def serve(self, handler) -> AsyncIterator[None]:
--- a/tests/fronts/test_closing.py
+++ b/tests/fronts/test_closing.py
@@ -8,6 +8,7 @@
 from marjoramstile.fronts import answers, bodies, listening
 from marjoramstile.fronts.closing import CloseReason
 from marjoramstile.platform.front import FrontHandler
+from marjoramstile.utils import loop_time
 from tests.fronts.support import FrontHarness
 from tests.platform.support import HOST
 
@@ -125,3 +126,56 @@
     closed = await the_end(harness)
     assert (closed.reason, closed.unanswered) == (CloseReason.KEEP_ALIVE_ENDED, 0)
     writer.close()
+
+
+async def test_uncaught_error_answers_its_request_and_closes_nothing_else(
+    harness, monkeypatch
+):
+    other_reader, other_writer = await asyncio.open_connection(HOST, harness.port)
+    other_writer.write(request("/stream/x", "X-Token-Count: 3200,781"))
+    await other_reader.readuntil(b"id: 1")
+
+    async def fail(*args):
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(harness.core.calls, "run", fail)
+    answer = await harness.exchange(request("/plain/x"))
+    assert answer.startswith(b"HTTP/1.1 500")
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert f"Content-Length: {len(body)}".encode() in head
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.HANDLER_FAILED, 0)
+    assert harness.metrics.value("requests_failed", "p") == 1
+    assert harness.metrics.value("requests_caller_gone", "p") == 0
+    assert harness.entry.burn.rows(loop_time())[0].bad == 1
+    await other_reader.readuntil(b"\r\n0\r\n\r\n")
+    other_writer.close()
+
+
+async def test_uncaught_error_leaves_no_pipelined_request_unanswered(
+    harness, monkeypatch
+):
+    async def fail(*args):
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(harness.core.calls, "run", fail)
+    answer = await harness.exchange(request("/plain/x") + request("/other/x"))
+    assert answer.count(b"HTTP/1.1 500") == 1
+    assert answer.count(b"HTTP/1.1 404") == 1
+    assert (await the_end(harness)).unanswered == 0
+
+
+async def test_uncaught_error_in_a_stream_can_not_be_taken_for_its_end(
+    harness, monkeypatch
+):
+    async def start_and_fail(incoming, engine, responder):
+        await responder.start(200, ())
+        await responder.write(b"id: 1\n\n")
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(harness.core.generations, "run", start_and_fail)
+    answer = await harness.exchange(request("/stream/x", "X-Token-Count: 3200,110"))
+    assert b"id: 1" in answer
+    assert not answer.endswith(b"0\r\n\r\n")
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.HANDLER_FAILED, 1)
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -195,7 +195,9 @@
         self.tasks.start(self.streams.load(), "load streams")
         return StreamVersions(self.streams, self.directory, self.client)
 
-    def dispatcher(self, table: Callable[[], RoutingTable]) -> RequestDispatcher:
+    def dispatcher(
+        self, table: Callable[[], RoutingTable], metrics: Metrics | None = None
+    ) -> RequestDispatcher:
         """Return an entry point over these components."""
         return RequestDispatcher(
             table,
@@ -209,7 +211,7 @@
                 self.schedulers.profile,
                 lambda service: self.engine if service == LLM else None,
             ),
-            Metrics(),
+            metrics or Metrics(),
             8.0,
             self.balancer._rng,
         )
