What is pipelined behind a refused body is answered before the connection closes

A body that is too long was refused and its connection closed after the rest of the body had been read; a whole request behind it had been read as well and got no answer. The connection now closes when nothing is left to answer on it; it still closes if the body doesn't end within the lingering time.

--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -63,7 +63,8 @@
             failure = Failure(
                 ResultCode.BAD_BODY, str(error), retry_after_s=error.retry_after_s
             )
-            return self._error_response(error.status, failure, close=True)
+            close_when_idle(request)
+            return self._error_response(error.status, failure)
 
     async def _run(self, request: web.BaseRequest, body: bytes) -> web.StreamResponse:
         """Route one request whose body is complete."""
@@ -94,16 +95,12 @@
         )
         return self._error_response(UNAVAILABLE, failure)
 
-    def _error_response(
-        self, status: int, failure: Failure, close: bool = False
-    ) -> web.Response:
+    def _error_response(self, status: int, failure: Failure) -> web.Response:
         response = web.json_response(failure.to_body(), status=status)
         response.headers[platform_headers.CARRIER_RESULT] = str(int(failure.code))
         if failure.retry_after_s is not None:
             retry_after = f"{failure.retry_after_s:.3f}"
             response.headers[platform_headers.RETRY_AFTER] = retry_after
-        if close:
-            response.force_close()
         return response
 
 
--- a/tests/fronts/test_closing.py
+++ b/tests/fronts/test_closing.py
@@ -165,6 +165,16 @@
     assert (await the_end(harness)).unanswered == 0
 
 
+async def test_refused_body_leaves_no_pipelined_request_unanswered(harness):
+    body = b"x" * 2000
+    too_long = request("/plain/x", f"Content-Length: {len(body)}") + body
+    answer = await harness.exchange(too_long + request("/other/x"))
+    assert answer.count(b"HTTP/1.1 413") == 1
+    assert answer.count(b"HTTP/1.1 404") == 1
+    closed = await the_end(harness)
+    assert (closed.reason, closed.unanswered) == (CloseReason.BODY_REFUSED, 0)
+
+
 async def test_uncaught_error_in_a_stream_can_not_be_taken_for_its_end(
     harness, monkeypatch
 ):
