--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -27,6 +27,8 @@
 from marjoramstile.peers.peer_types import PeerService
 
 FRAME_TIMEOUT_S = 10.0
+# Time in which calls that were read are still answered at the end.
+CLOSE_TIMEOUT_S = 0.1
 _FRAME_HEADER = struct.Struct("!i")
 
 logger = get_logger(__name__)
@@ -127,6 +129,8 @@
         self._buffers = buffers
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task] = set()
+        self._answering: set[asyncio.Task] = set()
+        self._closing = False
 
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host``:``port``."""
@@ -140,7 +144,7 @@
         self._connections.add(task)
         stream = FrameStream(reader, writer, self._max_bytes, self._buffers)
         try:
-            while True:
+            while not self._closing:
                 await self._answer(stream)
         except (TException, OSError, EOFError, TimeoutError):
             pass
@@ -154,6 +158,14 @@
 
     async def _answer(self, stream: FrameStream) -> None:
         message = await stream.read()
+        task = asyncio.current_task()
+        self._answering.add(task)
+        try:
+            await self._run(stream, message)
+        finally:
+            self._answering.discard(task)
+
+    async def _run(self, stream: FrameStream, message: bytes) -> None:
         try:
             call = decode_call(self._processor, message)
         except Exception as error:
@@ -163,8 +175,15 @@
         await stream.write(encode_answer(call))
 
     async def close(self) -> None:
-        """Stop listening and end all connections."""
+        """Stop listening, answer the calls that were read, and end all connections."""
         if self._server is not None:
             self._server.close()
+        self._closing = True
+        for task in self._connections - self._answering:
+            task.cancel()
+        if self._answering:
+            await asyncio.wait(self._answering, timeout=CLOSE_TIMEOUT_S)
+        if self._answering:
+            logger.info("peers_not_answered", calls=len(self._answering))
         for task in list(self._connections):
             task.cancel()
