--- a/marjoramstile/completions/handler.py
+++ b/marjoramstile/completions/handler.py
@@ -37,13 +37,15 @@
     StreamingResponder,
     TokenCounter,
 )
-from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
+from marjoramstile.fronts.answers import ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
 from marjoramstile.fronts.buffers import BufferFullError
+from marjoramstile.fronts.listening import close_when_idle, note_request
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.entry import IncomingRequest, RequestDispatcher
 from marjoramstile.routes.ports import Responder
 from marjoramstile.routes.requests import (
+    CallerDisconnectedError,
     GenerationSize,
     Headers,
     OutcomeUnknownError,
@@ -111,7 +113,7 @@
         except CompletionError as error:
             response = _error_response(error)
         if self._dispatcher.stopping:
-            response.force_close()
+            close_when_idle(request)
         return response
 
     def refuse(self) -> web.Response:
@@ -180,6 +182,7 @@
         stride = table.services[body.model].engine.stride
         completion = Completion(new_token(), kind, body, route, stride)
         incoming = self._build_incoming(request, completion, data)
+        note_request(request, incoming.id, incoming.sends)
         try:
             if body.stream:
                 return await self._complete_streaming(request, completion, incoming)
--- a/marjoramstile/fronts/answers.py
+++ b/marjoramstile/fronts/answers.py
@@ -6,8 +6,14 @@
 from aiohttp.client_exceptions import ClientConnectionResetError
 from multidict import CIMultiDict
 
+from marjoramstile.fronts.closing import CloseReason
+from marjoramstile.fronts.listening import (
+    announce_close,
+    close_when_idle,
+    note_closing,
+)
 from marjoramstile.logs import get_logger
-from marjoramstile.routes.requests import Headers
+from marjoramstile.routes.requests import CallerDisconnectedError, Headers
 
 BAD_GATEWAY = 502
 # Time for a caller to take a whole answer: longer than any of them waits for one.
@@ -19,10 +25,6 @@
 logger = get_logger(__name__)
 
 
-class CallerDisconnectedError(Exception):
-    """The caller's connection closed while its response was being sent."""
-
-
 async def _write_slices(response: web.StreamResponse, body: bytes) -> None:
     view = memoryview(body)
     for start in range(0, len(body), SLICE_BYTES):
@@ -46,11 +48,12 @@
         return self._response
 
     async def start(self, status: int, headers: Headers, close: bool) -> None:
-        """Send the head; ``close`` closes the connection after the response."""
+        """Send the head; ``close`` closes the connection when it is idle."""
         self._response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
         self._response.enable_chunked_encoding()
         if close:
-            self._response.force_close()
+            close_when_idle(self._request)
+        announce_close(self._request, self._response)
         try:
             await self._response.prepare(self._request)
         except (ClientConnectionResetError, OSError) as error:
@@ -85,7 +88,8 @@
         else:
             response = web.Response(status=status, headers=fields, body=body)
         if close:
-            response.force_close()
+            close_when_idle(self._request)
+        announce_close(self._request, response)
         self._response = response
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -95,16 +99,20 @@
                 await response.write_eof()
         except TimeoutError:
             logger.warning("answer_not_taken", limit_s=ANSWER_TIMEOUT_S)
-            return self.abort()
+            return self.abort(CloseReason.ANSWER_NOT_TAKEN)
         except (ClientConnectionResetError, OSError) as error:
             raise CallerDisconnectedError from error
         return response
 
-    def abort(self) -> web.StreamResponse:
+    def abort(
+        self, reason: CloseReason = CloseReason.STREAM_BROKEN
+    ) -> web.StreamResponse:
         """Close the connection so that the response can't be taken for complete.
 
         Returns the response that was started, else an unsent 502.
         """
-        if self._request.transport is not None:
-            self._request.transport.close()
+        transport = self._request.transport
+        if transport is not None and not transport.is_closing():
+            note_closing(self._request, reason)
+            transport.close()
         return self._response or web.Response(status=BAD_GATEWAY)
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -2,13 +2,15 @@
 
 from aiohttp import web
 
-from marjoramstile.fronts.answers import CallerDisconnectedError, ResponseStream
+from marjoramstile.fronts.answers import ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
+from marjoramstile.fronts.listening import close_when_idle, note_request
 from marjoramstile.platform import headers as platform_headers
 from marjoramstile.results import Failure, Ran, ResultCode
 from marjoramstile.routes.addresses import FrontAddresses
 from marjoramstile.routes.entry import IncomingRequest, RequestDispatcher
 from marjoramstile.routes.requests import (
+    CallerDisconnectedError,
     Headers,
     OutcomeUnknownError,
     RefusalReason,
@@ -43,6 +45,12 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Return the response to one request."""
+        response = await self._handle(request)
+        if self._entry.stopping:
+            close_when_idle(request)
+        return response
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         limits = self._entry.limits
         if limits is None:
             return self._refusal_response(
@@ -56,7 +64,8 @@
             failure = Failure(
                 ResultCode.BAD_BODY, str(error), retry_after_s=error.retry_after_s
             )
-            return self._error_response(error.status, failure, close=True)
+            close_when_idle(request)
+            return self._error_response(error.status, failure)
 
     def refuse(self) -> web.Response:
         """Return the response to a request on a connection that exceeds the limit."""
@@ -70,6 +79,7 @@
         if incoming is None:
             failure = Failure(ResultCode.BAD_BODY, "X-Request-Id is missing")
             return self._error_response(BAD_REQUEST, failure)
+        note_request(request, incoming.id, incoming.sends)
         responder = HTTPResponder(request, self._entry)
         try:
             reply = await self._entry.handle(incoming, responder)
@@ -92,16 +102,12 @@
         )
         return self._error_response(UNAVAILABLE, failure)
 
-    def _error_response(
-        self, status: int, failure: Failure, close: bool = False
-    ) -> web.Response:
+    def _error_response(self, status: int, failure: Failure) -> web.Response:
         response = web.json_response(failure.to_body(), status=status)
         response.headers[platform_headers.CARRIER_RESULT] = str(int(failure.code))
         if failure.retry_after_s is not None:
             retry_after = f"{failure.retry_after_s:.3f}"
             response.headers[platform_headers.RETRY_AFTER] = retry_after
-        if close or self._entry.stopping:
-            response.force_close()
         return response
 
 
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -1,8 +1,9 @@
 """Entry point of the routing core for callers' requests."""
 
+import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.logs import get_logger
@@ -11,9 +12,11 @@
 from marjoramstile.routes.budget import WindowedRetryBudget
 from marjoramstile.routes.calls import PlainCallRunner
 from marjoramstile.routes.carrying import RequestCarrier
+from marjoramstile.routes.durations import DurationForecast
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.ports import Responder
 from marjoramstile.routes.requests import (
+    CallerDisconnectedError,
     GenerationSize,
     Headers,
     OutcomeUnknownError,
@@ -21,6 +24,7 @@
     Reply,
     RequestRefusedError,
     RoutedRequest,
+    SendRecord,
     StreamBrokenError,
 )
 from marjoramstile.routes.service_levels import TimedResponder, meets_targets
@@ -30,8 +34,9 @@
 NOT_FOUND = 404
 RETRY_AFTER_START_S = 0.5
 RETRY_AFTER_STOP_S = 0.05
-# Share of the grace period of a planned stop in which any request is still started;
-# later, only those are that end before the share after which all are cut off.
+# Share of the grace period of a planned stop in which requests are started that are
+# expected to end before the share after which all are cut off, or of which nothing is
+# known; later, only those are whose deadline is before that.
 STOP_ACCEPT_SHARE = 0.3
 STOP_DEADLINE_SHARE = 0.9
 
@@ -45,6 +50,7 @@
     ``time_left_s`` is how long the caller waits; None if it set no limit.
     ``shared_parts`` and ``resumes`` are as in RoutedRequest. ``carried_for`` is the VM
     whose daemon has sent it here, ``carried_runs`` how many replicas may run it then.
+    ``sends`` tells its front whether it has been passed on.
     """
 
     id: str
@@ -61,6 +67,7 @@
     resumes: str | None = None
     carried_for: str | None = None
     carried_runs: int | None = None
+    sends: SendRecord = field(default_factory=SendRecord, compare=False)
 
 
 class RequestDispatcher:
@@ -78,6 +85,7 @@
         crashes: CrashDetector,
         carrier: RequestCarrier,
         budget: WindowedRetryBudget,
+        forecast: DurationForecast,
         metrics: Metrics,
         grace_s: float,
         rng: random.Random,
@@ -89,11 +97,14 @@
         self._crashes = crashes
         self._carrier = carrier
         self._budget = budget
+        self._forecast = forecast
         self._metrics = metrics
         self._grace_s = grace_s
         self._rng = rng
         self.burn = BurnReport()
         self._stopping_since: float | None = None
+        self._accepts = True
+        self._runs: set[asyncio.Timeout] = set()
         self._running = 0
 
     @property
@@ -118,9 +129,22 @@
         """Number of requests in flight."""
         return self._running
 
+    @property
+    def cut_at(self) -> float | None:
+        """Loop time at which what still runs is ended; None without a stop."""
+        if self._stopping_since is None:
+            return None
+        return self._stopping_since + STOP_DEADLINE_SHARE * self._grace_s
+
     def stop(self) -> None:
-        """Begin a planned stop."""
+        """Begin a planned stop, at whose end all requests are ended with an answer."""
         self._stopping_since = loop_time()
+        for run in self._runs:
+            run.reschedule(self.cut_at)
+
+    def refuse_new(self) -> None:
+        """Refuse all requests from now on; those that run are not affected."""
+        self._accepts = False
 
     async def handle(
         self, incoming: IncomingRequest, responder: Responder
@@ -172,7 +196,8 @@
         good = False
         times = TimedResponder(responder)
         try:
-            reply = await self._dispatch(request, table, times)
+            reply = await self._dispatch_until_cut(request, table, times)
+            self._forecast.observe(request, loop_time() - request.arrived)
             good = meets_targets(request, reply, times, loop_time())
             outcome = "answered" if reply is None else str(reply.status)
             return reply
@@ -180,6 +205,12 @@
             outcome = _OUTCOMES[type(error)]
             reason = str(error)
             raise
+        except CallerDisconnectedError:
+            raise
+        except Exception as error:
+            outcome = "failed"
+            reason = repr(error)
+            raise
         finally:
             self._crashes.end(request)
             self._record_end(request, table, outcome, reason)
@@ -213,8 +244,24 @@
             shared_parts=incoming.shared_parts,
             resumes=incoming.resumes,
             is_carried=incoming.carried_runs is not None,
+            sends=incoming.sends,
         )
 
+    async def _dispatch_until_cut(
+        self, request: RoutedRequest, table: RoutingTable, times: TimedResponder
+    ) -> Reply | None:
+        run = asyncio.timeout_at(self.cut_at)
+        try:
+            async with run:
+                self._runs.add(run)
+                return await self._dispatch(request, table, times)
+        except TimeoutError:
+            if not run.expired():
+                raise
+            raise _cut_error(request, times) from None
+        finally:
+            self._runs.discard(run)
+
     async def _dispatch(
         self, request: RoutedRequest, table: RoutingTable, responder: Responder
     ) -> Reply | None:
@@ -246,9 +293,13 @@
         """Return whether the stop could cut a request off."""
         if self._stopping_since is None:
             return False
+        if not self._accepts:
+            return True
+        expected_s = self._forecast.expected_s(request)
+        if expected_s is not None and request.arrived + expected_s > self.cut_at:
+            return True
         accepted_until = self._stopping_since + STOP_ACCEPT_SHARE * self._grace_s
-        cut_at = self._stopping_since + STOP_DEADLINE_SHARE * self._grace_s
-        return request.arrived > accepted_until and request.deadline > cut_at
+        return request.arrived > accepted_until and request.deadline > self.cut_at
 
     def _record_end(
         self, request: RoutedRequest, table: RoutingTable, outcome: str, reason: str
@@ -270,7 +321,17 @@
         )
 
 
-_FAILURES = frozenset({"refused", "outcome_unknown", "broken_off"})
+def _cut_error(request: RoutedRequest, times: TimedResponder) -> Exception:
+    """Return the error of a request that is ended by a planned stop."""
+    message = "the daemon stops"
+    if times.started:
+        return StreamBrokenError(message)
+    if request.sends.may_have_run:
+        return OutcomeUnknownError(message)
+    return RequestRefusedError(RefusalReason.STOPPING, RETRY_AFTER_STOP_S)
+
+
+_FAILURES = frozenset({"refused", "outcome_unknown", "broken_off", "failed"})
 _OUTCOMES = {
     RequestRefusedError: "refused",
     OutcomeUnknownError: "outcome_unknown",
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -27,6 +27,7 @@
     RequestCarrier,
 )
 from marjoramstile.routes.checked_client import CheckedReplicaClient
+from marjoramstile.routes.durations import DurationForecast
 from marjoramstile.routes.entry import RequestDispatcher
 from marjoramstile.routes.failures import FailureRecorder
 from marjoramstile.routes.generations import GenerationRunner
@@ -194,7 +195,9 @@
         self.tasks.start(self.streams.load(), "load streams")
         return StreamVersions(self.streams, self.directory, self.client)
 
-    def dispatcher(self, table: Callable[[], RoutingTable]) -> RequestDispatcher:
+    def dispatcher(
+        self, table: Callable[[], RoutingTable], metrics: Metrics | None = None
+    ) -> RequestDispatcher:
         """Return an entry point over these components."""
         return RequestDispatcher(
             table,
@@ -204,7 +207,11 @@
             self.crashes,
             self.carrier,
             self.budget,
-            Metrics(),
+            DurationForecast(
+                self.schedulers.profile,
+                lambda service: self.engine if service == LLM else None,
+            ),
+            metrics or Metrics(),
             8.0,
             self.balancer._rng,
         )
