marjoramstiled bounds its connections by the same limit

Its three listeners have the bounds of the routing daemon's, from the process's limit.

test_idle_connections_do_not_take_all_descriptors_of_a_daemon (256 descriptors, 300 idle connections to one of the three ports): 3 of 3 failed before, requests on new connections were reset; now all are answered and the stream that ran goes on.

--- a/marjoramstile/daemon.py
+++ b/marjoramstile/daemon.py
@@ -10,16 +10,18 @@
 from aiohttp import ClientSession, TCPConnector
 from sanic import Request
 
+from marjoramstile.descriptors import DescriptorShares, process_descriptors
 from marjoramstile.endpoints.engines import HTTPEngineClient
 from marjoramstile.endpoints.plain import HTTPPlainClient
 from marjoramstile.entry.app import create_caller_app
 from marjoramstile.entry.web import WebServer
 from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop, io_uring_descriptors
 from marjoramstile.node import Node, Ports
 from marjoramstile.operators.app import OperatorHandler, create_operator_app
-from marjoramstile.peers.connections import PeerConnections
+from marjoramstile.peers.connections import IDLE_ADDRESSES_MAX, PeerConnections
 from marjoramstile.peers.transport import PeerServer
 from marjoramstile.ports.objects import HTTPObjectStore
 from marjoramstile.ports.tables import HTTPTableService
@@ -47,7 +49,12 @@
         self._has_left = False
         frame_max_bytes = settings.limits.frame_max_bytes
         self._frames = BufferBudget(FRAMES_AT_ONCE * frame_max_bytes)
-        self._connections = PeerConnections(frame_max_bytes, self._frames)
+        self._shares = DescriptorShares.of(process_descriptors())
+        self._connections = PeerConnections(
+            frame_max_bytes,
+            self._frames,
+            min(IDLE_ADDRESSES_MAX, self._shares.peer_addresses),
+        )
         self._node = Node(settings, self._ports(session), random.Random())
         self._build_listeners()
 
@@ -78,12 +85,30 @@
             OperatorHandler(node.statement_executor, settings.operator_token_hashes),
         )
         caller_app.on_request(self._refuse_after_leaving)
-        self._caller_server = WebServer(caller_app, settings.listeners.callers)
-        self._operator_server = WebServer(operator_app, settings.listeners.operators)
+        shares = self._shares
+        self._caller_server = WebServer(
+            caller_app,
+            settings.listeners.callers,
+            self._limit("callers", shares.callers),
+            shares.backlog,
+        )
+        self._operator_server = WebServer(
+            operator_app,
+            settings.listeners.operators,
+            self._limit("operators", shares.metrics),
+            shares.backlog,
+        )
         self._peer_server = PeerServer(
-            node.peer_handler, settings.limits.frame_max_bytes, self._frames
+            node.peer_handler,
+            settings.limits.frame_max_bytes,
+            self._frames,
+            self._limit("peers", shares.peers),
+            shares.backlog,
         )
 
+    def _limit(self, name: str, max_open: int) -> ConnectionLimit:
+        return ConnectionLimit(name, max_open, self._node.metrics.count)
+
     async def _refuse_after_leaving(self, request: Request) -> None:
         """Refuse requests on kept-alive connections once the daemon stops listening."""
         if self._has_left:
--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -13,6 +13,8 @@
     SanicException,
 )
 
+from marjoramstile.entry.connections import limited_protocol, refuse_connection
+from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.logs import get_logger
 from marjoramstile.loops import listening_socket
 from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
@@ -118,15 +120,24 @@
 class WebServer:
     """Serves an application on the daemon's event loop, without worker processes."""
 
-    def __init__(self, app: Sanic, address: Address):
+    def __init__(
+        self, app: Sanic, address: Address, limit: ConnectionLimit, backlog: int
+    ):
+        """``limit`` bounds the open connections."""
+        app.on_request(refuse_connection)
         self._app = app
         self._address = address
+        self._limit = limit
+        self._backlog = backlog
         self._server: Any = None
 
     async def start(self) -> None:
         """Start listening and serving."""
         self._server = await self._app.create_server(
-            sock=listening_socket(self._address.host, self._address.port),
+            sock=listening_socket(
+                self._address.host, self._address.port, self._backlog
+            ),
+            protocol=limited_protocol(self._limit),
             return_asyncio_server=True,
             access_log=False,
         )
