Signals are handled from a daemon's first line until its process is gone

Seen before, on real processes: SIGHUP .02 to .7 s after launch ended the routing daemon (-1, 7 of 7), SIGTERM ended it by the signal (-15, 7 of 7), SIGINT by a traceback (7 of 7). marjoramstiled had no handler of SIGHUP at all. Signals repeated each millisecond until a stopping daemon was gone changed the exit code of a planned stop to -1, -15 and -2 (routing daemon, by SIGHUP, SIGTERM, SIGINT) and to -15 and -2 (marjoramstiled). Callers saw connections refused or ended by a daemon that nobody had stopped; whoever runs daemons saw a failed process.

Cause: the handlers were the loop's, installed .7 s after launch, when all modules were imported, and gone when the loop ended: at its exit the interpreter restores the defaults of all signals that are not ignored.

Now an entry module without heavy imports installs one set of handlers before anything else is imported, for all three ways of starting a daemon. They stay installed, so there is no gap at the hand-over to the loop; what they do changes. While modules are loaded a stop ends the process at once with exit code 0 and a log line, as nothing was accepted, and SIGHUP is remembered. When the loop has ended the signals are ignored. marjoramstile.daemon is a package now, as its modules must not be imported with it.

What is left is the interpreter's own start, 40 ms at least in a virtual environment, of which our first lines are no measurable part (a bare interpreter: 40 ms). Ruled out: loop.add_signal_handler at the hand-over (one more moment between two sets of handlers), raising SystemExit in a handler (an import may catch it). The test of the exit on bad settings imports the exit code from its new module.

--- a/marjoramstile/daemon.py
+++ b/marjoramstile/daemon/service.py
@@ -3,8 +3,7 @@
 import asyncio
 import contextlib
 import random
-import signal
-import sys
+from functools import partial
 
 import typer
 from aiohttp import ClientSession, TCPConnector
@@ -14,7 +13,13 @@
 from marjoramstile.endpoints.plain import HTTPPlainClient
 from marjoramstile.entry.app import create_caller_app
 from marjoramstile.entry.web import WebServer
+from marjoramstile.exit_codes import (
+    BAD_SETTINGS_EXIT,
+    FORBIDDEN_LOOP_EXIT,
+    PLANNED_STOP_EXIT,
+)
 from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.log_volume import NonBlockingStream
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop, io_uring_descriptors
 from marjoramstile.node import Node, Ports
@@ -24,12 +29,22 @@
 from marjoramstile.ports.objects import HTTPObjectStore
 from marjoramstile.ports.tables import HTTPTableService
 from marjoramstile.ports.vms import HTTPVMList
+from marjoramstile.process import (
+    complete_unless,
+    deliver_signals,
+    print_error,
+    run_loop,
+)
+from marjoramstile.process_signals import DaemonSignals
 from marjoramstile.results import Failure, RequestFailedError, ResultCode
-from marjoramstile.settings import Settings, load_settings
+from marjoramstile.settings import (
+    Settings,
+    describe_errors,
+    load_settings,
+)
+from marjoramstile.settings_reload import SettingsChecker
 from marjoramstile.utils import loop_time
 
-BAD_SETTINGS_EXIT = 78
-FORBIDDEN_LOOP_EXIT = 70
 DRAIN_POLL_S = 0.05
 # Longest frames of peers that are kept in memory at one time.
 FRAMES_AT_ONCE = 8
@@ -41,7 +56,7 @@
 class Daemon:
     """The daemon of one entry VM: owns its node, its listeners and their lifecycle."""
 
-    def __init__(self, settings: Settings, session: ClientSession):
+    def __init__(self, settings: Settings, settings_file: str, session: ClientSession):
         self._settings = settings
         self._stopping = asyncio.Event()
         self._has_left = False
@@ -49,6 +64,11 @@
         self._frames = BufferBudget(FRAMES_AT_ONCE * frame_max_bytes)
         self._connections = PeerConnections(frame_max_bytes, self._frames)
         self._node = Node(settings, self._ports(session), random.Random())
+        self.settings_checker = SettingsChecker(
+            partial(load_settings, settings_file),
+            partial(self._node.metrics.count, "settings_reload_failures", ""),
+            describe_errors,
+        )
         self._build_listeners()
 
     def _ports(self, session: ClientSession) -> Ports:
@@ -100,15 +120,29 @@
 
     async def run(self) -> None:
         """Serve until stopped, then drain requests in flight and close."""
+        if not await complete_unless(self._stopping, self._join()):
+            await self._abandon_start()
+            return
         await self._start()
         await self._stopping.wait()
         await self._leave()
         await self._close()
 
-    async def _start(self) -> None:
+    async def _join(self) -> None:
+        """Join the other daemons; they hand out this daemon's address from then on."""
         peers = self._settings.listeners.peers
         await self._peer_server.start(peers.host, peers.port)
         await self._node.join()
+
+    async def _abandon_start(self) -> None:
+        """End before any caller's connection has been accepted."""
+        self._node.view.leave(loop_time())
+        await self._node.prober.announce()
+        await self._node.keeper.leave()
+        await self._close()
+        logger.info("daemon_stopped_while_starting")
+
+    async def _start(self) -> None:
         await self._operator_server.start()
         await self._caller_server.start()
         self._node.start_periodic_tasks()
@@ -148,40 +182,39 @@
         logger.info("daemon_stopped", vm=self._settings.node.name)
 
 
-async def serve(settings: Settings) -> None:
+async def serve(settings: Settings, settings_file: str, signals: DaemonSignals) -> None:
     """Run a daemon until it has stopped after SIGTERM or SIGINT."""
     connector = TCPConnector(limit=0)
     async with ClientSession(connector=connector, auto_decompress=False) as session:
-        daemon = Daemon(settings, session)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, daemon.stop)
+        daemon = Daemon(settings, settings_file, session)
+        deliver_signals(signals, daemon.stop, daemon.settings_checker.request)
         await daemon.run()
 
 
-def run_daemon(settings_file: str) -> int:
+def run_daemon(settings_file: str, signals: DaemonSignals, log_descriptor: int) -> int:
     """Load the settings and run the daemon; return the exit code.
 
     It refuses to start on an event loop that uses io_uring.
     """
+    destination = start_logging("info", NonBlockingStream(log_descriptor))
     loaded = load_settings(settings_file)
     if loaded.is_err():
         for error in loaded.unwrap_err():
-            print(f"marjoramstiled: {settings_file}: {error}", file=sys.stderr)
+            print_error(f"marjoramstiled: {settings_file}: {error}")
         return BAD_SETTINGS_EXIT
     settings = loaded.unwrap()
-    start_logging(settings.log_level)
+    destination.set_level(settings.log_level)
     loop = create_loop()
-    asyncio.set_event_loop(loop)
     if io_uring_descriptors():
-        print("marjoramstiled: the loop uses io_uring", file=sys.stderr)
+        print_error("marjoramstiled: the loop uses io_uring")
         return FORBIDDEN_LOOP_EXIT
-    loop.run_until_complete(serve(settings))
-    return 0
+    return run_loop(loop, serve(settings, settings_file, signals), signals)
 
 
-def main(argv: list[str] | None = None) -> None:
-    """Entry point of ``marjoramstiled``."""
+def run_command(
+    signals: DaemonSignals, log_descriptor: int, argv: list[str] | None = None
+) -> int:
+    """Run the command ``marjoramstiled``; return its exit code."""
     app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
     @app.command()
@@ -189,10 +222,7 @@
         settings: str = typer.Option(..., help="YAML file with the daemon's settings."),
     ) -> None:
         """Run the routing daemon of one entry VM."""
-        raise typer.Exit(run_daemon(settings))
-
-    app(args=argv)
-
+        raise typer.Exit(run_daemon(settings, signals, log_descriptor))
 
-if __name__ == "__main__":
-    main()
+    app(args=argv, prog_name="marjoramstiled")
+    return PLANNED_STOP_EXIT
--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -140,6 +140,8 @@
 
     async def close(self) -> None:
         """Stop listening and close idle connections."""
+        if self._server is None:
+            return
         self.stop_listening()
         for connection in list(self._server.connections):
             connection.close_if_idle()
--- /dev/null
+++ b/marjoramstile/exit_codes.py
@@ -0,0 +1,5 @@
+"""Exit codes of the daemons."""
+
+PLANNED_STOP_EXIT = 0
+FORBIDDEN_LOOP_EXIT = 70
+BAD_SETTINGS_EXIT = 78
--- a/marjoramstile/logs.py
+++ b/marjoramstile/logs.py
@@ -67,6 +67,10 @@
         self._threshold = LEVELS.index(level)
         self._limit = limit
 
+    def set_level(self, level: str) -> None:
+        """Write messages of ``level`` or above from now on."""
+        self._threshold = LEVELS.index(level)
+
     def __call__(self, message: dict[str, Any]) -> None:
         """Write ``message`` as one line."""
         level = message.get("level", "info")
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-import signal
-import sys
+from functools import partial
 
 from aiohttp import ClientSession
 
 from marjoramstile.completions.handler import CompletionsHandler
+from marjoramstile.exit_codes import BAD_SETTINGS_EXIT
 from marjoramstile.fronts.bodies import BodyReader
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.listening import CallerServer
@@ -29,17 +29,27 @@
 from marjoramstile.platform.headers import generation_headers
 from marjoramstile.platform.operators import OperatorEndpoints
 from marjoramstile.platform.replicas import HTTPReplicaClient, create_replica_session
-from marjoramstile.platform.settings import load_platform_settings, settings_path
+from marjoramstile.platform.settings import (
+    SETTINGS_VARIABLE,
+    load_platform_settings,
+    settings_path,
+)
 from marjoramstile.platform.store import PlatformStore, create_store_session
 from marjoramstile.ports.feeds import StoredRow
+from marjoramstile.process import (
+    deliver_signals,
+    print_error,
+    run_loop,
+)
+from marjoramstile.process_signals import DaemonSignals
 from marjoramstile.routes.entry import STOP_DEADLINE_SHARE
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.node import RouterNode, RouterPorts
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.settings import Address, RouterSettings
+from marjoramstile.settings_reload import SettingsChecker
 from marjoramstile.utils import loop_time
 
-BAD_SETTINGS_EXIT = 78
 # Share of a VM's memory for bodies that are being read.
 BUFFER_MEMORY_SHARE = 0.2
 # Longer than any idle time that the configuration allows callers.
@@ -90,6 +100,10 @@
         )
         self._node.configuration_mirror.subscribe(self._apply_configuration)
         self._node.replicas_mirror.subscribe(self._apply_replica)
+        self.settings_checker = SettingsChecker(
+            lambda: load_platform_settings(settings_path()),
+            partial(self._node.metrics.count, "settings_reload_failures", ""),
+        )
         self._stopping = asyncio.Event()
         self._servers: list[tuple[CallerServer, asyncio.Server]] = []
 
@@ -119,11 +133,6 @@
         """Start a graceful shutdown."""
         self._stopping.set()
 
-    def reload(self) -> None:
-        """Log whether the changed settings file is valid; it is not applied."""
-        loaded = load_platform_settings(settings_path())
-        logger.info("settings_reloaded", valid=loaded.is_ok())
-
     async def run(self) -> None:
         """Serve until ``stop`` is called, then drain and shut down."""
         await self._start()
@@ -200,37 +209,29 @@
         logger.info("daemon_stopped", cut=self._node.entry.running)
 
 
-async def serve(settings: RouterSettings) -> None:
+async def serve(settings: RouterSettings, signals: DaemonSignals) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
     store_session = create_store_session()
     links = ReplicaLinks()
     async with store_session, create_replica_session(links) as replica_session:
         daemon = PlatformDaemon(settings, store_session, replica_session, links)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, daemon.stop)
-        loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+        deliver_signals(signals, daemon.stop, daemon.settings_checker.request)
         await daemon.run()
 
 
-def run_daemon() -> int:
+def run_daemon(signals: DaemonSignals, log_descriptor: int) -> int:
     """Load the platform's settings and run; return the exit code."""
+    stream = NonBlockingStream(log_descriptor)
+    destination = start_logging("info", stream, VolumeLimit())
     path = settings_path()
+    if not path:
+        print_error(f"marjoramstile-router: {SETTINGS_VARIABLE} is not set")
+        return BAD_SETTINGS_EXIT
     loaded = load_platform_settings(path)
     if loaded.is_err():
-        message = f"marjoramstile-router: {path}: {loaded.unwrap_err()}"
-        print(message, file=sys.stderr)
+        print_error(f"marjoramstile-router: {path}: {loaded.unwrap_err()}")
         return BAD_SETTINGS_EXIT
     settings = loaded.unwrap()
-    stream = NonBlockingStream(sys.stdout.fileno())
-    start_logging(settings.log_level, stream, VolumeLimit())
+    destination.set_level(settings.log_level)
     logger.info("daemon_starting", vm=settings.vm, store=settings.store)
-    loop = create_loop()
-    asyncio.set_event_loop(loop)
-    loop.run_until_complete(serve(settings))
-    return 0
-
-
-def main(argv: list[str] | None = None) -> int:
-    """Entry point of the routing daemon, which takes no arguments."""
-    return run_daemon()
+    return run_loop(create_loop(), serve(settings, signals), signals)
--- /dev/null
+++ b/marjoramstile/process.py
@@ -0,0 +1,59 @@
+"""What both daemons' processes have in common: logs, the loop, and how they end."""
+
+import asyncio
+import sys
+from collections.abc import Awaitable, Callable, Coroutine
+from functools import partial
+
+from marjoramstile.exit_codes import PLANNED_STOP_EXIT
+from marjoramstile.logs import get_logger
+from marjoramstile.process_signals import DaemonSignals
+
+logger = get_logger(__name__)
+
+
+def print_error(message: str) -> None:
+    """Print a message for whoever started the daemon, if there is still a reader."""
+    try:
+        print(message, file=sys.stderr, flush=True)
+    except (OSError, ValueError) as error:
+        logger.warning("message_not_printed", message=message, reason=str(error))
+
+
+def run_loop(
+    loop: asyncio.AbstractEventLoop, serve: Coroutine, signals: DaemonSignals
+) -> int:
+    """Run the daemon until it has stopped; return its exit code."""
+    asyncio.set_event_loop(loop)
+    try:
+        loop.run_until_complete(serve)
+    finally:
+        signals.ignore()
+    return PLANNED_STOP_EXIT
+
+
+def deliver_signals(
+    signals: DaemonSignals, stop: Callable[[], None], reload: Callable[[], None]
+) -> None:
+    """Call ``stop`` and ``reload`` in the running loop when a signal is received."""
+    loop = asyncio.get_running_loop()
+    signals.deliver(
+        partial(loop.call_soon_threadsafe, stop),
+        partial(loop.call_soon_threadsafe, reload),
+    )
+
+
+async def complete_unless(stopping: asyncio.Event, step: Awaitable[None]) -> bool:
+    """Return whether ``step`` completed; cancel it as soon as ``stopping`` is set."""
+    running = asyncio.ensure_future(step)
+    stopped = asyncio.ensure_future(stopping.wait())
+    try:
+        await asyncio.wait((running, stopped), return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        stopped.cancel()
+    if stopping.is_set():
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        return False
+    running.result()
+    return True
--- a/marjoramstile/settings.py
+++ b/marjoramstile/settings.py
@@ -140,6 +140,11 @@
         return f"{where}{self.path}: {self.message}"
 
 
+def describe_errors(errors: list[SettingsError]) -> str:
+    """Return all errors in one line."""
+    return "; ".join(map(str, errors))
+
+
 def load_settings(filename: str | Path) -> Result[Settings, list[SettingsError]]:
     """Load the settings file, add missing keys from DEFAULT_CONFIG and validate it."""
     try:
--- a/tests/processes/test_bounds.py
+++ b/tests/processes/test_bounds.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from marjoramstile.daemon import BAD_SETTINGS_EXIT
+from marjoramstile.exit_codes import BAD_SETTINGS_EXIT
 from marjoramstile.loops import io_uring_descriptors
 from tests.processes.clients import completion_body, stream, whole_text
 
