A settings file that can't be read never raises an error at a reload

Seen before: SIGHUP with a file that is nested too deep (RecursionError), has a date that doesn't exist, or a tag without a value (ValueError, KeyError, AttributeError) raised in a callback of the loop; the line settings_reloaded was missing and nothing told why. So did infinite ports and memory sizes, and a mapping in place of the list of ports; at a start they ended the daemon with a traceback instead of exit code 78. A file of any length was parsed, which holds up the loop.

Cause: the loaders listed the errors of YAML's own type; its constructors raise others.

Both daemons read the file through one function with a bound on its length, and take every error of the parser for an unreadable file.

--- a/marjoramstile/platform/settings.py
+++ b/marjoramstile/platform/settings.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 from typing import Any
 
-import yaml
 from result import Err, Ok, Result
 
 from marjoramstile.routes.budget import BudgetLimits
@@ -16,6 +15,7 @@
     RouterListeners,
     RouterSettings,
 )
+from marjoramstile.settings_files import parse_document, read_settings
 from marjoramstile.utils import MILLISECONDS_PER_S
 
 SETTINGS_VARIABLE = "MARJORAMSTILE_CONFIG"
@@ -48,12 +48,11 @@
     filename: str | Path,
 ) -> Result[RouterSettings, FieldError]:
     """Load and check the platform's settings file; unknown fields are ignored."""
+    document = read_settings(filename).and_then(parse_document)
+    if document.is_err():
+        return Err(FieldError("(file)", document.unwrap_err()))
     try:
-        document = yaml.safe_load(Path(filename).read_text())
-    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        return Err(FieldError("(file)", str(error)))
-    try:
-        return Ok(_translate(_Section("", document)))
+        return Ok(_translate(_Section("", document.unwrap())))
     except FieldError as error:
         return Err(error)
 
@@ -75,7 +74,7 @@
             raise FieldError(path, "is missing")
         try:
             return convert(value)
-        except (TypeError, ValueError, IndexError) as error:
+        except (TypeError, ValueError, LookupError, OverflowError) as error:
             raise FieldError(path, str(error)) from error
 
     def has(self, name: str) -> bool:
@@ -106,8 +105,8 @@
     """Return the memory of the process; by default that of the smallest VM."""
     if not document.has("limits"):
         return DEFAULT_MEMORY_MB * BYTES_PER_MB
-    megabytes = document.section("limits").get("memoryMb", float, DEFAULT_MEMORY_MB)
-    return int(megabytes * BYTES_PER_MB)
+    limits = document.section("limits")
+    return limits.get("memoryMb", _bytes, DEFAULT_MEMORY_MB)
 
 
 def _listeners(document: _Section, ip: str) -> RouterListeners:
@@ -141,6 +140,10 @@
     )
 
 
+def _bytes(megabytes: Any) -> int:
+    return int(float(megabytes) * BYTES_PER_MB)
+
+
 def _seconds(milliseconds: Any) -> float:
     return float(milliseconds) / MILLISECONDS_PER_S
 
--- a/marjoramstile/settings.py
+++ b/marjoramstile/settings.py
@@ -15,6 +15,8 @@
 from pydantic.functional_validators import AfterValidator
 from result import Err, Ok, Result
 
+from marjoramstile.settings_files import read_settings
+
 DEFAULT_CONFIG: dict[str, Any] = {
     "platform": {"timeout_s": 1.0, "list_period_s": 1.0},
     "limits": {
@@ -147,11 +149,10 @@
 
 def load_settings(filename: str | Path) -> Result[Settings, list[SettingsError]]:
     """Load the settings file, add missing keys from DEFAULT_CONFIG and validate it."""
-    try:
-        text = Path(filename).read_text()
-    except (OSError, UnicodeDecodeError) as error:
-        return Err([SettingsError(str(filename), 0, str(error))])
-    return parse_settings(text)
+    text = read_settings(filename)
+    if text.is_err():
+        return Err([SettingsError(str(filename), 0, text.unwrap_err())])
+    return parse_settings(text.unwrap())
 
 
 def parse_settings(text: str) -> Result[Settings, list[SettingsError]]:
@@ -171,6 +172,9 @@
         line = mark.line + 1 if mark else 0
         problem = getattr(error, "problem", None) or str(error)
         return Err([SettingsError("(file)", line, problem)])
+    except Exception as error:
+        # Too deep, or a tag or number without a value of its type.
+        return Err([SettingsError("(file)", 0, str(error) or type(error).__name__)])
     if not isinstance(document, dict):
         return Err([SettingsError("(file)", 1, "must be a mapping")])
     try:
