A daemon waits for an address in use instead of ending

Seen before: any listener's address or the peers' UDP port in use ended the daemon with a traceback, exit code 1; so did a second instance while the first one was still ending. The metrics' or completions' port in use kept the front from serving. Callers of a VM whose daemon was restarted lost it for good.

Cause: each address was asked for once.

Addresses are waited for until they are free or the daemon is stopped: .05 to .5 s between attempts, a log line at once and then every 10 s. An address that the machine doesn't have may be given to it later and is waited for as well; one without permission, or of a family that is not there, ends the start with exit code 78, as settings do that can't be right. Ports that callers don't need (metrics, completions, operators) are waited for in the background.

The order has changed with it: readiness and directory, which answer that the daemon is not ready, the peers' sockets, the front; only then are peers answered and the store followed. Peers were answered first, and as the row of a former process is still in the store, other daemons could name a restarted VM before its front accepted connections (from the code, not seen). marjoramstiled joins with its callers' socket listening.

A stop while it waits closes what is open and ends at once; marjoramstiled announces that it leaves.

Ruled out: SO_REUSEPORT (two processes would share callers), giving up after a time (the address is mostly that of the former process, whose planned stop takes as long as its grace).

--- a/marjoramstile/daemon/service.py
+++ b/marjoramstile/daemon/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 from functools import partial
 
 import typer
@@ -19,9 +20,10 @@
     PLANNED_STOP_EXIT,
 )
 from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.listeners import UnusableAddressError, acquire_socket
 from marjoramstile.log_volume import NonBlockingStream
 from marjoramstile.logs import get_logger, start_logging
-from marjoramstile.loops import create_loop, io_uring_descriptors
+from marjoramstile.loops import create_loop, io_uring_descriptors, listening_socket
 from marjoramstile.node import Node, Ports
 from marjoramstile.operators.app import OperatorHandler, create_operator_app
 from marjoramstile.peers.connections import PeerConnections
@@ -38,6 +40,7 @@
 from marjoramstile.process_signals import DaemonSignals
 from marjoramstile.results import Failure, RequestFailedError, ResultCode
 from marjoramstile.settings import (
+    Address,
     Settings,
     describe_errors,
     load_settings,
@@ -69,6 +72,7 @@
             partial(self._node.metrics.count, "settings_reload_failures", ""),
             describe_errors,
         )
+        self._caller_socket: socket.socket | None = None
         self._build_listeners()
 
     def _ports(self, session: ClientSession) -> Ports:
@@ -98,8 +102,8 @@
             OperatorHandler(node.statement_executor, settings.operator_token_hashes),
         )
         caller_app.on_request(self._refuse_after_leaving)
-        self._caller_server = WebServer(caller_app, settings.listeners.callers)
-        self._operator_server = WebServer(operator_app, settings.listeners.operators)
+        self._caller_server = WebServer(caller_app)
+        self._operator_server = WebServer(operator_app)
         self._peer_server = PeerServer(
             node.peer_handler, settings.limits.frame_max_bytes, self._frames
         )
@@ -129,9 +133,14 @@
         await self._close()
 
     async def _join(self) -> None:
-        """Join the other daemons; they hand out this daemon's address from then on."""
-        peers = self._settings.listeners.peers
-        await self._peer_server.start(peers.host, peers.port)
+        """Join the other daemons when the addresses of peers and callers are free.
+
+        They hand out this daemon's address from then on.
+        """
+        listeners = self._settings.listeners
+        peer_socket = await _acquire("peers", listeners.peers)
+        self._caller_socket = await _acquire("callers", listeners.callers)
+        await self._peer_server.serve(peer_socket)
         await self._node.join()
 
     async def _abandon_start(self) -> None:
@@ -143,8 +152,8 @@
         logger.info("daemon_stopped_while_starting")
 
     async def _start(self) -> None:
-        await self._operator_server.start()
-        await self._caller_server.start()
+        await self._caller_server.serve(self._caller_socket)
+        self._node.tasks.start_retried(self._serve_operators, "listen for operators")
         self._node.start_periodic_tasks()
         logger.info(
             "daemon_started",
@@ -153,6 +162,18 @@
             callers=self._settings.listeners.callers,
         )
 
+    async def _serve_operators(self) -> None:
+        """Listen on the operators' address, which callers don't need."""
+        try:
+            listener = await _acquire("operators", self._settings.listeners.operators)
+        except UnusableAddressError as error:
+            logger.error("address_unusable", reason=str(error))
+            return
+        if self._stopping.is_set():
+            listener.close()
+            return
+        await self._operator_server.serve(listener)
+
     async def _leave(self) -> None:
         """Leave gracefully.
 
@@ -182,6 +203,10 @@
         logger.info("daemon_stopped", vm=self._settings.node.name)
 
 
+async def _acquire(purpose: str, address: Address) -> socket.socket:
+    return await acquire_socket(listening_socket, address.host, address.port, purpose)
+
+
 async def serve(settings: Settings, settings_file: str, signals: DaemonSignals) -> None:
     """Run a daemon until it has stopped after SIGTERM or SIGINT."""
     connector = TCPConnector(limit=0)
--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -1,6 +1,7 @@
 """Common code of the callers' and the operators' HTTP applications."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -14,9 +15,8 @@
 )
 
 from marjoramstile.logs import get_logger
-from marjoramstile.loops import listening_socket
 from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
-from marjoramstile.settings import Address, LimitSettings
+from marjoramstile.settings import LimitSettings
 
 BEARER = "Bearer "
 
@@ -118,15 +118,14 @@
 class WebServer:
     """Serves an application on the daemon's event loop, without worker processes."""
 
-    def __init__(self, app: Sanic, address: Address):
+    def __init__(self, app: Sanic):
         self._app = app
-        self._address = address
         self._server: Any = None
 
-    async def start(self) -> None:
-        """Start listening and serving."""
+    async def serve(self, listener: socket.socket) -> None:
+        """Serve the connections of a listening socket."""
         self._server = await self._app.create_server(
-            sock=listening_socket(self._address.host, self._address.port),
+            sock=listener,
             return_asyncio_server=True,
             access_log=False,
         )
--- a/marjoramstile/loops.py
+++ b/marjoramstile/loops.py
@@ -70,18 +70,34 @@
 
 def listening_socket(host: str, port: int) -> socket.socket:
     """Return a non-blocking socket that listens on an IP address."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listener = socket.create_server((host, port), family=family, backlog=LISTEN_BACKLOG)
+    listener = socket.create_server(
+        (host, port), family=_family(host), backlog=LISTEN_BACKLOG
+    )
     listener.setblocking(False)
     return listener
 
 
+def datagram_socket(host: str, port: int) -> socket.socket:
+    """Return a non-blocking UDP socket that is bound to an IP address."""
+    bound = socket.socket(_family(host), socket.SOCK_DGRAM)
+    try:
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    bound.setblocking(False)
+    return bound
+
+
+def _family(host: str) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in host else socket.AF_INET
+
+
 async def connect(
     host: str, port: int
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Open a stream to an IP address."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    connection = socket.socket(family)
+    connection = socket.socket(_family(host))
     connection.setblocking(False)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 import struct
 from typing import Any
 
@@ -130,7 +131,10 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host``:``port``."""
-        listener = listening_socket(host, port)
+        await self.serve(listening_socket(host, port))
+
+    async def serve(self, listener: socket.socket) -> None:
+        """Serve the connections of a listening socket."""
         self._server = await asyncio.start_server(self._serve, sock=listener)
 
     async def _serve(
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from functools import partial
 
 from aiohttp import ClientSession
@@ -11,6 +12,7 @@
 from marjoramstile.fronts.bodies import BodyReader
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.listening import CallerServer
+from marjoramstile.listeners import UnusableAddressError, acquire_socket
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop, listening_socket
@@ -37,6 +39,7 @@
 from marjoramstile.platform.store import PlatformStore, create_store_session
 from marjoramstile.ports.feeds import StoredRow
 from marjoramstile.process import (
+    complete_unless,
     deliver_signals,
     print_error,
     run_loop,
@@ -44,7 +47,7 @@
 from marjoramstile.process_signals import DaemonSignals
 from marjoramstile.routes.entry import STOP_DEADLINE_SHARE
 from marjoramstile.routes.links import ReplicaLinks
-from marjoramstile.routes.node import RouterNode, RouterPorts
+from marjoramstile.routes.node import PeerSockets, RouterNode, RouterPorts
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.settings import Address, RouterSettings
 from marjoramstile.settings_reload import SettingsChecker
@@ -106,6 +109,8 @@
         )
         self._stopping = asyncio.Event()
         self._servers: list[tuple[CallerServer, asyncio.Server]] = []
+        self._peer_sockets: PeerSockets | None = None
+        self._front_socket: socket.socket | None = None
 
     def _apply_configuration(self, row: StoredRow) -> None:
         if row.key != CONFIGURATION_KEY or row.value is None:
@@ -135,25 +140,40 @@
 
     async def run(self) -> None:
         """Serve until ``stop`` is called, then drain and shut down."""
+        if not await complete_unless(self._stopping, self._acquire_addresses()):
+            await self._abandon_start()
+            return
         await self._start()
         await self._stopping.wait()
         await self._stop()
 
+    async def _acquire_addresses(self) -> None:
+        """Wait until all addresses are free that the daemon can't serve without.
+
+        Other daemons hear from this one only when its front accepts connections; until
+        then the readiness address answers that it is not ready.
+        """
+        listeners = self._settings.listeners
+        endpoints = PlatformEndpoints(self._node.entry, self._node.addresses)
+        await self._listen("ready", listeners.ready, endpoints.ready)
+        await self._listen("directory", listeners.addresses, endpoints.resolve)
+        self._peer_sockets = await self._node.acquire_sockets()
+        self._front_socket = await _acquire("front", listeners.front)
+
     async def _start(self) -> None:
         node = self._node
         listeners = self._settings.listeners
-        endpoints = PlatformEndpoints(node.entry, node.addresses)
+        bodies = BodyReader(self._buffers)
+        front = FrontHandler(node.entry, bodies)
+        await self._serve(self._front_socket, front.handle)
+        await node.start(self._peer_sockets)
         operators = OperatorEndpoints(
             node.metrics_text, node.status, node.block_sharing
         )
-        bodies = BodyReader(self._buffers)
-        await node.start()
-        await self._listen(listeners.ready, endpoints.ready)
-        await self._listen(listeners.addresses, endpoints.resolve)
-        await self._listen(listeners.metrics, operators.handle)
-        await self._listen(listeners.front, FrontHandler(node.entry, bodies).handle)
+        self._listen_when_free("metrics", listeners.metrics, operators.handle)
         if listeners.completions is not None:
-            await self._listen(listeners.completions, self._completions(bodies))
+            completions = self._completions(bodies)
+            self._listen_when_free("completions", listeners.completions, completions)
         node.tasks.start_retried(node.registration.register, "register")
         logger.info(
             "daemon_started",
@@ -169,7 +189,26 @@
             node.entry, lambda: node.table, bodies, generation_headers
         ).handle
 
-    async def _listen(self, address: Address, handler) -> None:
+    async def _listen(self, purpose: str, address: Address, handler) -> None:
+        await self._serve(await _acquire(purpose, address), handler)
+
+    def _listen_when_free(self, purpose: str, address: Address, handler) -> None:
+        """Listen on an address that the daemon can serve without."""
+
+        async def listen() -> None:
+            try:
+                listener = await _acquire(purpose, address)
+            except UnusableAddressError as error:
+                logger.error("address_unusable", reason=str(error))
+                return
+            if self._stopping.is_set():
+                listener.close()
+                return
+            await self._serve(listener, handler)
+
+        self._node.tasks.start_retried(listen, f"listen for {purpose}")
+
+    async def _serve(self, listener: socket.socket, handler) -> None:
         server = CallerServer(
             handler,
             handler_cancellation=True,
@@ -180,10 +219,19 @@
             max_line_size=16384,
             max_field_size=16384,
         )
-        listener = listening_socket(address.host, address.port)
         loop = asyncio.get_running_loop()
         self._servers.append((server, await loop.create_server(server, sock=listener)))
 
+    async def _abandon_start(self) -> None:
+        """End before the front has accepted any connection."""
+        for _, listener in self._servers:
+            listener.close()
+        await asyncio.gather(
+            *(server.shutdown(timeout=SERVER_SHUTDOWN_S) for server, _ in self._servers)
+        )
+        await self._node.close()
+        logger.info("daemon_stopped_while_starting")
+
     async def _stop(self) -> None:
         """Withdraw the address, drain, and shut down within the grace period."""
         grace_s = self._settings.bounds.grace_s
@@ -209,6 +257,10 @@
         logger.info("daemon_stopped", cut=self._node.entry.running)
 
 
+async def _acquire(purpose: str, address: Address) -> socket.socket:
+    return await acquire_socket(listening_socket, address.host, address.port, purpose)
+
+
 async def serve(settings: RouterSettings, signals: DaemonSignals) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
     store_session = create_store_session()
--- a/marjoramstile/process.py
+++ b/marjoramstile/process.py
@@ -5,7 +5,11 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
 
-from marjoramstile.exit_codes import PLANNED_STOP_EXIT
+from marjoramstile.exit_codes import (
+    BAD_SETTINGS_EXIT,
+    PLANNED_STOP_EXIT,
+)
+from marjoramstile.listeners import UnusableAddressError
 from marjoramstile.logs import get_logger
 from marjoramstile.process_signals import DaemonSignals
 
@@ -27,6 +31,10 @@
     asyncio.set_event_loop(loop)
     try:
         loop.run_until_complete(serve)
+    except UnusableAddressError as error:
+        logger.error("address_unusable", reason=str(error))
+        print_error(f"marjoramstile: {error}")
+        return BAD_SETTINGS_EXIT
     finally:
         signals.ignore()
     return PLANNED_STOP_EXIT
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
@@ -13,7 +14,9 @@
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
+from marjoramstile.listeners import acquire_socket
 from marjoramstile.logs import get_logger
+from marjoramstile.loops import datagram_socket, listening_socket
 from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.nodes import NODES_TABLE, MirrorVMList
 from marjoramstile.membership.prober import Prober
@@ -63,7 +66,7 @@
 from marjoramstile.routes.registration import Registration
 from marjoramstile.routes.replica_types import Replica
 from marjoramstile.routes.replicas import MISSING_GRACE_S, ReplicaDirectory
-from marjoramstile.routes.settings import Address, RouterSettings
+from marjoramstile.routes.settings import RouterSettings
 from marjoramstile.routes.status import FleetStatus, StatusSources
 from marjoramstile.routes.table import EngineTraits, RoutingTable
 from marjoramstile.streams.continuation import StreamVersions
@@ -108,6 +111,14 @@
 logger = get_logger(__name__)
 
 
+@dataclass(frozen=True)
+class PeerSockets:
+    """Sockets on which other daemons reach this one."""
+
+    datagrams: socket.socket
+    calls: socket.socket
+
+
 @dataclass(frozen=True)
 class RouterPorts:
     """External interfaces that a routing daemon uses."""
@@ -520,11 +531,18 @@
         )
         self._peer_server = PeerServer(handler, FRAME_MAX_BYTES, self._ports.buffers)
 
-    async def start(self) -> None:
-        """Listen for peers and begin to follow the store."""
+    async def acquire_sockets(self) -> PeerSockets:
+        """Return the sockets for peers, which are not served before ``start``."""
         peers = self.settings.listeners.peers
-        await self._peer_server.start(peers.host, peers.port)
-        await self._start_datagrams(peers)
+        return PeerSockets(
+            await acquire_socket(datagram_socket, peers.host, peers.port, "peers_udp"),
+            await acquire_socket(listening_socket, peers.host, peers.port, "peers"),
+        )
+
+    async def start(self, sockets: PeerSockets) -> None:
+        """Serve peers and begin to follow the store."""
+        await self._peer_server.serve(sockets.calls)
+        await self._start_datagrams(sockets.datagrams)
         for table, follower in self._followers.items():
             if follower.mirror is not self.configuration_mirror:
                 self.tasks.start_retried(follower.run, f"follow {table}")
@@ -553,7 +571,7 @@
                 await self._lag.ask_at_start(table, self._rng)
         await self._followers[table].run()
 
-    async def _start_datagrams(self, address: Address) -> None:
+    async def _start_datagrams(self, bound: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(
             lambda: PoolProtocol(
@@ -564,7 +582,7 @@
                 self._crash_coordinator,
                 self.streams,
             ),
-            local_addr=(address.host, address.port),
+            sock=bound,
         )
         self._sender.connect(transport)
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,8 +1,38 @@
-"""Tests of what daemons' processes have in common."""
+"""Tests of what ends a daemon's process and what doesn't."""
 
 import asyncio
+import signal
 
-from marjoramstile.process import complete_unless
+from marjoramstile.exit_codes import BAD_SETTINGS_EXIT
+from marjoramstile.listeners import UnusableAddressError
+from marjoramstile.process import complete_unless, run_loop
+from marjoramstile.process_signals import HANDLED_SIGNALS, DaemonSignals
+from tests.support import captured_logs
+
+
+def run(coroutine) -> tuple[int, str]:
+    """Run a coroutine as a daemon; return the exit code and the log."""
+    handlers = {number: signal.getsignal(number) for number in HANDLED_SIGNALS}
+    loop = asyncio.new_event_loop()
+    try:
+        with captured_logs() as stream:
+            code = run_loop(loop, coroutine, DaemonSignals(2))
+        ignored = {signal.getsignal(number) for number in HANDLED_SIGNALS}
+        assert ignored == {signal.SIG_IGN}
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+        loop.close()
+    return code, stream.getvalue()
+
+
+def test_an_unusable_address_has_an_exit_code_of_its_own():
+    async def serve():
+        raise UnusableAddressError("front", "10.0.0.1:80", "denied")
+
+    code, log = run(serve())
+    assert code == BAD_SETTINGS_EXIT
+    assert "event=address_unusable" in log
 
 
 async def test_a_step_is_cancelled_when_a_stop_is_requested():
