A starting daemon waits 4 s for valid settings

Seen before: a settings file that was missing or half written at the start ended the daemon at once with exit code 78.

A start tries again every 0.1 s for 4 s, tells in a log line at once what it waits for, and ends then as before: a wrong file stays wrong until somebody writes another one, so that must be told. Half of a file is often valid YAML that lacks fields, so any fault is waited for. An unset variable can't change and ends the start at once.

--- a/marjoramstile/daemon/service.py
+++ b/marjoramstile/daemon/service.py
@@ -45,6 +45,7 @@
     describe_errors,
     load_settings,
 )
+from marjoramstile.settings_files import wait_for_settings
 from marjoramstile.settings_reload import SettingsChecker
 from marjoramstile.utils import loop_time
 
@@ -222,7 +223,7 @@
     It refuses to start on an event loop that uses io_uring.
     """
     destination = start_logging("info", NonBlockingStream(log_descriptor))
-    loaded = load_settings(settings_file)
+    loaded = wait_for_settings(partial(load_settings, settings_file), describe_errors)
     if loaded.is_err():
         for error in loaded.unwrap_err():
             print_error(f"marjoramstiled: {settings_file}: {error}")
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -50,6 +50,7 @@
 from marjoramstile.routes.node import PeerSockets, RouterNode, RouterPorts
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.settings import Address, RouterSettings
+from marjoramstile.settings_files import wait_for_settings
 from marjoramstile.settings_reload import SettingsChecker
 from marjoramstile.utils import loop_time
 
@@ -279,7 +280,7 @@
     if not path:
         print_error(f"marjoramstile-router: {SETTINGS_VARIABLE} is not set")
         return BAD_SETTINGS_EXIT
-    loaded = load_platform_settings(path)
+    loaded = wait_for_settings(partial(load_platform_settings, path))
     if loaded.is_err():
         print_error(f"marjoramstile-router: {path}: {loaded.unwrap_err()}")
         return BAD_SETTINGS_EXIT
--- a/tests/processes/test_start_resources.py
+++ b/tests/processes/test_start_resources.py
@@ -25,7 +25,8 @@
     PublishedFleet,
 )
 from marjoramstile.exit_codes import BAD_SETTINGS_EXIT
-from tests.processes.starting import VM, StartedDaemon, vm_host
+from marjoramstile.settings_files import SETTINGS_WAIT_S
+from tests.processes.starting import KINDS, VM, StartedDaemon, vm_host
 
 pytestmark = pytest.mark.asyncio(loop_scope="function")
 STOP_LIMIT_S = 1.5
@@ -70,6 +71,15 @@
     daemon.kill()
 
 
+@pytest.fixture(params=KINDS)
+def daemon(request, tmp_path):
+    """A daemon of either kind that is not started yet, without settings."""
+    daemon = StartedDaemon(request.param, tmp_path)
+    daemon.settings_file.unlink()
+    yield daemon
+    daemon.kill()
+
+
 def occupied(port: int, kind: int = socket.SOCK_STREAM) -> socket.socket:
     """Return a socket that keeps an address of the VM."""
     holder = socket.socket(socket.AF_INET, kind)
@@ -230,3 +240,35 @@
         await marjoramstiled.wait_for_event("daemon_started")
         marjoramstiled.process.terminate()
         assert await marjoramstiled.wait_exit() == 0
+
+
+async def test_settings_that_are_missing_at_first_are_waited_for(daemon):
+    daemon.start()
+    await daemon.wait_for_event("settings_waited_for")
+    daemon.write_settings()
+    await daemon.wait_for_event("daemon_started")
+
+
+async def test_settings_that_are_half_written_at_first_are_waited_for(daemon):
+    text = daemon.settings_text
+    daemon.settings_file.write_text(text[: len(text) // 2])
+    daemon.start()
+    await daemon.wait_for_event("settings_waited_for")
+    daemon.write_settings()
+    await daemon.wait_for_event("daemon_started")
+
+
+async def test_settings_that_stay_wrong_end_the_start_with_their_fault(daemon):
+    daemon.settings_file.write_text("listen: 3\n")
+    started_at = time.monotonic()
+    daemon.start()
+    assert await daemon.wait_exit() == BAD_SETTINGS_EXIT
+    assert time.monotonic() > started_at + SETTINGS_WAIT_S
+    assert f"{daemon.settings_file}: " in daemon.output_of("stderr")
+    assert "Traceback" not in daemon.output
+
+
+async def test_a_stop_while_settings_are_waited_for_is_a_planned_one(daemon):
+    daemon.start()
+    await daemon.wait_for_event("settings_waited_for")
+    await stop_soon(daemon)
