A daemon starts without standard output or error

Seen before: with standard output closed the routing daemon ended with a traceback, as sys.stdout is None; marjoramstiled did so without standard error. The numbers of closed descriptors would have been given to sockets.

Closed descriptors are opened on the null device before anything else, and log lines go to the one of the two that is open.

--- a/marjoramstile/platform/__main__.py
+++ b/marjoramstile/platform/__main__.py
@@ -3,17 +3,17 @@
 import sys
 
 from marjoramstile.process_signals import DaemonSignals
-
-STANDARD_OUTPUT = 1
+from marjoramstile.standard_descriptors import STANDARD_OUTPUT, open_log_descriptor
 
 
 def main() -> None:
     """Receive signals before the daemon's modules are imported, and run it."""
-    signals = DaemonSignals(STANDARD_OUTPUT)
+    log_descriptor = open_log_descriptor(STANDARD_OUTPUT)
+    signals = DaemonSignals(log_descriptor)
     signals.receive()
     from marjoramstile.platform.daemon import run_daemon
 
-    sys.exit(run_daemon(signals, STANDARD_OUTPUT))
+    sys.exit(run_daemon(signals, log_descriptor))
 
 
 if __name__ == "__main__":
