Errors at the top of a daemon, in the loop and in log lines are told

Errors in callbacks of the loop went to standard error in a format of their own and were not counted; an error at the top left a traceback there and nothing in the log.

The loop has an exception handler that logs (loop_error) and counts (loop_errors, by type). An error at the top is logged with its traceback (daemon_failed) and has exit code 1. An error in a log line reached no caller before either: eliot keeps it.

--- a/marjoramstile/daemon/service.py
+++ b/marjoramstile/daemon/service.py
@@ -35,6 +35,7 @@
     complete_unless,
     deliver_signals,
     print_error,
+    report_loop_errors,
     run_loop,
 )
 from marjoramstile.process_signals import DaemonSignals
@@ -125,6 +126,7 @@
 
     async def run(self) -> None:
         """Serve until stopped, then drain requests in flight and close."""
+        report_loop_errors(partial(self._node.metrics.count, "loop_errors"))
         if not await complete_unless(self._stopping, self._join()):
             await self._abandon_start()
             return
--- a/marjoramstile/exit_codes.py
+++ b/marjoramstile/exit_codes.py
@@ -1,5 +1,6 @@
 """Exit codes of the daemons."""
 
 PLANNED_STOP_EXIT = 0
+FAILED_EXIT = 1
 FORBIDDEN_LOOP_EXIT = 70
 BAD_SETTINGS_EXIT = 78
--- a/marjoramstile/log_volume.py
+++ b/marjoramstile/log_volume.py
@@ -65,7 +65,7 @@
 
     def write(self, line: str) -> None:
         """Buffer a line, or drop it if the buffer is full."""
-        data = line.encode()
+        data = line.encode(errors="backslashreplace")
         if len(self._buffer) + len(data) > self._max_bytes:
             self._flush_buffer()
         if len(self._buffer) + len(data) > self._max_bytes:
--- a/marjoramstile/logs.py
+++ b/marjoramstile/logs.py
@@ -93,10 +93,26 @@
         for key, value in message.items():
             if key not in _HIDDEN_KEYS and key not in ordered:
                 ordered[key] = value
-        self._stream.write(Logfmter.format_params(ordered) + "\n")
+        self._stream.write(_format(ordered) + "\n")
         self._stream.flush()
 
 
+def _format(fields: dict[str, Any]) -> str:
+    """Return a line without its end; a value that fails to print fails alone."""
+    try:
+        return Logfmter.format_params(fields)
+    except Exception:
+        printable = {key: _to_text(value) for key, value in fields.items()}
+        return Logfmter.format_params(printable)
+
+
+def _to_text(value: Any) -> str:
+    try:
+        return str(value)
+    except Exception as error:
+        return f"(unprintable {type(value).__name__}: {type(error).__name__})"
+
+
 def start_logging(
     level: str, stream: LineStream | None = None, limit: VolumeLimit | None = None
 ) -> KeyValueDestination:
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -42,6 +42,7 @@
     complete_unless,
     deliver_signals,
     print_error,
+    report_loop_errors,
     run_loop,
 )
 from marjoramstile.process_signals import DaemonSignals
@@ -141,6 +142,7 @@
 
     async def run(self) -> None:
         """Serve until ``stop`` is called, then drain and shut down."""
+        report_loop_errors(partial(self._node.metrics.count, "loop_errors"))
         if not await complete_unless(self._stopping, self._acquire_addresses()):
             await self._abandon_start()
             return
--- a/marjoramstile/process.py
+++ b/marjoramstile/process.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import sys
+import traceback
 from collections.abc import Awaitable, Callable, Coroutine
 from functools import partial
+from typing import Any
 
 from marjoramstile.exit_codes import (
     BAD_SETTINGS_EXIT,
+    FAILED_EXIT,
     PLANNED_STOP_EXIT,
 )
 from marjoramstile.listeners import UnusableAddressError
@@ -35,6 +38,11 @@
         logger.error("address_unusable", reason=str(error))
         print_error(f"marjoramstile: {error}")
         return BAD_SETTINGS_EXIT
+    except Exception as error:
+        logger.error(
+            "daemon_failed", error=repr(error), traceback=traceback.format_exc()
+        )
+        return FAILED_EXIT
     finally:
         signals.ignore()
     return PLANNED_STOP_EXIT
@@ -51,6 +59,19 @@
     )
 
 
+def report_loop_errors(count: Callable[[str], None]) -> None:
+    """Log errors that reach the running loop, and count them by their exception."""
+
+    def handle(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        logger.error(
+            "loop_error", message=context.get("message", ""), error=repr(error)
+        )
+        count(type(error).__name__)
+
+    asyncio.get_running_loop().set_exception_handler(handle)
+
+
 async def complete_unless(stopping: asyncio.Event, step: Awaitable[None]) -> bool:
     """Return whether ``step`` completed; cancel it as soon as ``stopping`` is set."""
     running = asyncio.ensure_future(step)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,9 +3,9 @@
 import asyncio
 import signal
 
-from marjoramstile.exit_codes import BAD_SETTINGS_EXIT
+from marjoramstile.exit_codes import BAD_SETTINGS_EXIT, FAILED_EXIT, PLANNED_STOP_EXIT
 from marjoramstile.listeners import UnusableAddressError
-from marjoramstile.process import complete_unless, run_loop
+from marjoramstile.process import complete_unless, report_loop_errors, run_loop
 from marjoramstile.process_signals import HANDLED_SIGNALS, DaemonSignals
 from tests.support import captured_logs
 
@@ -26,6 +26,16 @@
     return code, stream.getvalue()
 
 
+def test_an_error_at_the_top_is_logged_and_has_an_exit_code():
+    async def serve():
+        raise KeyError("lost")
+
+    code, log = run(serve())
+    assert code == FAILED_EXIT
+    assert "level=error event=daemon_failed" in log
+    assert "in serve" in log
+
+
 def test_an_unusable_address_has_an_exit_code_of_its_own():
     async def serve():
         raise UnusableAddressError("front", "10.0.0.1:80", "denied")
@@ -35,6 +45,20 @@
     assert "event=address_unusable" in log
 
 
+def test_an_error_in_a_callback_of_the_loop_is_logged_and_counted():
+    counted = []
+
+    async def serve():
+        report_loop_errors(counted.append)
+        asyncio.get_running_loop().call_soon(int, "no number")
+        await asyncio.sleep(0.01)
+
+    code, log = run(serve())
+    assert code == PLANNED_STOP_EXIT
+    assert counted == ["ValueError"]
+    assert "level=error event=loop_error" in log
+
+
 async def test_a_step_is_cancelled_when_a_stop_is_requested():
     stopping = asyncio.Event()
     step = asyncio.ensure_future(asyncio.sleep(3600.0))
