--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -1,6 +1,7 @@
 """Common code of the callers' and the operators' HTTP applications."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -16,9 +17,8 @@
 from marjoramstile.entry.connections import limited_protocol, refuse_connection
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.logs import get_logger
-from marjoramstile.loops import listening_socket
 from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
-from marjoramstile.settings import Address, LimitSettings
+from marjoramstile.settings import LimitSettings
 
 BEARER = "Bearer "
 
@@ -120,23 +120,17 @@
 class WebServer:
     """Serves an application on the daemon's event loop, without worker processes."""
 
-    def __init__(
-        self, app: Sanic, address: Address, limit: ConnectionLimit, backlog: int
-    ):
+    def __init__(self, app: Sanic, limit: ConnectionLimit):
         """``limit`` bounds the open connections."""
         app.on_request(refuse_connection)
         self._app = app
-        self._address = address
         self._limit = limit
-        self._backlog = backlog
         self._server: Any = None
 
-    async def start(self) -> None:
-        """Start listening and serving."""
+    async def serve(self, listener: socket.socket) -> None:
+        """Serve the connections of a listening socket."""
         self._server = await self._app.create_server(
-            sock=listening_socket(
-                self._address.host, self._address.port, self._backlog
-            ),
+            sock=listener,
             protocol=limited_protocol(self._limit),
             return_asyncio_server=True,
             access_log=False,
@@ -151,6 +145,8 @@
 
     async def close(self) -> None:
         """Stop listening and close idle connections."""
+        if self._server is None:
+            return
         self.stop_listening()
         for connection in list(self._server.connections):
             connection.close_if_idle()
--- /dev/null
+++ b/marjoramstile/fronts/listeners.py
@@ -0,0 +1,106 @@
+"""The HTTP listeners of a routing daemon: opened at its start, drained at its stop."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+
+from aiohttp import web
+
+from marjoramstile.fronts.closing import ClosingReport
+from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.fronts.draining import drain
+from marjoramstile.fronts.listening import CallerServer, refuse_connection
+from marjoramstile.listeners import acquire_socket
+from marjoramstile.loops import listening_socket
+from marjoramstile.routes.settings import Address
+
+# Longer than any idle time that the configuration allows callers.
+KEEPALIVE_TIMEOUT_S = 120.0
+LINGERING_TIME_S = 1.0
+LINE_MAX_BYTES = 16_384
+# Timeout for closing a server's connections when a start is abandoned.
+SERVER_SHUTDOWN_S = 0.2
+
+
+@dataclass(frozen=True)
+class Listener:
+    """An address, and what handles the requests that arrive there.
+
+    ``refuse`` returns the response to requests on connections that exceed ``limit``.
+    """
+
+    name: str
+    address: Address
+    handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+    limit: ConnectionLimit
+    refuse: Callable[[], web.Response] = refuse_connection
+
+
+class ListenerGroup:
+    """The listeners of one daemon that are served now, in the order of their start."""
+
+    def __init__(self, backlog: int, closings: ClosingReport):
+        """``closings`` gets the ends of all connections."""
+        self._backlog = backlog
+        self._closings = closings
+        self._served: list[tuple[CallerServer, asyncio.Server]] = []
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is in progress, or bytes of an answer are not sent yet."""
+        return any(server.is_busy for server, _ in self._served)
+
+    async def acquire(self, listener: Listener) -> socket.socket:
+        """Return a listening socket, waiting until the address is free.
+
+        Raises UnusableAddressError if no wait will help.
+        """
+        address = listener.address
+        open_socket = partial(listening_socket, backlog=self._backlog)
+        return await acquire_socket(
+            open_socket, address.host, address.port, listener.name
+        )
+
+    async def listen(self, listener: Listener) -> None:
+        """Serve a listener as soon as its address is free."""
+        await self.serve(listener, await self.acquire(listener))
+
+    async def serve(self, listener: Listener, listening: socket.socket) -> None:
+        """Serve the connections of a listening socket."""
+        server = CallerServer(
+            listener.handler,
+            name=listener.name,
+            closings=self._closings,
+            limit=listener.limit,
+            refuse=listener.refuse,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            lingering_time=LINGERING_TIME_S,
+            access_log=None,
+            auto_decompress=False,
+            max_line_size=LINE_MAX_BYTES,
+            max_field_size=LINE_MAX_BYTES,
+        )
+        loop = asyncio.get_running_loop()
+        self._served.append((server, await loop.create_server(server, sock=listening)))
+
+    async def drain(self, names: tuple[str, ...], deadline: float) -> None:
+        """End the listeners of some names together; see ``draining.drain``."""
+        named = [item for item in self._served if item[0].name in names]
+        await asyncio.gather(*(drain(*item, deadline) for item in named))
+        self._served = [item for item in self._served if item not in named]
+
+    async def drain_others(self, deadline: float) -> None:
+        """End the listeners that are left, in reverse order of their start."""
+        while self._served:
+            await drain(*self._served.pop(), deadline)
+
+    async def close(self) -> None:
+        """End all listeners without waiting for their connections."""
+        for _, listening in self._served:
+            listening.close()
+        shutdowns = [server.shutdown(SERVER_SHUTDOWN_S) for server, _ in self._served]
+        await asyncio.gather(*shutdowns)
+        self._served.clear()
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 import struct
 from typing import Any
 
@@ -18,7 +19,7 @@
 )
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.logs import get_logger
-from marjoramstile.loops import LISTEN_BACKLOG, connect, listening_socket
+from marjoramstile.loops import connect, listening_socket
 from marjoramstile.peers.frames import (
     decode_answer,
     decode_call,
@@ -143,11 +144,9 @@
         max_bytes: int,
         buffers: BufferBudget,
         limit: ConnectionLimit | None = None,
-        backlog: int = LISTEN_BACKLOG,
     ):
         """Calls are read into ``buffers``; ``limit`` bounds the open connections."""
         self._limit = limit
-        self._backlog = backlog
         self._processor = TProcessor(PeerService, handler)
         self._max_bytes = max_bytes
         self._buffers = buffers
@@ -158,7 +157,10 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host``:``port``."""
-        listener = listening_socket(host, port, self._backlog)
+        await self.serve(listening_socket(host, port))
+
+    async def serve(self, listener: socket.socket) -> None:
+        """Serve the connections of a listening socket."""
         self._server = await asyncio.start_server(self._serve, sock=listener)
 
     async def _serve(
--- a/marjoramstile/platform/__main__.py
+++ b/marjoramstile/platform/__main__.py
@@ -2,6 +2,19 @@
 
 import sys
 
-from marjoramstile.platform.daemon import main
+from marjoramstile.process_signals import DaemonSignals
+from marjoramstile.standard_descriptors import STANDARD_OUTPUT, open_log_descriptor
 
-sys.exit(main())
+
+def main() -> None:
+    """Receive signals before the daemon's modules are imported, and run it."""
+    log_descriptor = open_log_descriptor(STANDARD_OUTPUT)
+    signals = DaemonSignals(log_descriptor)
+    signals.receive()
+    from marjoramstile.platform.daemon import run_daemon
+
+    sys.exit(run_daemon(signals, log_descriptor))
+
+
+if __name__ == "__main__":
+    main()
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -2,24 +2,23 @@
 
 import asyncio
 import random
-import signal
-import sys
-from collections.abc import Callable
+import socket
+from functools import partial
 
 from aiohttp import ClientSession
-from aiohttp.web import Response
 
 from marjoramstile.completions.handler import CompletionsHandler
 from marjoramstile.descriptors import DescriptorShares
+from marjoramstile.exit_codes import BAD_SETTINGS_EXIT
 from marjoramstile.fronts.bodies import BodyReader
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.closing import ClosingReport
 from marjoramstile.fronts.connection_limit import ConnectionLimit
-from marjoramstile.fronts.draining import drain
-from marjoramstile.fronts.listening import CallerServer, refuse_connection
+from marjoramstile.fronts.listeners import Listener, ListenerGroup
+from marjoramstile.listeners import UnusableAddressError
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
-from marjoramstile.loops import create_loop, listening_socket
+from marjoramstile.loops import create_loop
 from marjoramstile.mirrors.mirror import DocumentMirror
 from marjoramstile.platform.carriers import HTTPCarrierClient
 from marjoramstile.platform.documents import (
@@ -35,22 +34,32 @@
 from marjoramstile.platform.headers import generation_headers
 from marjoramstile.platform.operators import OperatorEndpoints
 from marjoramstile.platform.replicas import HTTPReplicaClient, create_replica_session
-from marjoramstile.platform.settings import load_platform_settings, settings_path
+from marjoramstile.platform.settings import (
+    SETTINGS_VARIABLE,
+    load_platform_settings,
+    settings_path,
+)
 from marjoramstile.platform.store import PlatformStore, create_store_session
 from marjoramstile.ports.feeds import StoredRow
+from marjoramstile.process import (
+    complete_unless,
+    deliver_signals,
+    print_error,
+    report_loop_errors,
+    run_loop,
+)
+from marjoramstile.process_signals import DaemonSignals
 from marjoramstile.routes.links import ReplicaLinks
-from marjoramstile.routes.node import RouterNode, RouterPorts
+from marjoramstile.routes.node import PeerSockets, RouterNode, RouterPorts
 from marjoramstile.routes.notices import ReplicaNotices
-from marjoramstile.routes.settings import Address, RouterSettings
+from marjoramstile.routes.settings import RouterSettings
+from marjoramstile.settings_files import wait_for_settings
+from marjoramstile.settings_reload import SettingsChecker
 from marjoramstile.utils import loop_time
 
-BAD_SETTINGS_EXIT = 78
 # Share of a VM's memory for bodies that are being read.
 BUFFER_MEMORY_SHARE = 0.2
-# Longer than any idle time that the configuration allows callers.
-KEEPALIVE_TIMEOUT_S = 120.0
 STOP_POLL_S = 0.05
-LINGERING_TIME_S = 1.0
 # Callers may use a resolved address list for up to this many of its TTLs.
 ADDRESS_CACHE_TTLS = 3
 # Largest share of the grace period for which an idle daemon waits for such callers.
@@ -98,10 +107,20 @@
         )
         self._node.configuration_mirror.subscribe(self._apply_configuration)
         self._node.replicas_mirror.subscribe(self._apply_replica)
-        self._closings = ClosingReport(self._node.metrics)
         self._shares = DescriptorShares.of(settings.descriptors)
+        self._listeners = ListenerGroup(
+            self._shares.backlog, ClosingReport(self._node.metrics)
+        )
+        self.settings_checker = SettingsChecker(
+            lambda: load_platform_settings(settings_path()),
+            partial(self._node.metrics.count, "settings_reload_failures", ""),
+        )
         self._stopping = asyncio.Event()
-        self._servers: list[tuple[CallerServer, asyncio.Server]] = []
+        self._bodies = BodyReader(self._buffers)
+        self._callers_limit = self._limit("callers", self._shares.callers)
+        self._front = self._build_front()
+        self._peer_sockets: PeerSockets | None = None
+        self._front_socket: socket.socket | None = None
 
     def _apply_configuration(self, row: StoredRow) -> None:
         if row.key != CONFIGURATION_KEY or row.value is None:
@@ -129,102 +148,104 @@
         """Start a graceful shutdown."""
         self._stopping.set()
 
-    def reload(self) -> None:
-        """Log whether the changed settings file is valid; it is not applied."""
-        loaded = load_platform_settings(settings_path())
-        logger.info("settings_reloaded", valid=loaded.is_ok())
-
     async def run(self) -> None:
         """Serve until ``stop`` is called, then drain and shut down."""
+        report_loop_errors(partial(self._node.metrics.count, "loop_errors"))
+        if not await complete_unless(self._stopping, self._acquire_addresses()):
+            await self._abandon_start()
+            return
         await self._start()
         await self._stopping.wait()
         await self._stop()
 
+    async def _acquire_addresses(self) -> None:
+        """Wait until all addresses are free that the daemon can't serve without.
+
+        Other daemons hear from this one only when its front accepts connections; until
+        then the readiness address answers that it is not ready.
+        """
+        endpoints = PlatformEndpoints(self._node.entry, self._node.addresses)
+        addresses = self._settings.listeners
+        limit = self._limit("ready", self._shares.ready)
+        ready = Listener("ready", addresses.ready, endpoints.ready, limit)
+        await self._listeners.listen(ready)
+        limit = self._limit("directory", self._shares.addresses)
+        directory = Listener("addresses", addresses.addresses, endpoints.resolve, limit)
+        await self._listeners.listen(directory)
+        self._peer_sockets = await self._node.acquire_sockets()
+        self._front_socket = await self._listeners.acquire(self._front)
+
     async def _start(self) -> None:
         node = self._node
-        listeners = self._settings.listeners
-        endpoints = PlatformEndpoints(node.entry, node.addresses)
-        operators = OperatorEndpoints(
-            node.metrics_text, node.status, node.block_sharing
-        )
-        bodies = BodyReader(self._buffers)
-        front = FrontHandler(node.entry, bodies)
-        shares = self._shares
-        callers = self._limit("callers", shares.callers)
-        await node.start()
-        await self._listen(
-            "ready",
-            listeners.ready,
-            endpoints.ready,
-            self._limit("ready", shares.ready),
-        )
-        await self._listen(
-            "addresses",
-            listeners.addresses,
-            endpoints.resolve,
-            self._limit("addresses", shares.addresses),
-        )
-        await self._listen(
-            "metrics",
-            listeners.metrics,
-            operators.handle,
-            self._limit("metrics", shares.metrics),
-        )
-        await self._listen(
-            "front", listeners.front, front.handle, callers, front.refuse
-        )
-        if listeners.completions is not None:
-            completions = self._completions(bodies)
-            await self._listen(
-                "completions",
-                listeners.completions,
-                completions.handle,
-                callers,
-                completions.refuse,
-            )
+        await self._listeners.serve(self._front, self._front_socket)
+        await node.start(self._peer_sockets)
+        self._listen_when_free(self._operators())
+        if self._settings.listeners.completions is not None:
+            self._listen_when_free(self._completions())
         node.tasks.start_retried(node.registration.register, "register")
         logger.info(
             "daemon_started",
             vm=self._settings.vm,
             incarnation=node.view.own.incarnation,
-            front=listeners.front,
+            front=self._settings.listeners.front,
         )
 
     def _limit(self, name: str, max_open: int) -> ConnectionLimit:
         return ConnectionLimit(name, max_open, self._node.metrics.count)
 
-    def _completions(self, bodies: BodyReader) -> CompletionsHandler:
-        """Return the handler of the completions front."""
+    def _build_front(self) -> Listener:
+        handler = FrontHandler(self._node.entry, self._bodies)
+        return Listener(
+            "front",
+            self._settings.listeners.front,
+            handler.handle,
+            self._callers_limit,
+            handler.refuse,
+        )
+
+    def _operators(self) -> Listener:
         node = self._node
-        return CompletionsHandler(
-            node.entry, lambda: node.table, bodies, generation_headers
+        endpoints = OperatorEndpoints(
+            node.metrics_text, node.status, node.block_sharing
         )
+        limit = self._limit("metrics", self._shares.metrics)
+        address = self._settings.listeners.metrics
+        return Listener("metrics", address, endpoints.handle, limit)
 
-    async def _listen(
-        self,
-        name: str,
-        address: Address,
-        handler,
-        limit: ConnectionLimit,
-        refuse: Callable[[], Response] = refuse_connection,
-    ) -> None:
-        server = CallerServer(
-            handler,
-            name=name,
-            closings=self._closings,
-            limit=limit,
-            refuse=refuse,
-            handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-            lingering_time=LINGERING_TIME_S,
-            access_log=None,
-            auto_decompress=False,
-            max_line_size=16384,
-            max_field_size=16384,
+    def _completions(self) -> Listener:
+        node = self._node
+        handler = CompletionsHandler(
+            node.entry, lambda: node.table, self._bodies, generation_headers
+        )
+        return Listener(
+            "completions",
+            self._settings.listeners.completions,
+            handler.handle,
+            self._callers_limit,
+            handler.refuse,
         )
-        listener = listening_socket(address.host, address.port, self._shares.backlog)
-        loop = asyncio.get_running_loop()
-        self._servers.append((server, await loop.create_server(server, sock=listener)))
+
+    def _listen_when_free(self, listener: Listener) -> None:
+        """Listen on an address that the daemon can serve without."""
+
+        async def listen() -> None:
+            try:
+                listening = await self._listeners.acquire(listener)
+            except UnusableAddressError as error:
+                logger.error("address_unusable", reason=str(error))
+                return
+            if self._stopping.is_set():
+                listening.close()
+                return
+            await self._listeners.serve(listener, listening)
+
+        self._node.tasks.start_retried(listen, f"listen for {listener.name}")
+
+    async def _abandon_start(self) -> None:
+        """End before the front has accepted any connection."""
+        await self._listeners.close()
+        await self._node.close()
+        logger.info("daemon_stopped_while_starting")
 
     async def _stop(self) -> None:
         """Withdraw the address, drain, and shut down within the grace period."""
@@ -244,53 +265,40 @@
         cached_s = ADDRESS_CACHE_TTLS * self._node.addresses.ttl_s
         drain_wait_s = min(cached_s, DRAIN_WAIT_SHARE * grace_s)
         while loop_time() < self._node.entry.cut_at:
-            busy = any(server.is_busy for server, _ in self._servers)
-            if not busy and loop_time() >= started_at + drain_wait_s:
+            if not self._listeners.is_busy and loop_time() >= started_at + drain_wait_s:
                 break
             await asyncio.sleep(STOP_POLL_S)
 
     async def _drain_listeners(self, started_at: float) -> None:
         """End all listeners, those of callers first; the readiness address last."""
         deadline = started_at + STOP_FLUSH_SHARE * self._settings.bounds.grace_s
-        callers = [item for item in self._servers if item[0].name in CALLER_LISTENERS]
-        others = [item for item in self._servers if item not in callers]
-        await asyncio.gather(*(drain(*item, deadline) for item in callers))
-        deadline = loop_time() + OTHER_DRAIN_S
-        for item in reversed(others):
-            await drain(*item, deadline)
+        await self._listeners.drain(CALLER_LISTENERS, deadline)
+        await self._listeners.drain_others(loop_time() + OTHER_DRAIN_S)
 
 
-async def serve(settings: RouterSettings) -> None:
+async def serve(settings: RouterSettings, signals: DaemonSignals) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
     store_session = create_store_session()
     links = ReplicaLinks()
     async with store_session, create_replica_session(links) as replica_session:
         daemon = PlatformDaemon(settings, store_session, replica_session, links)
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, daemon.stop)
-        loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+        deliver_signals(signals, daemon.stop, daemon.settings_checker.request)
         await daemon.run()
 
 
-def run_daemon() -> int:
+def run_daemon(signals: DaemonSignals, log_descriptor: int) -> int:
     """Load the platform's settings and run; return the exit code."""
+    stream = NonBlockingStream(log_descriptor)
+    destination = start_logging("info", stream, VolumeLimit())
     path = settings_path()
-    loaded = load_platform_settings(path)
+    if not path:
+        print_error(f"marjoramstile-router: {SETTINGS_VARIABLE} is not set")
+        return BAD_SETTINGS_EXIT
+    loaded = wait_for_settings(partial(load_platform_settings, path))
     if loaded.is_err():
-        message = f"marjoramstile-router: {path}: {loaded.unwrap_err()}"
-        print(message, file=sys.stderr)
+        print_error(f"marjoramstile-router: {path}: {loaded.unwrap_err()}")
         return BAD_SETTINGS_EXIT
     settings = loaded.unwrap()
-    stream = NonBlockingStream(sys.stdout.fileno())
-    start_logging(settings.log_level, stream, VolumeLimit())
+    destination.set_level(settings.log_level)
     logger.info("daemon_starting", vm=settings.vm, store=settings.store)
-    loop = create_loop()
-    asyncio.set_event_loop(loop)
-    loop.run_until_complete(serve(settings))
-    return 0
-
-
-def main(argv: list[str] | None = None) -> int:
-    """Entry point of the routing daemon, which takes no arguments."""
-    return run_daemon()
+    return run_loop(create_loop(), serve(settings, signals), signals)
--- a/tests/processes/test_descriptors.py
+++ b/tests/processes/test_descriptors.py
@@ -181,7 +181,7 @@
     assert await fleet.addresses(1) == [fleet.front(1)]
     assert await (await Caller.connect(fleet)).book() == 200
     metrics = await scrape(fleet)
-    for name in ("addresses", "callers", "metrics", "peers", "ready"):
+    for name in ("callers", "directory", "metrics", "peers", "ready"):
         assert f'connections_closed_total{{service="{name}"}}' in metrics
     for caller in silent:
         caller.close()
