--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -170,7 +170,7 @@
         ready = Listener("ready", addresses.ready, endpoints.ready, limit)
         await self._listeners.listen(ready)
         limit = self._limit("directory", self._shares.addresses)
-        directory = Listener("addresses", addresses.addresses, endpoints.resolve, limit)
+        directory = Listener("directory", addresses.addresses, endpoints.resolve, limit)
         await self._listeners.listen(directory)
         self._peer_sockets = await self._node.acquire_sockets()
         self._front_socket = await self._listeners.acquire(self._front)
