--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -102,7 +102,7 @@
     def _check_idle(self) -> None:
         """Close the connection if it is idle; the end of a request checks again."""
         self._idle_check = None
-        if self.transport is None:
+        if self.transport is None or self.transport.is_closing():
             return
         if self._waits_for_request:
             self.note_closing(CloseReason.STOP_IDLE)
@@ -303,6 +303,8 @@
 
 def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
     """Return whether the kernel holds bytes, or an end, that were not read yet."""
+    if transport.is_closing():
+        return False
     poller = select.poll()
     poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
     return bool(poller.poll(0))
