--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -15,6 +15,11 @@
 )
 
 from marjoramstile.entry.connections import limited_protocol, refuse_connection
+from marjoramstile.entry.draining import (
+    close_connections,
+    has_more_to_answer,
+    stop_listening,
+)
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.logs import get_logger
 from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
@@ -124,30 +129,35 @@
         """``limit`` bounds the open connections."""
         app.on_request(refuse_connection)
         self._app = app
-        self._limit = limit
+        self._protocol = limited_protocol(limit)
         self._server: Any = None
+        self._closing = False
+        app.on_response(self._announce_close)
 
     async def serve(self, listener: socket.socket) -> None:
         """Serve the connections of a listening socket."""
         self._server = await self._app.create_server(
             sock=listener,
-            protocol=limited_protocol(self._limit),
+            protocol=self._protocol,
             return_asyncio_server=True,
             access_log=False,
         )
         await self._server.startup()
         await self._server.start_serving()
 
-    def stop_listening(self) -> None:
-        """Stop accepting new connections."""
+    async def _announce_close(self, request: Request, response: HTTPResponse) -> None:
+        """Make an answer the last one of its connection if nothing else was sent."""
+        if self._closing and not has_more_to_answer(request):
+            request.stream.keep_alive = False
+
+    async def stop_listening(self) -> None:
+        """Stop accepting new connections; those that wait are still served."""
+        self._closing = True
+        if self._server is not None and self._server.is_serving():
+            await stop_listening(self._app, self._server, self._protocol)
+
+    async def close(self, deadline: float) -> None:
+        """Stop listening, and answer what was read until ``deadline`` (loop time)."""
+        await self.stop_listening()
         if self._server is not None:
-            self._server.close()
-
-    async def close(self) -> None:
-        """Stop listening and close idle connections."""
-        if self._server is None:
-            return
-        self.stop_listening()
-        for connection in list(self._server.connections):
-            connection.close_if_idle()
-        await asyncio.sleep(0)
+            await close_connections(self._server, deadline)
