An idle connection whose next request has arrived unread is not closed for another

Between two turns of the loop a caller's next request lies in the kernel. To close its connection at the limit of connections then would reset it. Whether bytes are unread is asked before a connection is closed; the next longest idle one is closed instead.

test_a_connection_whose_next_request_was_not_read_yet_is_not_idle failed before: ConnectionResetError at the caller.

--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import select
 from collections.abc import Callable
 
 from aiohttp import web
@@ -40,9 +41,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether the next request is awaited, and no byte of it was received."""
-        awaits_request = self._waiter is not None and not self._waiter.done()
-        return awaits_request and self._head_timer is None and not self.is_busy
+        """Whether the next request is awaited, and no byte of it has arrived."""
+        if self._waiter is None or self._waiter.done():
+            return False
+        if self._head_timer is not None or self.is_busy:
+            return False
+        return not has_unread_bytes(self.transport)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Count the connection; abort it if there is no room for it."""
@@ -136,3 +140,10 @@
             response.force_close()
             return response
         return await self._handler(request)
+
+
+def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the kernel holds bytes, or an end, that were not read yet."""
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -1,13 +1,16 @@
 """Open connections fall silent without a reset, while new ones work."""
 
 import asyncio
+import socket
 import time
 from contextlib import asynccontextmanager
 
+from aiohttp import web
 from aiohttp.test_utils import TestServer
 
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.fronts.listening import CallerServer
 from marjoramstile.peers.connections import PeerConnections
 from marjoramstile.peers.transport import PeerServer
 from marjoramstile.platform.store import (
@@ -17,12 +20,14 @@
 )
 from soak.proxy import LinkProxy
 from standins.published.store import create_app
+from tests.fronts.test_connection_limit import FakeConnection
 from tests.platform.support import BUFFER_BYTES, HOST
 
 TABLE = "servers"
 # Connections that a daemon accepts from its peers.
 PEERS_MAX = 8
 WAIT_S = 0.2
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 # Longest time of a call on a connection that works.
 WORKING_S = 0.4
 FRAME_MAX_BYTES = 100_000
@@ -121,3 +126,28 @@
         writer.close()
     peers.close()
     await server.close()
+
+
+async def test_a_connection_whose_next_request_was_not_read_yet_is_not_idle():
+    async def handle(request):
+        return web.Response(text="done")
+
+    limit = ConnectionLimit("front", 2, lambda name, listener: None)
+    server = CallerServer(handle, limit=limit)
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, HOST, 0)
+    callers = []
+    for _ in range(2):
+        caller = socket.create_connection(listener.sockets[0].getsockname())
+        caller.setblocking(False)
+        caller.send(REQUEST)
+        assert (await loop.sock_recv(caller, 4096)).startswith(b"HTTP/1.1 200")
+        callers.append(caller)
+    callers[0].send(REQUEST)
+    assert limit.add(FakeConnection())
+    assert (await loop.sock_recv(callers[0], 4096)).startswith(b"HTTP/1.1 200")
+    assert await loop.sock_recv(callers[1], 4096) == b""
+    for caller in callers:
+        caller.close()
+    listener.close()
+    await server.shutdown(0.1)
