--- a/tests/processes/test_start_resources.py
+++ b/tests/processes/test_start_resources.py
@@ -173,6 +173,25 @@
             await asyncio.sleep(0.05)
 
 
+async def test_a_second_instance_takes_over_when_the_first_has_ended(
+    fleet, router, tmp_path
+):
+    directory = tmp_path / "second"
+    directory.mkdir()
+    second = StartedDaemon("router", directory)
+    try:
+        router.start()
+        await wait_for_status(READY_PORT, 200)
+        second.start()
+        await assert_waits(second, "ready")
+        router.process.terminate()
+        assert await router.wait_exit() == 0
+        await second.wait_for_event("daemon_started")
+        await wait_for_status(READY_PORT, 200)
+    finally:
+        second.kill()
+
+
 @pytest.mark.parametrize(
     ("purpose", "port"), [("metrics", METRICS_PORT), ("completions", COMPLETIONS_PORT)]
 )
