--- a/marjoramstile/daemon/service.py
+++ b/marjoramstile/daemon/service.py
@@ -22,10 +22,10 @@
 )
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.connection_limit import ConnectionLimit
-from marjoramstile.listeners import UnusableAddressError, acquire_socket
+from marjoramstile.listeners import acquire_listener, acquire_optional_listener
 from marjoramstile.log_volume import NonBlockingStream
 from marjoramstile.logs import get_logger, start_logging
-from marjoramstile.loops import create_loop, io_uring_descriptors, listening_socket
+from marjoramstile.loops import create_loop, io_uring_descriptors
 from marjoramstile.node import Node, Ports
 from marjoramstile.operators.app import OperatorHandler, create_operator_app
 from marjoramstile.peers.connections import IDLE_ADDRESSES_MAX, PeerConnections
@@ -43,7 +43,6 @@
 from marjoramstile.process_signals import DaemonSignals
 from marjoramstile.results import Failure, RequestFailedError, ResultCode
 from marjoramstile.settings import (
-    Address,
     Settings,
     describe_errors,
     load_settings,
@@ -128,10 +127,6 @@
             self._limit("peers", shares.peers),
         )
 
-    async def _acquire(self, purpose: str, address: Address) -> socket.socket:
-        open_socket = partial(listening_socket, backlog=self._shares.backlog)
-        return await acquire_socket(open_socket, address.host, address.port, purpose)
-
     def _limit(self, name: str, max_open: int) -> ConnectionLimit:
         return ConnectionLimit(name, max_open, self._node.metrics.count)
 
@@ -166,8 +161,11 @@
         They hand out this daemon's address from then on.
         """
         listeners = self._settings.listeners
-        peer_socket = await self._acquire("peers", listeners.peers)
-        self._caller_socket = await self._acquire("callers", listeners.callers)
+        backlog = self._shares.backlog
+        peer_socket = await acquire_listener("peers", listeners.peers, backlog)
+        self._caller_socket = await acquire_listener(
+            "callers", listeners.callers, backlog
+        )
         await self._peer_server.serve(peer_socket)
         await self._node.join()
 
@@ -192,17 +190,14 @@
 
     async def _serve_operators(self) -> None:
         """Listen on the operators' address, which callers don't need."""
-        try:
-            listener = await self._acquire(
-                "operators", self._settings.listeners.operators
-            )
-        except UnusableAddressError as error:
-            logger.error("address_unusable", reason=str(error))
-            return
-        if self._stopping.is_set():
-            listener.close()
-            return
-        await self._operator_server.serve(listener)
+        listener = await acquire_optional_listener(
+            "operators",
+            self._settings.listeners.operators,
+            self._shares.backlog,
+            self._stopping,
+        )
+        if listener is not None:
+            await self._operator_server.serve(listener)
 
     async def _leave(self) -> None:
         """Leave gracefully.
--- a/marjoramstile/fronts/listeners.py
+++ b/marjoramstile/fronts/listeners.py
@@ -4,7 +4,6 @@
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from functools import partial
 
 from aiohttp import web
 
@@ -12,8 +11,7 @@
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.draining import drain
 from marjoramstile.fronts.listening import CallerServer, refuse_connection
-from marjoramstile.listeners import acquire_socket
-from marjoramstile.loops import listening_socket
+from marjoramstile.listeners import acquire_listener, acquire_optional_listener
 from marjoramstile.routes.settings import Address
 
 # Longer than any idle time that the configuration allows callers.
@@ -57,16 +55,20 @@
 
         Raises UnusableAddressError if no wait will help.
         """
-        address = listener.address
-        open_socket = partial(listening_socket, backlog=self._backlog)
-        return await acquire_socket(
-            open_socket, address.host, address.port, listener.name
-        )
+        return await acquire_listener(listener.name, listener.address, self._backlog)
 
     async def listen(self, listener: Listener) -> None:
         """Serve a listener as soon as its address is free."""
         await self.serve(listener, await self.acquire(listener))
 
+    async def listen_unless(self, listener: Listener, stopping: asyncio.Event) -> None:
+        """Serve a listener that the daemon can do without, unless it stops first."""
+        listening = await acquire_optional_listener(
+            listener.name, listener.address, self._backlog, stopping
+        )
+        if listening is not None:
+            await self.serve(listener, listening)
+
     async def serve(self, listener: Listener, listening: socket.socket) -> None:
         """Serve the connections of a listening socket."""
         server = CallerServer(
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -15,7 +15,6 @@
 from marjoramstile.fronts.closing import ClosingReport
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.listeners import Listener, ListenerGroup
-from marjoramstile.listeners import UnusableAddressError
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop
@@ -228,17 +227,7 @@
     def _listen_when_free(self, listener: Listener) -> None:
         """Listen on an address that the daemon can serve without."""
 
-        async def listen() -> None:
-            try:
-                listening = await self._listeners.acquire(listener)
-            except UnusableAddressError as error:
-                logger.error("address_unusable", reason=str(error))
-                return
-            if self._stopping.is_set():
-                listening.close()
-                return
-            await self._listeners.serve(listener, listening)
-
+        listen = partial(self._listeners.listen_unless, listener, self._stopping)
         self._node.tasks.start_retried(listen, f"listen for {listener.name}")
 
     async def _abandon_start(self) -> None:
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -16,9 +16,9 @@
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
-from marjoramstile.listeners import acquire_socket
+from marjoramstile.listeners import acquire_listener, acquire_socket
 from marjoramstile.logs import get_logger
-from marjoramstile.loops import datagram_socket, listening_socket
+from marjoramstile.loops import datagram_socket
 from marjoramstile.membership.leaving import LeavingHosts
 from marjoramstile.membership.nodes import NODES_TABLE, MirrorVMList
 from marjoramstile.membership.prober import Prober
@@ -548,10 +548,9 @@
     async def acquire_sockets(self) -> PeerSockets:
         """Return the sockets for peers, which are not served before ``start``."""
         peers = self.settings.listeners.peers
-        listen = partial(listening_socket, backlog=self._shares.backlog)
         return PeerSockets(
             await acquire_socket(datagram_socket, peers.host, peers.port, "peers_udp"),
-            await acquire_socket(listen, peers.host, peers.port, "peers"),
+            await acquire_listener("peers", peers, self._shares.backlog),
         )
 
     async def start(self, sockets: PeerSockets) -> None:
