--- a/tests/processes/test_late_calls.py
+++ b/tests/processes/test_late_calls.py
@@ -131,6 +131,8 @@
                 writer.close()
                 writer = None
             await asyncio.sleep(KEPT_PERIOD_S)
+        if writer is not None:
+            writer.close()
 
     async def call_anew(self) -> None:
         """Send each request on a connection of its own."""
--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -174,6 +174,8 @@
             writer.close()
             writer = None
         await asyncio.sleep(0.002)
+    if writer is not None:
+        writer.close()
 
 
 async def test_no_request_that_was_read_is_left_unanswered_as_a_daemon_ends(fleet):
