--- a/marjoramstile/daemon/service.py
+++ b/marjoramstile/daemon/service.py
@@ -20,10 +20,10 @@
     PLANNED_STOP_EXIT,
 )
 from marjoramstile.fronts.buffers import BufferBudget
-from marjoramstile.listeners import UnusableAddressError, acquire_socket
+from marjoramstile.listeners import acquire_listener, acquire_optional_listener
 from marjoramstile.log_volume import NonBlockingStream
 from marjoramstile.logs import get_logger, start_logging
-from marjoramstile.loops import create_loop, io_uring_descriptors, listening_socket
+from marjoramstile.loops import create_loop, io_uring_descriptors
 from marjoramstile.node import Node, Ports
 from marjoramstile.operators.app import OperatorHandler, create_operator_app
 from marjoramstile.peers.connections import PeerConnections
@@ -41,7 +41,6 @@
 from marjoramstile.process_signals import DaemonSignals
 from marjoramstile.results import Failure, RequestFailedError, ResultCode
 from marjoramstile.settings import (
-    Address,
     Settings,
     describe_errors,
     load_settings,
@@ -141,8 +140,8 @@
         They hand out this daemon's address from then on.
         """
         listeners = self._settings.listeners
-        peer_socket = await _acquire("peers", listeners.peers)
-        self._caller_socket = await _acquire("callers", listeners.callers)
+        peer_socket = await acquire_listener("peers", listeners.peers)
+        self._caller_socket = await acquire_listener("callers", listeners.callers)
         await self._peer_server.serve(peer_socket)
         await self._node.join()
 
@@ -167,15 +166,11 @@
 
     async def _serve_operators(self) -> None:
         """Listen on the operators' address, which callers don't need."""
-        try:
-            listener = await _acquire("operators", self._settings.listeners.operators)
-        except UnusableAddressError as error:
-            logger.error("address_unusable", reason=str(error))
-            return
-        if self._stopping.is_set():
-            listener.close()
-            return
-        await self._operator_server.serve(listener)
+        listener = await acquire_optional_listener(
+            "operators", self._settings.listeners.operators, self._stopping
+        )
+        if listener is not None:
+            await self._operator_server.serve(listener)
 
     async def _leave(self) -> None:
         """Leave gracefully.
@@ -206,10 +201,6 @@
         logger.info("daemon_stopped", vm=self._settings.node.name)
 
 
-async def _acquire(purpose: str, address: Address) -> socket.socket:
-    return await acquire_socket(listening_socket, address.host, address.port, purpose)
-
-
 async def serve(settings: Settings, settings_file: str, signals: DaemonSignals) -> None:
     """Run a daemon until it has stopped after SIGTERM or SIGINT."""
     connector = TCPConnector(limit=0)
--- a/marjoramstile/listeners.py
+++ b/marjoramstile/listeners.py
@@ -5,8 +5,10 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from marjoramstile.logs import get_logger
+from marjoramstile.loops import listening_socket
 from marjoramstile.utils import loop_time
 
 # Pauses between attempts, the first and the longest.
@@ -23,6 +25,13 @@
 logger = get_logger(__name__)
 
 
+class SocketAddress(Protocol):
+    """An address of either daemon's settings."""
+
+    host: str
+    port: int
+
+
 @dataclass(frozen=True)
 class UnusableAddressError(Exception):
     """The daemon can never listen on an address of its settings."""
@@ -71,3 +80,26 @@
     if reported_at is not None:
         logger.info("address_acquired", purpose=purpose, address=address)
     return acquired
+
+
+async def acquire_listener(purpose: str, address: SocketAddress) -> socket.socket:
+    """Return a socket that listens on an address, waiting until it is free."""
+    return await acquire_socket(listening_socket, address.host, address.port, purpose)
+
+
+async def acquire_optional_listener(
+    purpose: str, address: SocketAddress, stopping: asyncio.Event
+) -> socket.socket | None:
+    """Return a listening socket that the daemon can serve without.
+
+    Return None if the address is unusable or the daemon stops meanwhile.
+    """
+    try:
+        listener = await acquire_listener(purpose, address)
+    except UnusableAddressError as error:
+        logger.error("address_unusable", reason=str(error))
+        return None
+    if stopping.is_set():
+        listener.close()
+        return None
+    return listener
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -12,10 +12,10 @@
 from marjoramstile.fronts.bodies import BodyReader
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.listening import CallerServer
-from marjoramstile.listeners import UnusableAddressError, acquire_socket
+from marjoramstile.listeners import acquire_listener, acquire_optional_listener
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
-from marjoramstile.loops import create_loop, listening_socket
+from marjoramstile.loops import create_loop
 from marjoramstile.mirrors.mirror import DocumentMirror
 from marjoramstile.platform.carriers import HTTPCarrierClient
 from marjoramstile.platform.documents import (
@@ -161,7 +161,7 @@
         await self._listen("ready", listeners.ready, endpoints.ready)
         await self._listen("directory", listeners.addresses, endpoints.resolve)
         self._peer_sockets = await self._node.acquire_sockets()
-        self._front_socket = await _acquire("front", listeners.front)
+        self._front_socket = await acquire_listener("front", listeners.front)
 
     async def _start(self) -> None:
         node = self._node
@@ -193,21 +193,15 @@
         ).handle
 
     async def _listen(self, purpose: str, address: Address, handler) -> None:
-        await self._serve(await _acquire(purpose, address), handler)
+        await self._serve(await acquire_listener(purpose, address), handler)
 
     def _listen_when_free(self, purpose: str, address: Address, handler) -> None:
         """Listen on an address that the daemon can serve without."""
 
         async def listen() -> None:
-            try:
-                listener = await _acquire(purpose, address)
-            except UnusableAddressError as error:
-                logger.error("address_unusable", reason=str(error))
-                return
-            if self._stopping.is_set():
-                listener.close()
-                return
-            await self._serve(listener, handler)
+            listener = await acquire_optional_listener(purpose, address, self._stopping)
+            if listener is not None:
+                await self._serve(listener, handler)
 
         self._node.tasks.start_retried(listen, f"listen for {purpose}")
 
@@ -260,10 +254,6 @@
         logger.info("daemon_stopped", cut=self._node.entry.running)
 
 
-async def _acquire(purpose: str, address: Address) -> socket.socket:
-    return await acquire_socket(listening_socket, address.host, address.port, purpose)
-
-
 async def serve(settings: RouterSettings, signals: DaemonSignals) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
     store_session = create_store_session()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+import pytest
+
 from marjoramstile.exit_codes import BAD_SETTINGS_EXIT, FAILED_EXIT, PLANNED_STOP_EXIT
 from marjoramstile.listeners import UnusableAddressError
 from marjoramstile.process import complete_unless, report_loop_errors, run_loop
@@ -71,10 +73,7 @@
     assert await complete_unless(asyncio.Event(), asyncio.sleep(1.0))
 
     async def fail():
-        raise ValueError
+        raise ValueError("lost")
 
-    try:
+    with pytest.raises(ValueError, match="lost"):
         await complete_unless(asyncio.Event(), fail())
-    except ValueError:
-        return
-    raise AssertionError("the error was lost")
