--- a/soak/callers.py
+++ b/soak/callers.py
@@ -52,6 +52,35 @@
     ended: float
 
 
+@dataclass
+class Resolver:
+    """The addresses that callers share, resolved anew once they have expired."""
+
+    fleet: PublishedFleet
+    daemons: int
+    rng: random.Random
+    _addresses: list[str] = field(default_factory=list)
+    _resolved_at: float = float("-inf")
+
+    async def front(self) -> str | None:
+        """Return one of the addresses, None if there are none."""
+        now = asyncio.get_running_loop().time()
+        if now - self._resolved_at > ADDRESS_TTL_S:
+            self._resolved_at = now
+            await self._resolve()
+        return self.rng.choice(self._addresses) if self._addresses else None
+
+    async def _resolve(self) -> None:
+        """Resolve at up to three daemons in random order, as real callers do."""
+        numbers = list(range(1, self.daemons + 1))
+        self.rng.shuffle(numbers)
+        for number in numbers[:3]:
+            with contextlib.suppress(ClientError, OSError, TimeoutError):
+                async with asyncio.timeout(1.0):
+                    self._addresses = await self.fleet.addresses(number)
+                    return
+
+
 @dataclass
 class Callers:
     """Concurrent callers with shared addresses, and all their outcomes."""
@@ -61,10 +90,11 @@
     rng: random.Random
     deadly_share: float = DEADLY_SHARE
     outcomes: list[Outcome] = field(default_factory=list)
-    _addresses: list[str] = field(default_factory=list)
-    _resolved_at: float = float("-inf")
     _number: int = 0
 
+    def __post_init__(self):
+        self._resolver = Resolver(self.fleet, self.daemons, self.rng)
+
     async def run(self, count: int, stopping: asyncio.Event) -> None:
         """Call until ``stopping`` is set."""
         async with ClientSession(timeout=ClientTimeout(CALL_TIMEOUT_S)) as session:
@@ -76,7 +106,7 @@
 
     async def _call_repeatedly(self, session: ClientSession, stopping: asyncio.Event):
         while not stopping.is_set():
-            front = await self._front()
+            front = await self._resolver.front()
             if front is not None and self.rng.random() < DISCONNECT_SHARE:
                 await self._disconnect_from_stream(session, front)
             elif front is not None:
@@ -84,23 +114,6 @@
                 self.outcomes.append(await self.call(session, front, kind))
             await asyncio.sleep(self.rng.uniform(0.01, 0.1))
 
-    async def _front(self) -> str | None:
-        now = asyncio.get_running_loop().time()
-        if now - self._resolved_at > ADDRESS_TTL_S:
-            self._resolved_at = now
-            await self._resolve()
-        return self.rng.choice(self._addresses) if self._addresses else None
-
-    async def _resolve(self) -> None:
-        """Resolve at up to three daemons in random order, as real callers do."""
-        numbers = list(range(1, self.daemons + 1))
-        self.rng.shuffle(numbers)
-        for number in numbers[:3]:
-            with contextlib.suppress(ClientError, OSError, TimeoutError):
-                async with asyncio.timeout(1.0):
-                    self._addresses = await self.fleet.addresses(number)
-                    return
-
     def _headers(self) -> dict[str, str]:
         """Return the headers of the next request, with a unique id."""
         self._number += 1
@@ -158,7 +171,7 @@
         received = ReceivedStream()
         status = await received.read(session, f"http://{front}{target}", headers)
         for _ in range(TAKE_UPS_MAX):
-            front = await self._front() or front
+            front = await self._resolver.front() or front
             if status == 200 or received.last == 0:
                 break
             await asyncio.sleep(TAKE_UP_PAUSE_S)
