--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import random
 import sys
 from collections import Counter
+from typing import Annotated
 
 import typer
 from aiohttp import ClientError
@@ -12,6 +13,7 @@
 from soak.checks import check_outcomes, check_recovery
 from soak.faults import DECODE, FAULTS, PLAIN, PLANNED, FaultContext
 from soak.fleets import SoakFleet, free_network
+from soak.series import SeriesSoak
 
 CALLERS = 6
 SETTLE_S = 8.0
@@ -85,9 +87,18 @@
     seconds: float = typer.Option(20.0),
     daemons: int = typer.Option(3),
     planned: bool = typer.Option(False, help="Only planned work; nothing may be cut."),
+    series: bool = typer.Option(False, help="Signals and changes that overlap."),
+    callers: int = typer.Option(CALLERS, help="Callers of the series that resolve."),
+    only: Annotated[
+        list[str] | None, typer.Option(help="Actions of the series; else all.")
+    ] = None,
 ) -> None:
     """Run one seed; the exit code is 0 if all guarantees held."""
-    violations = asyncio.run(Soak(seed, seconds, daemons, planned).run())
+    if series:
+        soak = SeriesSoak(seed, seconds, daemons, callers, only or ())
+    else:
+        soak = Soak(seed, seconds, daemons, planned)
+    violations = asyncio.run(soak.run())
     for line in violations[:SHOWN_VIOLATIONS]:
         print(f"BROKEN {line}")
     print(f"seed {seed}: {len(violations)} broken")
