--- a/soak/connections.py
+++ b/soak/connections.py
@@ -17,7 +17,7 @@
 PATIENCE_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 RECONNECT_PAUSE_S = 0.05
-KEPT_INTERVAL_S = 0.1
+KEPT_INTERVAL_S = 0.05
 # Of a connection's requests, so many are sent in two parts, this far apart.
 SPLIT_SHARE = 0.2
 SPLIT_PAUSE_S = 0.03
--- a/soak/series.py
+++ b/soak/series.py
@@ -19,7 +19,7 @@
 START_LIMIT_S = 90.0
 SETTLE_S = 30.0
 # Connections that are kept to each VM, whatever state it is in.
-KEPT_PER_VM = 8
+KEPT_PER_VM = 16
 CHECKED_CALLERS = 3
 RESOLVED_PAUSE_S = 0.02
 # Time between two new connections to stopping daemons, over all of them.
