--- a/tests/processes/test_descriptors.py
+++ b/tests/processes/test_descriptors.py
@@ -152,6 +152,8 @@
     log = daemon.log.read_text()
     assert "event=no_descriptor" in log
     assert "event=replica_links_lost" not in log
+    for caller in [*kept, new]:
+        caller.close()
 
 
 async def test_idle_connections_of_callers_do_not_take_all_descriptors(fleet):
@@ -179,9 +181,10 @@
     ready = await watch_ready(fleet, 1.0)
     assert ready == [True] * len(ready)
     assert await fleet.addresses(1) == [fleet.front(1)]
-    assert await (await Caller.connect(fleet)).book() == 200
+    new = await Caller.connect(fleet)
+    assert await new.book() == 200
     metrics = await scrape(fleet)
     for name in ("addresses", "callers", "metrics", "peers", "ready"):
         assert f'connections_closed_total{{service="{name}"}}' in metrics
-    for caller in silent:
+    for caller in [*silent, new]:
         caller.close()
