Listeners keep the backlog that their socket was opened with (found by the soak)

Cause: the loop's create_server listens again on the socket that it is given, with its own default. All three kinds of listeners (aiohttp, sanic, peers) now pass the backlog on. The tests of sanic's listener follow WebServer's interface (a bound on connections, a listening socket).

--- a/marjoramstile/daemon/service.py
+++ b/marjoramstile/daemon/service.py
@@ -166,7 +166,7 @@
         self._caller_socket = await acquire_listener(
             "callers", listeners.callers, backlog
         )
-        await self._peer_server.serve(peer_socket)
+        await self._peer_server.serve(peer_socket, backlog)
         await self._node.join()
 
     async def _abandon_start(self) -> None:
@@ -178,7 +178,7 @@
         logger.info("daemon_stopped_while_starting")
 
     async def _start(self) -> None:
-        await self._caller_server.serve(self._caller_socket)
+        await self._caller_server.serve(self._caller_socket, self._shares.backlog)
         self._node.tasks.start_retried(self._serve_operators, "listen for operators")
         self._node.start_periodic_tasks()
         logger.info(
@@ -197,7 +197,7 @@
             self._stopping,
         )
         if listener is not None:
-            await self._operator_server.serve(listener)
+            await self._operator_server.serve(listener, self._shares.backlog)
 
     async def _leave(self) -> None:
         """Leave gracefully.
--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -134,10 +134,11 @@
         self._closing = False
         app.on_response(self._announce_close)
 
-    async def serve(self, listener: socket.socket) -> None:
+    async def serve(self, listener: socket.socket, backlog: int) -> None:
         """Serve the connections of a listening socket."""
         self._server = await self._app.create_server(
             sock=listener,
+            backlog=backlog,
             protocol=self._protocol,
             return_asyncio_server=True,
             access_log=False,
--- a/marjoramstile/fronts/listeners.py
+++ b/marjoramstile/fronts/listeners.py
@@ -86,7 +86,8 @@
             max_field_size=LINE_MAX_BYTES,
         )
         loop = asyncio.get_running_loop()
-        self._served.append((server, await loop.create_server(server, sock=listening)))
+        served = await loop.create_server(server, sock=listening, backlog=self._backlog)
+        self._served.append((server, served))
 
     async def drain(self, names: tuple[str, ...], deadline: float) -> None:
         """End the listeners of some names together; see ``draining.drain``."""
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -19,7 +19,7 @@
 )
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.logs import get_logger
-from marjoramstile.loops import connect, listening_socket
+from marjoramstile.loops import LISTEN_BACKLOG, connect, listening_socket
 from marjoramstile.peers.frames import (
     decode_answer,
     decode_call,
@@ -159,9 +159,13 @@
         """Listen on ``host``:``port``."""
         await self.serve(listening_socket(host, port))
 
-    async def serve(self, listener: socket.socket) -> None:
+    async def serve(
+        self, listener: socket.socket, backlog: int = LISTEN_BACKLOG
+    ) -> None:
         """Serve the connections of a listening socket."""
-        self._server = await asyncio.start_server(self._serve, sock=listener)
+        self._server = await asyncio.start_server(
+            self._serve, sock=listener, backlog=backlog
+        )
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -555,7 +555,7 @@
 
     async def start(self, sockets: PeerSockets) -> None:
         """Serve peers and begin to follow the store."""
-        await self._peer_server.serve(sockets.calls)
+        await self._peer_server.serve(sockets.calls, self._shares.backlog)
         await self._start_datagrams(sockets.datagrams)
         for table, follower in self._followers.items():
             if follower.mirror is not self.configuration_mirror:
--- a/tests/entry/test_draining.py
+++ b/tests/entry/test_draining.py
@@ -10,12 +10,15 @@
 from sanic import text
 
 from marjoramstile.entry.web import WebServer, create_app, with_body
-from marjoramstile.settings import Address, LimitSettings
+from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.loops import listening_socket
+from marjoramstile.settings import LimitSettings
 from marjoramstile.utils import loop_time
 
 HOST = "127.0.0.1"
 PORT = 8145
 WORK_S = 0.1
+CONNECTIONS = 100
 DRAIN_S = 0.6
 HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
 REQUEST = HEAD + b"abcd"
@@ -30,7 +33,8 @@
         self.work_s = WORK_S
         app = create_app(f"draining-{next(NUMBERS)}", LIMITS)
         app.add_route(with_body(self._handle, LIMITS), "/x", ["POST"], stream=True)
-        self.server = WebServer(app, Address(HOST, PORT))
+        limit = ConnectionLimit("callers", CONNECTIONS, lambda event, name: None)
+        self.server = WebServer(app, limit)
 
     async def _handle(self, request):
         await asyncio.sleep(self.work_s)
@@ -49,7 +53,7 @@
 async def listener():
     """Run a listener for one test."""
     result = Listener()
-    await result.server.start()
+    await result.server.serve(listening_socket(HOST, PORT), CONNECTIONS)
     yield result
     await result.server.close(loop_time())
 
