A stream whose prompt is still read at the end of a stop is refused as not run

A replica that reads a prompt does not run the request; at the end of the grace its caller got 502, outcome unknown, and could not know that it may send the request again. The record of sends leaves out prefills. The new test failed before (OutcomeUnknownError).

--- a/marjoramstile/routes/checked_client.py
+++ b/marjoramstile/routes/checked_client.py
@@ -79,8 +79,7 @@
     ) -> KVHandle:
         """Prefill the prompt; return a handle to its KV cache."""
         self._check(replica)
-        with recorded_send(request):
-            return await self._client.prefill(replica, request, timeout_s)
+        return await self._client.prefill(replica, request, timeout_s)
 
     async def accepts_connections(self, replica: Replica) -> bool:
         """Return whether the replica accepts a connection; never raises."""
--- a/tests/routes/test_stops.py
+++ b/tests/routes/test_stops.py
@@ -67,6 +67,18 @@
     assert harness.entry.running == 0
 
 
+async def test_stream_whose_prompt_is_still_read_ends_as_refused(harness, monkeypatch):
+    async def read_prompt(*args):
+        await asyncio.sleep(TIMEOUT_S)
+
+    monkeypatch.setattr(harness.core.pool, "prefill", read_prompt)
+    stream = send(harness, "/stream/x", SIZE)
+    await asyncio.sleep(0.1)
+    harness.entry.stop()
+    with pytest.raises(RequestRefusedError):
+        await stream
+
+
 async def test_request_that_still_waits_for_a_place_ends_as_refused(
     harness, monkeypatch
 ):
