--- a/marjoramstile/fronts/draining.py
+++ b/marjoramstile/fronts/draining.py
@@ -6,16 +6,18 @@
 """
 
 import asyncio
-import os
 import socket
 
 from marjoramstile.fronts.listening import CallerServer
+from marjoramstile.logs import get_logger
 from marjoramstile.utils import loop_time
 
 POLL_S = 0.01
 # Time in which handlers end whose connections were cut off.
 SETTLE_S = 0.05
 
+logger = get_logger(__name__)
+
 
 async def stop_listening(protocol_factory, listener: asyncio.Server) -> None:
     """Stop listening; connections that the kernel has accepted already are kept.
@@ -40,16 +42,21 @@
 
 
 def _accept_all(descriptor: int) -> list[socket.socket]:
-    """Accept connections until none waits."""
+    """Accept connections until none waits, or until there is no descriptor left."""
     accepted = []
-    with socket.socket(fileno=os.dup(descriptor)) as listening:
+    listening = socket.socket(fileno=descriptor)
+    try:
         while True:
-            try:
-                connection, _ = listening.accept()
-            except BlockingIOError:
-                return accepted
+            connection, _ = listening.accept()
             connection.setblocking(False)
             accepted.append(connection)
+    except BlockingIOError:
+        return accepted
+    except OSError as error:
+        logger.warning("backlog_not_accepted", reason=str(error))
+        return accepted
+    finally:
+        listening.detach()
 
 
 async def drain(
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import socket
+from collections.abc import Awaitable
 from functools import partial
 
 from aiohttp import ClientSession
@@ -241,11 +242,11 @@
         started_at = loop_time()
         self._node.entry.stop()
         logger.info("daemon_stopping", running=self._node.entry.running)
-        await self._node.leave()
+        await _complete_step("leave", self._node.leave())
         await self._serve_late_callers(started_at)
         self._node.entry.refuse_new()
-        await self._drain_listeners(started_at)
-        await self._node.close()
+        await _complete_step("drain", self._drain_listeners(started_at))
+        await _complete_step("close", self._node.close())
         logger.info("daemon_stopped", cut=self._node.entry.running)
 
     async def _serve_late_callers(self, started_at: float) -> None:
@@ -265,6 +266,14 @@
         await self._listeners.drain_others(loop_time() + OTHER_DRAIN_S)
 
 
+async def _complete_step(name: str, step: Awaitable[None]) -> None:
+    """Await a step of a stop; an error must not keep the next ones from their work."""
+    try:
+        await step
+    except Exception as error:
+        logger.error("stop_step_failed", step=name, error=repr(error))
+
+
 async def serve(settings: RouterSettings, signals: DaemonSignals) -> None:
     """Run the daemon until SIGTERM or SIGINT."""
     store_session = create_store_session()
--- a/tests/fronts/test_draining.py
+++ b/tests/fronts/test_draining.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from contextlib import asynccontextmanager
 
 import pytest
 from aiohttp import web
 
+from marjoramstile.fronts import draining
 from marjoramstile.fronts.closing import CloseReason
 from marjoramstile.fronts.draining import drain
 from marjoramstile.fronts.listening import CallerServer
@@ -178,6 +180,37 @@
     writer.close()
 
 
+async def test_half_a_head_that_came_with_a_whole_request_is_waited_for(listener):
+    get = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+    reader, writer = await listener.connect()
+    writer.write(get + REQUEST[:20])
+    await asyncio.sleep(0.05)
+    ending = listener.drain()
+    await asyncio.sleep(0.2)
+    writer.write(REQUEST[20:])
+    answers = await read_to_end(reader)
+    assert answers.count(b"200 OK") == 2
+    await ending
+    writer.close()
+
+
+async def test_lack_of_descriptors_does_not_end_the_drain(listener, monkeypatch):
+    class Exhausted(socket.socket):
+        def accept(self):
+            raise OSError(errno.EMFILE, "no descriptors")
+
+    reader, writer = await listener.connect()
+    writer.write(REQUEST)
+    await asyncio.sleep(WORK_S / 2)
+    monkeypatch.setattr(draining.socket, "socket", Exhausted)
+    ending = listener.drain()
+    await asyncio.sleep(0)
+    monkeypatch.undo()
+    assert (await read_to_end(reader)).count(b"got abcd") == 1
+    await ending
+    writer.close()
+
+
 async def test_idle_connections_are_closed_at_once(listener):
     reader, writer = await listener.connect()
     writer.write(REQUEST)
