--- a/marjoramstile/entry/connections.py
+++ b/marjoramstile/entry/connections.py
@@ -7,12 +7,24 @@
 from sanic.server.protocols.http_protocol import HttpProtocol
 
 from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.fronts.listening import has_unread_bytes
 from marjoramstile.results import Failure, RequestFailedError, ResultCode
 
 # Room for a connection may be made at any moment.
 RETRY_AFTER_REFUSED_S = 1.0
 
 
+def is_idle(connection: HttpProtocol) -> bool:
+    """Return whether nothing is left to answer, to send or to read."""
+    http = connection.http
+    if http is None or http.stage is not Stage.IDLE or connection.recv_buffer:
+        return False
+    transport = connection.transport
+    if transport is None or transport.is_closing():
+        return False
+    return not transport.get_write_buffer_size() and not has_unread_bytes(transport)
+
+
 class LimitedProtocol(HttpProtocol):
     """sanic's server protocol, whose connections count towards a limit."""
 
@@ -24,9 +36,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether the next request is awaited, and no byte of it was received."""
-        awaits_request = self._http is not None and self._http.stage is Stage.IDLE
-        return awaits_request and not self.recv_buffer
+        """Whether nothing is left to answer, to send or to read."""
+        return is_idle(self)
 
     @property
     def is_refused(self) -> bool:
--- a/marjoramstile/entry/draining.py
+++ b/marjoramstile/entry/draining.py
@@ -9,6 +9,7 @@
 from sanic.server.async_server import AsyncioServer
 from sanic.server.protocols.http_protocol import HttpProtocol
 
+from marjoramstile.entry.connections import is_idle
 from marjoramstile.fronts import draining
 from marjoramstile.fronts.listening import has_unread_bytes
 from marjoramstile.logs import get_logger
@@ -62,22 +63,11 @@
 async def _close_idle(server: AsyncioServer, deadline: float) -> None:
     while server.connections and loop_time() < deadline:
         for connection in list(server.connections):
-            if _is_idle(connection):
+            if is_idle(connection):
                 connection.close()
         await asyncio.sleep(POLL_S)
 
 
-def _is_idle(connection: HttpProtocol) -> bool:
-    """Return whether nothing is left to answer, to send or to read."""
-    http = connection.http
-    if http is None or http.stage is not Stage.IDLE or connection.recv_buffer:
-        return False
-    transport = connection.transport
-    if transport is None or transport.is_closing():
-        return False
-    return not transport.get_write_buffer_size() and not has_unread_bytes(transport)
-
-
 def _end_request(connection: HttpProtocol) -> None:
     """End the request in progress with an answer, unless that has begun."""
     http = connection.http
--- a/marjoramstile/fronts/answers.py
+++ b/marjoramstile/fronts/answers.py
@@ -114,5 +114,8 @@
         transport = self._request.transport
         if transport is not None and not transport.is_closing():
             note_closing(self._request, reason)
-            transport.close()
+            if reason == CloseReason.ANSWER_NOT_TAKEN:
+                transport.abort()
+            else:
+                transport.close()
         return self._response or web.Response(status=BAD_GATEWAY)
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from aiohttp import web
+from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler
 
 from marjoramstile.fronts.closing import (
@@ -24,6 +25,7 @@
 
 # Longer than any caller of the routes waits for its response.
 HEAD_TIMEOUT_S = 30.0
+HEAD_END = b"\r\n\r\n"
 SERVER_ERROR = 500
 # Time for the first request on a connection that was opened as its listener closed.
 FIRST_REQUEST_WAIT_S = 0.1
@@ -142,13 +144,13 @@
         super().data_received(data)
         if self._request_count > requests_before:
             self._body = self._messages[-1][1]
-        if is_body or self._request_count > requests_before:
+        is_new = self._request_count > requests_before
+        if is_new and self._body is EMPTY_PAYLOAD and not data.endswith(HEAD_END):
+            self._restart_head_timer()
+        elif is_body or is_new:
             self._cancel_head_timer()
         elif data and self._head_timer is None:
-            loop = asyncio.get_running_loop()
-            self._head_timer = loop.call_later(
-                HEAD_TIMEOUT_S, self._handle_head_timeout
-            )
+            self._restart_head_timer()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report the end, and cancel the head timer."""
@@ -223,11 +225,19 @@
         return answer
 
     def _process_keepalive(self) -> None:
+        if self._head_timer is not None:
+            return
         was_open = self.transport is not None
         super()._process_keepalive()
         if was_open and self.transport is None:
             self.note_closing(CloseReason.KEEP_ALIVE_ENDED)
 
+    def _restart_head_timer(self) -> None:
+        self._cancel_head_timer()
+        self._head_timer = self._loop.call_later(
+            HEAD_TIMEOUT_S, self._handle_head_timeout
+        )
+
     def _cancel_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -236,7 +246,9 @@
     def _handle_head_timeout(self) -> None:
         """Close the connection, unless an earlier request on it is in progress."""
         self._head_timer = None
-        if self._current_request is None and not self._messages:
+        if self.is_busy:
+            self._restart_head_timer()
+        else:
             logger.warning("head_not_whole", limit_s=HEAD_TIMEOUT_S)
             self.note_closing(CloseReason.HEAD_TIMEOUT)
             self.force_close()
@@ -315,9 +327,8 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle a request unless there is no room for its connection."""
         if self._limit is not None and self._limit.refuses(request.protocol):
-            response = self._refuse()
-            response.force_close()
-            return response
+            close_when_idle(request)
+            return self._refuse()
         return await self._handler(request)
 
 
--- a/tests/fronts/test_listeners.py
+++ b/tests/fronts/test_listeners.py
@@ -1,5 +1,6 @@
 """Listeners of the routing daemon, on real sockets."""
 
+import asyncio
 import contextlib
 import socket
 
@@ -39,3 +40,32 @@
             )
             callers.enter_context(caller)
     await listeners.close()
+
+
+async def test_all_pipelined_requests_beyond_the_bound_are_refused():
+    done = asyncio.Event()
+
+    async def wait(request: web.BaseRequest) -> web.Response:
+        await done.wait()
+        return web.Response()
+
+    listeners = ListenerGroup(BACKLOG, KeptClosings())
+    limit = ConnectionLimit("front", 16, lambda event, name: None)
+    address = Address(HOST, free_port())
+    await listeners.listen(Listener("front", address, wait, limit))
+    request = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+    writers = []
+    for _ in range(16):
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(request)
+        writers.append(writer)
+    await asyncio.sleep(0.05)
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(3 * request)
+    async with asyncio.timeout(2.0):
+        answers = await reader.read()
+    assert answers.count(b"503 Service Unavailable") == 3
+    done.set()
+    for item in (*writers, writer):
+        item.close()
+    await listeners.close()
