--- a/tests/entry/test_draining.py
+++ b/tests/entry/test_draining.py
@@ -16,7 +16,6 @@
 from marjoramstile.utils import loop_time
 
 HOST = "127.0.0.1"
-PORT = 8145
 WORK_S = 0.1
 CONNECTIONS = 100
 DRAIN_S = 0.6
@@ -35,6 +34,12 @@
         app.add_route(with_body(self._handle, LIMITS), "/x", ["POST"], stream=True)
         limit = ConnectionLimit("callers", CONNECTIONS, lambda event, name: None)
         self.server = WebServer(app, limit)
+        self._listening = listening_socket(HOST, 0)
+        self.port = self._listening.getsockname()[1]
+
+    async def serve(self) -> None:
+        """Serve on a free port."""
+        await self.server.serve(self._listening, CONNECTIONS)
 
     async def _handle(self, request):
         await asyncio.sleep(self.work_s)
@@ -42,7 +47,7 @@
 
     async def connect(self):
         """Open a connection."""
-        return await asyncio.open_connection(HOST, PORT)
+        return await asyncio.open_connection(HOST, self.port)
 
     def drain(self) -> asyncio.Task:
         """Begin to end the listener."""
@@ -53,7 +58,7 @@
 async def listener():
     """Run a listener for one test."""
     result = Listener()
-    await result.server.serve(listening_socket(HOST, PORT), CONNECTIONS)
+    await result.serve()
     yield result
     await result.server.close(loop_time())
 
@@ -103,7 +108,7 @@
 async def test_connections_in_the_backlog_are_served(listener):
     backlog = []
     for _ in range(20):
-        caller = socket.create_connection((HOST, PORT))
+        caller = socket.create_connection((HOST, listener.port))
         caller.sendall(REQUEST)
         caller.setblocking(False)
         backlog.append(caller)
