Workspaces: callers' keys are checked by digest, and replicas get the workspace's name

Cause: no module of the routing daemon knew a key: keys reached replicas, unknown ones ran. Credentials are now kept apart from the other headers; where the configuration names workspaces, a request whose key opens none is answered 401, unless its route is public. A configuration without workspaces is served as before.

--- a/marjoramstile/completions/handler.py
+++ b/marjoramstile/completions/handler.py
@@ -210,6 +210,7 @@
             time_left_s=None,
             size=size,
             resume_after=None,
+            credentials=tuple(request.headers.getall("Authorization", ())),
         )
 
     async def _run(self, incoming: IncomingRequest, responder: Responder) -> None:
--- a/marjoramstile/platform/carriers.py
+++ b/marjoramstile/platform/carriers.py
@@ -28,6 +28,7 @@
 )
 from marjoramstile.utils import MILLISECONDS_PER_S
 
+TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 DEFAULT_RETRY_AFTER_S = 0.25
@@ -37,6 +38,7 @@
     ResultCode.QUARANTINED: RefusalReason.QUARANTINED,
     ResultCode.VERSION_UNKNOWN: RefusalReason.VERSION_UNKNOWN,
     ResultCode.VERSION_GONE: RefusalReason.VERSION_GONE,
+    ResultCode.WORKSPACE_LIMIT: RefusalReason.QUOTA,
 }
 
 
@@ -89,6 +91,7 @@
     request: RoutedRequest, timeout_s: float, carried: CarriedSend
 ) -> CIMultiDict[str]:
     headers = CIMultiDict(request.headers)
+    platform_headers.add_credentials(headers, request.credentials)
     headers[platform_headers.DEADLINE_MS] = str(
         max(1, int(timeout_s * MILLISECONDS_PER_S))
     )
@@ -112,7 +115,7 @@
         raise AnswerLostError(f"unknown result {named[:20]!r}") from None
     if code in _UNABLE:
         raise NotSentError(f"the carrier can't run it: {code.name}")
-    if response.status == UNAVAILABLE:
+    if response.status in (TOO_MANY_REQUESTS, UNAVAILABLE):
         retry_after = response.headers.get(platform_headers.RETRY_AFTER)
         wait_s = platform_headers.request_limit(retry_after)
         raise RequestRefusedError(
--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -22,6 +22,14 @@
     ServiceShare,
 )
 from marjoramstile.utils import MILLISECONDS_PER_S
+from marjoramstile.workspaces.keys import key_digest
+from marjoramstile.workspaces.table import (
+    Quota,
+    QuotaUnit,
+    Workspace,
+    WorkspaceKeys,
+    WorkspaceTable,
+)
 
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -49,6 +57,7 @@
             routes=tuple(_route(item) for item in body.objects("routes")),
             services={service.name: service for service in services},
             limits=_limits(body.object("limits")),
+            workspaces=_workspaces(body),
         )
     except MalformedJSONError as error:
         raise MalformedRowError(str(error)) from error
@@ -77,6 +86,7 @@
         max_attempts=item.integer("maxAttempts", maximum=ATTEMPTS_MAX, default=1),
         resumable=item.flag("resumable", False),
         gap_target_s=_seconds_or(item, "gapTargetMs", None),
+        public=item.flag("public", False),
     )
 
 
@@ -136,6 +146,40 @@
     )
 
 
+def _workspaces(body: JSONObject) -> WorkspaceTable | None:
+    """Return the workspaces; None if the configuration names none.
+
+    An empty list leaves no key in force, but callers need one.
+    """
+    if "tenants" not in body.names:
+        return None
+    return WorkspaceTable(_workspace_keys(item) for item in body.objects("tenants"))
+
+
+def _workspace_keys(item: JSONObject) -> WorkspaceKeys:
+    workspace = Workspace(
+        name=item.text("name"),
+        priority=item.integer("priority", maximum=PRIORITY_MAX, default=None),
+        quota=_quota(item),
+    )
+    digests = tuple(key_digest(key) for key in item.texts("apiKeys"))
+    return WorkspaceKeys(workspace, digests)
+
+
+def _quota(item: JSONObject) -> Quota | None:
+    """Return a workspace's quota; None if it has none, as with a rate of 0."""
+    rate_per_s = item.number("ratePerS", default=0)
+    if not rate_per_s:
+        return None
+    is_tokens = item.data("unit") == QuotaUnit.TOKENS
+    return Quota(
+        rate_per_s=float(rate_per_s),
+        burst=float(item.number("burst", default=0)),
+        unit=QuotaUnit.TOKENS if is_tokens else QuotaUnit.REQUESTS,
+        plain_tokens=item.integer("plainTokens", default=0),
+    )
+
+
 def decode_replica(replica_id: str, value: bytes) -> Replica:
     """Return the replica that a row describes; raises MalformedRowError."""
     try:
--- a/marjoramstile/platform/front.py
+++ b/marjoramstile/platform/front.py
@@ -20,6 +20,7 @@
 )
 
 BAD_REQUEST = 400
+TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -31,6 +32,7 @@
     RefusalReason.NO_REPLICA: ResultCode.NO_ENDPOINT,
     RefusalReason.QUARANTINED: ResultCode.QUARANTINED,
     RefusalReason.STOPPING: ResultCode.LEAVING,
+    RefusalReason.QUOTA: ResultCode.WORKSPACE_LIMIT,
     RefusalReason.VERSION_UNKNOWN: ResultCode.VERSION_UNKNOWN,
     RefusalReason.VERSION_GONE: ResultCode.VERSION_GONE,
 }
@@ -100,7 +102,10 @@
         failure = Failure(
             code, str(refusal.reason), retry_after_s=refusal.retry_after_s
         )
-        return self._error_response(UNAVAILABLE, failure)
+        status = (
+            TOO_MANY_REQUESTS if refusal.reason == RefusalReason.QUOTA else UNAVAILABLE
+        )
+        return self._error_response(status, failure)
 
     def _error_response(self, status: int, failure: Failure) -> web.Response:
         response = web.json_response(failure.to_body(), status=status)
@@ -179,6 +184,7 @@
         resume_after=platform_headers.resume_after(headers),
         shared_parts=platform_headers.shared_parts(headers),
         resumes=platform_headers.resumed_id(headers),
+        credentials=platform_headers.credentials(headers),
         carried_for=platform_headers.first_value(headers, platform_headers.CARRIED_FOR),
         carried_runs=platform_headers.carried_runs(headers),
     )
--- a/marjoramstile/platform/headers.py
+++ b/marjoramstile/platform/headers.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Iterable
 
+from multidict import CIMultiDict
+
 from marjoramstile.routes.requests import GenerationSize, Headers
 from marjoramstile.utils import MILLISECONDS_PER_S
 
@@ -22,6 +24,9 @@
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
 LIMIT = "Server-Limit"
+AUTHORIZATION = "Authorization"
+# The name of the caller's workspace.
+TENANT = "X-Tenant"
 # Between VMs: for which VM a request is carried, how many replicas may run it, and the
 # result code of the carrier's own failure.
 CARRIED_FOR = "Marjoramstile-Carried-For"
@@ -51,7 +56,8 @@
         "content-length",
     }
 )
-# Set only by the router; dropped from callers' requests.
+# Set only by the router; dropped from callers' requests. Credentials are kept apart
+# from the other headers, as not all replicas get them.
 _ROUTER_ONLY = frozenset(
     name.lower()
     for name in (
@@ -66,6 +72,8 @@
         "X-Expect-Version",
         "Kv-Fetch",
         "Wait-Ms",
+        TENANT,
+        AUTHORIZATION,
         CARRIED_FOR,
         CARRIED_RUNS,
     )
@@ -103,6 +111,18 @@
     return next((value for key, value in headers if key.lower() == wanted), None)
 
 
+def credentials(headers: Headers) -> tuple[str, ...]:
+    """Return the values of all Authorization headers."""
+    wanted = AUTHORIZATION.lower()
+    return tuple(value for name, value in headers if name.lower() == wanted)
+
+
+def add_credentials(target: CIMultiDict[str], values: tuple[str, ...]) -> None:
+    """Add a caller's credentials to the headers of a request that is sent on."""
+    for value in values:
+        target.add(AUTHORIZATION, value)
+
+
 def generation_size(headers: Headers) -> GenerationSize | None:
     """Return the size stated in a generation's headers; None if absent or invalid."""
     counts = first_value(headers, TOKEN_COUNT)
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -395,6 +395,10 @@
         max(1, int(timeout_s * MILLISECONDS_PER_S))
     )
     headers[platform_headers.EXPECT_INSTANCE] = replica.id
+    if request.workspace is not None:
+        headers[platform_headers.TENANT] = request.workspace.name
+    if not request.hides_credentials:
+        platform_headers.add_credentials(headers, request.credentials)
     if options.hold is not None:
         headers[platform_headers.KV_HOLD] = options.hold.id
     if options.source is not None:
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -30,7 +30,10 @@
 from marjoramstile.routes.service_levels import TimedResponder, meets_targets
 from marjoramstile.routes.table import EntryLimits, Route, RoutingTable
 from marjoramstile.utils import loop_time
+from marjoramstile.workspaces.keys import bearer_key, key_digest, logged_digest
+from marjoramstile.workspaces.table import Workspace
 
+UNAUTHENTICATED = 401
 NOT_FOUND = 404
 RETRY_AFTER_START_S = 0.5
 RETRY_AFTER_STOP_S = 0.05
@@ -50,7 +53,8 @@
     ``time_left_s`` is how long the caller waits; None if it set no limit.
     ``shared_parts`` and ``resumes`` are as in RoutedRequest. ``carried_for`` is the VM
     whose daemon has sent it here, ``carried_runs`` how many replicas may run it then.
-    ``sends`` tells its front whether it has been passed on.
+    ``sends`` tells its front whether it has been passed on. ``credentials`` are the
+    values of its Authorization headers.
     """
 
     id: str
@@ -67,6 +71,7 @@
     resumes: str | None = None
     carried_for: str | None = None
     carried_runs: int | None = None
+    credentials: tuple[str, ...] = field(default=(), repr=False)
     sends: SendRecord = field(default_factory=SendRecord, compare=False)
 
 
@@ -170,20 +175,38 @@
                     RefusalReason.NOT_CONFIGURED, RETRY_AFTER_START_S
                 )
             return Reply(NOT_FOUND, (), b"")
+        workspace = None
+        if table.workspaces is not None:
+            workspace = table.workspaces.authenticate(incoming.credentials)
+            if workspace is None and not route.public:
+                return self._reject_key(incoming, table)
+        request = self._build_routed_request(incoming, table, route, workspace)
         self._running += 1
         try:
-            return await self._run(incoming, table, route, responder)
+            return await self._run(request, table, responder)
         finally:
             self._running -= 1
 
+    def _reject_key(self, incoming: IncomingRequest, table: RoutingTable) -> Reply:
+        """Return the answer to a request whose key opens no workspace.
+
+        A carried one is refused: the VM that sent it here knew its key.
+        """
+        key = bearer_key(incoming.credentials)
+        logger.info(
+            "key_unknown",
+            request=incoming.id,
+            key=None if key is None else logged_digest(key_digest(key)),
+            configuration=table.version,
+        )
+        self._metrics.count("requests_unauthenticated", "")
+        if incoming.carried_for is not None:
+            raise RequestRefusedError(RefusalReason.NOT_CONFIGURED, RETRY_AFTER_START_S)
+        return Reply(UNAUTHENTICATED, (("WWW-Authenticate", "Bearer"),), b"")
+
     async def _run(
-        self,
-        incoming: IncomingRequest,
-        table: RoutingTable,
-        route: Route,
-        responder: Responder,
+        self, request: RoutedRequest, table: RoutingTable, responder: Responder
     ) -> Reply | None:
-        request = self._build_routed_request(incoming, route)
         if request.is_take_up:
             logger.info(
                 "stream_taken_up",
@@ -215,11 +238,15 @@
             self._crashes.end(request)
             self._record_end(request, table, outcome, reason)
             if outcome != "caller_gone":
-                kind = str(route.kind)
+                kind = str(request.route.kind)
                 self.burn.record(request.service, kind, good, loop_time())
 
     def _build_routed_request(
-        self, incoming: IncomingRequest, route: Route
+        self,
+        incoming: IncomingRequest,
+        table: RoutingTable,
+        route: Route,
+        workspace: Workspace | None,
     ) -> RoutedRequest:
         now = loop_time()
         if incoming.carried_runs is not None:
@@ -245,6 +272,9 @@
             resumes=incoming.resumes,
             is_carried=incoming.carried_runs is not None,
             sends=incoming.sends,
+            credentials=incoming.credentials,
+            hides_credentials=table.workspaces is not None,
+            workspace=workspace,
         )
 
     async def _dispatch_until_cut(
@@ -314,6 +344,7 @@
             request=request.id,
             route=route.name,
             service=request.service,
+            workspace=request.workspace and request.workspace.name,
             configuration=table.version,
             outcome=outcome,
             reason=reason,
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -6,6 +6,7 @@
 
 from marjoramstile.routes.table import Route
 from marjoramstile.utils import content_fingerprint
+from marjoramstile.workspaces.table import Workspace
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -38,7 +39,9 @@
     ``resumes`` is the id of the caller's attempt that brought the first event of a
     stream that this one takes up; None if it names none. ``is_carried`` means that
     another VM's daemon has sent it, which reaches no replicas. ``sends`` is kept up to
-    date while the request runs.
+    date while the request runs. ``credentials`` are the values of the caller's
+    Authorization headers; replicas don't get them if ``hides_credentials``.
+    ``workspace`` is the caller's; None if it named none.
     """
 
     id: str
@@ -56,6 +59,16 @@
     resumes: str | None = None
     is_carried: bool = False
     sends: SendRecord = field(default_factory=SendRecord, compare=False)
+    credentials: tuple[str, ...] = field(default=(), repr=False)
+    hides_credentials: bool = False
+    workspace: Workspace | None = None
+
+    @property
+    def workspace_priority(self) -> int:
+        """The rank that goes before the route's priority; 0 is the highest."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
 
     @property
     def is_take_up(self) -> bool:
@@ -88,6 +101,7 @@
     NO_REPLICA = "no_replica"
     PAUSED = "replicas_want_pause"
     LIMITED = "replicas_limit_requests"
+    QUOTA = "workspace_quota_spent"
     NO_MEMORY = "no_memory"
     SHED = "shed"
     BUDGET = "retry_budget_spent"
--- a/marjoramstile/routes/table.py
+++ b/marjoramstile/routes/table.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from functools import cached_property
 
+from marjoramstile.workspaces.table import WorkspaceTable
+
 
 class RouteKind(StrEnum):
     """Kind of a route's requests, which decides whether they may be retried."""
@@ -28,6 +30,7 @@
 
     ``max_attempts`` limits the replicas that may run one request. ``gap_target_s``
     is the longest gap between events of a stream that is on time; None for other kinds.
+    ``public`` requests need no key where the configuration has workspaces.
     """
 
     name: str
@@ -41,6 +44,7 @@
     max_attempts: int
     resumable: bool
     gap_target_s: float | None
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -89,12 +93,16 @@
 
 @dataclass(frozen=True)
 class RoutingTable:
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    ``workspaces`` is None if callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, RoutedService]
     limits: EntryLimits
+    workspaces: WorkspaceTable | None = None
 
     @cached_property
     def longest_timeout_s(self) -> float:
--- /dev/null
+++ b/marjoramstile/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces of the routed configuration: their keys, priorities and quotas."""
