--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -236,7 +236,7 @@
             raise
         finally:
             self._crashes.end(request)
-            self._record_end(request, table, outcome, reason)
+            self._record_end(request, table, outcome, reason, times)
             if outcome != "caller_gone":
                 kind = str(request.route.kind)
                 self.burn.record(request.service, kind, good, loop_time())
@@ -332,7 +332,12 @@
         return request.arrived > accepted_until and request.deadline > self.cut_at
 
     def _record_end(
-        self, request: RoutedRequest, table: RoutingTable, outcome: str, reason: str
+        self,
+        request: RoutedRequest,
+        table: RoutingTable,
+        outcome: str,
+        reason: str,
+        times: TimedResponder,
     ) -> None:
         took_s = loop_time() - request.arrived
         route = request.route
@@ -349,8 +354,26 @@
             outcome=outcome,
             reason=reason,
             took_s=round(took_s, 4),
+            **self._record_stream(request, times),
         )
 
+    def _record_stream(
+        self, request: RoutedRequest, times: TimedResponder
+    ) -> dict[str, float | int]:
+        """Record the times of a stream that has begun; return them for the log."""
+        if times.first_at is None:
+            return {}
+        durations_s = {
+            "first_event": times.first_at - request.arrived,
+            "longest_gap": times.longest_gap_s,
+            "replica_wait": times.replica_wait_s,
+            "caller_wait": times.caller_wait_s,
+        }
+        for name, duration_s in durations_s.items():
+            self._metrics.observe(f"stream_{name}", request.service, duration_s)
+        logged = {f"{name}_s": round(value, 4) for name, value in durations_s.items()}
+        return {"events": times.events, **logged}
+
 
 def _cut_error(request: RoutedRequest, times: TimedResponder) -> Exception:
     """Return the error of a request that is ended by a planned stop."""
--- a/marjoramstile/routes/service_levels.py
+++ b/marjoramstile/routes/service_levels.py
@@ -1,4 +1,6 @@
-"""Whether an answer met the targets of its route."""
+"""What an answer's times were, and whether it met the targets of its route."""
+
+from collections.abc import Awaitable
 
 from marjoramstile.routes.ports import Responder
 from marjoramstile.routes.requests import Headers, Reply, RoutedRequest
@@ -9,19 +11,27 @@
 
 
 class TimedResponder:
-    """Relays a stream to its caller and records the times of its events (loop time)."""
+    """Relays a stream to its caller and records the times of its events (loop time).
+
+    ``replica_wait_s`` is the time after the first event for which the stream waited for
+    its replica, ``caller_wait_s`` the time for which it waited for its caller.
+    """
 
     def __init__(self, responder: Responder):
         self._responder = responder
         self._last_at: float | None = None
+        self._relayed_at: float | None = None
         self.started = False
         self.first_at: float | None = None
         self.longest_gap_s = 0.0
+        self.events = 0
+        self.replica_wait_s = 0.0
+        self.caller_wait_s = 0.0
 
     async def start(self, status: int, headers: Headers) -> None:
         """Relay the head."""
         self.started = True
-        await self._responder.start(status, headers)
+        await self._relay(self._responder.start(status, headers))
 
     async def write(self, data: bytes) -> None:
         """Relay an event and record its time."""
@@ -31,11 +41,22 @@
         else:
             self.longest_gap_s = max(self.longest_gap_s, now - self._last_at)
         self._last_at = now
-        await self._responder.write(data)
+        self.events += 1
+        await self._relay(self._responder.write(data))
 
     async def finish(self) -> None:
         """Relay the end of the stream."""
-        await self._responder.finish()
+        await self._relay(self._responder.finish())
+
+    async def _relay(self, sending: Awaitable[None]) -> None:
+        began = loop_time()
+        if self._relayed_at is not None:
+            self.replica_wait_s += began - self._relayed_at
+        try:
+            await sending
+        finally:
+            self._relayed_at = loop_time()
+            self.caller_wait_s += self._relayed_at - began
 
 
 def meets_targets(
--- a/tests/routes/test_service_levels.py
+++ b/tests/routes/test_service_levels.py
@@ -98,3 +98,25 @@
         report.record(service, "stream", good=True, now=0.0)
     totals = {row.service: row.total for row in report.rows(0.0)}
     assert totals == {"a": 2, "b": 1}
+
+
+class SlowCaller(Caller):
+    """Takes every part of an answer after a pause."""
+
+    async def write(self, data: bytes) -> None:
+        """Take an event after 0.5 s."""
+        await asyncio.sleep(0.5)
+        await super().write(data)
+
+
+async def test_waits_for_the_replica_and_for_the_caller_are_told_apart():
+    """Streams that ran until the deadline could not be explained without them."""
+    times = TimedResponder(SlowCaller())
+    for pause_s in (1.0, 0.1, 0.2):
+        await asyncio.sleep(pause_s)
+        await times.write(b"id: 1\n\n")
+    await times.finish()
+    assert times.events == 3
+    assert times.caller_wait_s == pytest.approx(1.5)
+    assert times.replica_wait_s == pytest.approx(0.3)
+    assert times.first_at == pytest.approx(loop_time() - 2.8 + 1.0)
