Slow callers: a bound on the bytes that they have not taken, and on the time for an event

Cause: each connection may hold 64 KB of answers that its caller doesn't read; 2,000 of them exceed a VM of 128 MB.

--- a/marjoramstile/fronts/answers.py
+++ b/marjoramstile/fronts/answers.py
@@ -19,6 +19,9 @@
 # Time for a caller to take a whole answer: longer than any of them waits for one.
 ANSWER_TIMEOUT_S = 30.0
 
+# Time for a caller to make room for a stream's next event. A replica cuts off a stream
+# that isn't read for some seconds.
+EVENT_TIMEOUT_S = 10.0
 # Bytes of a body that are passed to the transport at a time.
 SLICE_BYTES = 65_536
 
@@ -60,9 +63,14 @@
             raise CallerDisconnectedError from error
 
     async def write(self, data: bytes) -> None:
-        """Send bytes of the body."""
+        """Send bytes of the body; abort if the caller makes no room for them."""
         try:
-            await self._response.write(data)
+            async with asyncio.timeout(EVENT_TIMEOUT_S):
+                await self._response.write(data)
+        except TimeoutError as error:
+            logger.warning("event_not_taken", limit_s=EVENT_TIMEOUT_S)
+            self.abort(CloseReason.ANSWER_NOT_TAKEN)
+            raise CallerDisconnectedError from error
         except (ClientConnectionResetError, OSError) as error:
             raise CallerDisconnectedError from error
 
--- a/marjoramstile/fronts/listeners.py
+++ b/marjoramstile/fronts/listeners.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -10,7 +10,11 @@
 from marjoramstile.fronts.closing import ClosingReport
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.draining import drain
-from marjoramstile.fronts.listening import CallerServer, refuse_connection
+from marjoramstile.fronts.listening import (
+    CallerConnection,
+    CallerServer,
+    refuse_connection,
+)
 from marjoramstile.listeners import acquire_listener, acquire_optional_listener
 from marjoramstile.routes.settings import Address
 
@@ -50,6 +54,12 @@
         """Whether a request is in progress, or bytes of an answer are not sent yet."""
         return any(server.is_busy for server, _ in self._served)
 
+    @property
+    def connections(self) -> Iterator[CallerConnection]:
+        """The open connections of all listeners."""
+        for server, _ in self._served:
+            yield from server.connections
+
     async def acquire(self, listener: Listener) -> socket.socket:
         """Return a listening socket, waiting until the address is free.
 
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -69,7 +69,12 @@
         """Whether a request is in progress, or bytes of an answer are not sent yet."""
         if self._current_request is not None or self._messages:
             return True
-        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+        return self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that were written and not sent yet."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
     @property
     def closes_when_idle(self) -> bool:
@@ -116,6 +121,12 @@
             self.note_closing(CloseReason.STOP_FORCED)
             self.transport.abort()
 
+    def cut_off_slow(self) -> None:
+        """Close the connection at once, as its caller takes its answers too slowly."""
+        if self.transport is not None:
+            self.note_closing(CloseReason.ANSWER_NOT_TAKEN)
+            self.transport.abort()
+
     def _check_idle_later(self, delay_s: float) -> None:
         if self._idle_check is None:
             self._idle_check = self._loop.call_later(delay_s, self._check_idle)
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -16,6 +16,7 @@
 from marjoramstile.fronts.closing import ClosingReport
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.listeners import Listener, ListenerGroup
+from marjoramstile.fronts.unsent import UnsentLimit
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop
@@ -55,10 +56,13 @@
 from marjoramstile.routes.settings import RouterSettings
 from marjoramstile.settings_files import wait_for_settings
 from marjoramstile.settings_reload import SettingsChecker
-from marjoramstile.utils import loop_time
+from marjoramstile.utils import loop_time, run_every
 
 # Share of a VM's memory for bodies that are being read.
 BUFFER_MEMORY_SHARE = 0.2
+# Share of a VM's memory for answers that slow callers have not taken yet.
+UNSENT_MEMORY_SHARE = 0.1
+UNSENT_CHECK_S = 0.25
 STOP_POLL_S = 0.05
 # Callers may use a resolved address list for up to this many of its TTLs.
 ADDRESS_CACHE_TTLS = 3
@@ -117,6 +121,10 @@
         )
         self._stopping = asyncio.Event()
         self._bodies = BodyReader(self._buffers)
+        self._unsent = UnsentLimit(
+            int(settings.memory_bytes * UNSENT_MEMORY_SHARE),
+            partial(self._node.metrics.count, "slow_callers_cut", ""),
+        )
         self._callers_limit = self._limit("callers", self._shares.callers)
         self._front = self._build_front()
         self._peer_sockets: PeerSockets | None = None
@@ -182,6 +190,8 @@
         self._listen_when_free(self._operators())
         if self._settings.listeners.completions is not None:
             self._listen_when_free(self._completions())
+        check_unsent = partial(run_every, UNSENT_CHECK_S, self._check_unsent, "unsent")
+        node.tasks.start_retried(check_unsent, "check unsent answers")
         node.tasks.start_retried(node.registration.register, "register")
         logger.info(
             "daemon_started",
@@ -193,6 +203,9 @@
     def _limit(self, name: str, max_open: int) -> ConnectionLimit:
         return ConnectionLimit(name, max_open, self._node.metrics.count)
 
+    async def _check_unsent(self) -> None:
+        self._unsent.check(self._listeners.connections)
+
     def _build_front(self) -> Listener:
         handler = FrontHandler(self._node.entry, self._bodies)
         return Listener(
