--- a/marjoramstile/pools/decisions.py
+++ b/marjoramstile/pools/decisions.py
@@ -5,9 +5,10 @@
 
 import bisect
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass
+from functools import cached_property
 
+from marjoramstile.pools.memory import Generation, GenerationGroup
 from marjoramstile.pools.messages import PlacementRequest, Urgency
 
 # Fraction of the decode replicas on which late requests leave capacity for others.
@@ -17,8 +18,6 @@
 PREFILL_LOOKAHEAD_S = 0.12
 # Beyond this wait for a prefill replica, decode replicas prefill prompts themselves.
 PREFILL_WAIT_MAX_S = 0.4
-# Average fraction of its output that a generation has in memory, plus a margin.
-MEAN_OUTPUT_FRACTION = 0.6
 # Fraction of a replica's memory that leases may fill: each generation's memory is
 # rounded up to whole blocks.
 MEMORY_LIMIT_FRACTION = 0.97
@@ -29,40 +28,6 @@
 LOCALITY_BONUS = 0.05
 
 
-@dataclass(frozen=True)
-class Generation:
-    """Memory of a running or future generation, in tokens.
-
-    ``tokens`` is its memory now, ``remaining`` what it is still expected to add, and
-    ``output_tokens`` the expected length of its whole output.
-    """
-
-    tokens: int
-    remaining: int
-    output_tokens: int
-
-
-def mean_tokens(prompt: int, output: int) -> int:
-    """Return the memory of a generation in tokens, averaged over its duration."""
-    return prompt + round(MEAN_OUTPUT_FRACTION * output)
-
-
-def peak_tokens(generations: Iterable[Generation]) -> int:
-    """Return the largest memory, in tokens, that generations will use together.
-
-    All are assumed to add tokens at the same rate; each frees its memory at its end.
-    """
-    by_end = sorted(
-        generations, key=lambda generation: generation.remaining, reverse=True
-    )
-    peak = 0
-    tokens = 0
-    for count, generation in enumerate(by_end, start=1):
-        tokens += generation.tokens
-        peak = max(peak, tokens + count * generation.remaining)
-    return peak
-
-
 @dataclass(frozen=True)
 class DecodeSnapshot:
     """Snapshot of a decode replica: its memory, in tokens, and leased generations.
@@ -90,37 +55,61 @@
     version: str = ""
     limited: bool = False
 
+    @cached_property
+    def group(self) -> GenerationGroup:
+        """The leased generations."""
+        return GenerationGroup(self.generations)
+
+    @cached_property
+    def _later_groups(self) -> dict[int, GenerationGroup]:
+        return {}
+
+    @cached_property
+    def _fitting_now(self) -> dict[Generation, bool]:
+        """What was found of queued requests, which ask again and again."""
+        return {}
+
+    def _group_after(self, tokens: int) -> GenerationGroup:
+        if tokens not in self._later_groups:
+            self._later_groups[tokens] = self.group.after(tokens)
+        return self._later_groups[tokens]
+
     def fits(self, generation: Generation) -> bool:
         """Return whether a generation fits until its end; any fits an idle replica."""
-        return not self.in_backoff and self.fits_beside(self.generations, generation)
+        return not self.in_backoff and self.fits_now(generation)
+
+    def fits_now(self, generation: Generation) -> bool:
+        """Return whether a generation fits now, whether or not in a backoff."""
+        fits = self._fitting_now.get(generation)
+        if fits is None:
+            fits = self._fits_beside(self.group, generation)
+            self._fitting_now[generation] = fits
+        return fits
 
-    def fits_beside(
-        self, others: tuple[Generation, ...], generation: Generation
-    ) -> bool:
+    def fits_after(self, tokens: int, generation: Generation) -> bool:
+        """Return whether a generation fits when each leased one has added tokens."""
+        return self._fits_beside(self._group_after(tokens), generation)
+
+    def _fits_beside(self, others: GenerationGroup, generation: Generation) -> bool:
         """Return whether a generation fits beside ``others`` until its end."""
-        if not others:
+        if not others.size:
             return True
-        if len(others) >= self.slots:
+        if others.size >= self.slots:
             return False
-        generations = (*others, generation)
-        margin = (
-            PEAK_DEVIATIONS
-            * self.spread
-            * math.hypot(*(r.output_tokens for r in generations))
-        )
-        limit = MEMORY_LIMIT_FRACTION * self.kv_tokens - margin
+        deviation = others.output_deviation(generation, self.spread)
+        limit = MEMORY_LIMIT_FRACTION * self.kv_tokens - PEAK_DEVIATIONS * deviation
         # The current memory is a lower bound of the peak and cheaper to compute.
-        if sum(item.tokens for item in generations) > limit:
+        if others.tokens + generation.tokens > limit:
             return False
-        return peak_tokens(generations) <= limit
+        return others.peak_with(generation) <= limit
 
     def count_fitting(self, generation: Generation) -> int:
         """Return at least how many such generations fit now, beside each other."""
-        if not self.fits_beside(self.generations, generation):
+        if not self.fits_now(generation):
             return 0
         free_slots = self.slots - len(self.generations)
         limit = MEMORY_LIMIT_FRACTION * self.kv_tokens
-        free_tokens = limit - peak_tokens(self.generations)
+        free_tokens = limit - self.group.peak
         peak = max(1, generation.tokens + generation.remaining)
         return max(1, min(free_slots, int(free_tokens / peak)))
 
@@ -288,7 +277,7 @@
     first times, each generation that ends is taken to make room for one more. A backoff
     is ignored: a refused reservation predicts little about later capacity.
     """
-    ends = sorted(item.remaining for item in replica.generations)
+    ends = replica.group.ends
     fitting = replica.count_fitting(generation)
     if fitting:
         return [0] * fitting + ends
@@ -305,9 +294,7 @@
     return bisect.bisect_left(
         ends,
         True,
-        key=lambda end: replica.fits_beside(
-            _generations_after(replica.generations, end), generation
-        ),
+        key=lambda end: replica.fits_after(end, generation),
     )
 
 
@@ -323,25 +310,10 @@
     for replica in pool.decode:
         if replica.replica_id in avoid:
             continue
-        if replica.fits_beside(replica.generations, generation):
+        if replica.fits_now(generation):
             return replica.replica_id
-        ends = sorted(
-            item.remaining for item in replica.generations if item.remaining < best
-        )
-        if ends and replica.fits_beside(
-            _generations_after(replica.generations, ends[-1]), generation
-        ):
+        ends = [end for end in replica.group.ends if end < best]
+        if ends and replica.fits_after(ends[-1], generation):
             found = replica.replica_id
             best = ends[_first_end_that_fits(replica, generation, ends)]
     return found
-
-
-def _generations_after(
-    generations: tuple[Generation, ...], tokens: int
-) -> tuple[Generation, ...]:
-    """Return the generations that still run when each has added ``tokens``."""
-    return tuple(
-        Generation(item.tokens + tokens, item.remaining - tokens, item.output_tokens)
-        for item in generations
-        if item.remaining > tokens
-    )
--- a/marjoramstile/pools/forecasts.py
+++ b/marjoramstile/pools/forecasts.py
@@ -1,7 +1,8 @@
 """Pure functions that forecast, from a snapshot, how long a request will wait."""
 
-from marjoramstile.pools.decisions import Generation, PoolSnapshot, capacity_times
+from marjoramstile.pools.decisions import PoolSnapshot, capacity_times
 from marjoramstile.pools.leases import LOCAL_PREFILL_FACTOR
+from marjoramstile.pools.memory import Generation
 from marjoramstile.pools.statistics import PoolStatistics
 
 
--- a/marjoramstile/pools/leases.py
+++ b/marjoramstile/pools/leases.py
@@ -1,10 +1,10 @@
 """Leases that a scheduler counts, and their totals at each replica."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from marjoramstile.pools.decisions import Generation
+from marjoramstile.pools.memory import Generation
 from marjoramstile.pools.messages import LeaseUsage, PlacementGrant
 from marjoramstile.pools.statistics import PoolStatistics
 
@@ -104,6 +104,7 @@
         self._leases: dict[str, Lease] = {}
         self._totals: dict[str, LeaseTotals] = defaultdict(LeaseTotals)
         self._by_replica: dict[str, dict[str, Lease]] = defaultdict(dict)
+        self._changes: Counter[str] = Counter()
 
     def __len__(self) -> int:
         return len(self._leases)
@@ -119,6 +120,10 @@
         """Return the totals of the leases at a replica."""
         return self._totals.get(replica_id, NO_LEASES)
 
+    def changes(self, replica_id: str) -> int:
+        """Return a number that grows with each change of a replica's leases."""
+        return self._changes[replica_id]
+
     def add(self, lease: Lease) -> None:
         """Add a lease."""
         self._leases[lease.id] = lease
@@ -164,6 +169,7 @@
         return {lease.decode for lease in self if lease.local_prefill_until > now}
 
     def _count(self, replica_id: str, requests: int, tokens: int) -> None:
+        self._changes[replica_id] += 1
         total = self._totals[replica_id].plus(requests, tokens)
         if total == NO_LEASES:
             del self._totals[replica_id]
--- a/marjoramstile/pools/pool_state.py
+++ b/marjoramstile/pools/pool_state.py
@@ -1,6 +1,7 @@
 """State of a shard's replicas, and snapshots of their capacity."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from marjoramstile.pools.backoff import ReplicaBackoff
 from marjoramstile.pools.decisions import DecodeSnapshot, PoolSnapshot, PrefillSnapshot
@@ -12,6 +13,21 @@
 from marjoramstile.routes.replica_types import Replica, Stage
 from marjoramstile.routes.table import EngineTraits
 
+# Time for which a snapshot of a replica whose leases have not changed is used again:
+# each generation adds a few tokens meanwhile.
+SNAPSHOT_MAX_AGE_S = 0.1
+# Digits of the spread of outputs that count; each output that ends changes the others.
+SPREAD_DIGITS = 2
+
+
+@dataclass(frozen=True)
+class _KeptSnapshot:
+    """A snapshot of a replica, and the conditions under which it holds."""
+
+    taken_at: float
+    conditions: tuple
+    snapshot: DecodeSnapshot
+
 
 class PoolState:
     """The usable replicas of a shard with their leases, prefills and backoff.
@@ -36,6 +52,7 @@
         self._backoff = backoff
         self._estimator = estimator
         self._prefill_free_at: dict[str, float] = {}
+        self._kept: dict[str, _KeptSnapshot] = {}
         self.engine: EngineTraits | None = None
 
     @property
@@ -84,7 +101,7 @@
         if self.engine is None:
             return PoolSnapshot((), ())
         local_prefills = self._leases.local_prefills(now)
-        spread = self._estimator.spread
+        spread = round(self._estimator.spread, SPREAD_DIGITS)
         replicas = max(1, len(self._replicas(Stage.PREFILL)))
         return PoolSnapshot(
             tuple(
@@ -100,6 +117,33 @@
 
     def _decode_snapshot(
         self, replica: Replica, prefilling: bool, spread: float, now: float
+    ) -> DecodeSnapshot:
+        """Return a replica's snapshot, a recent one if nothing has changed since.
+
+        The load it answers: a burst of requests, each of which asks all replicas.
+        """
+        conditions = (
+            self._leases.changes(replica.id),
+            replica,
+            prefilling,
+            spread,
+            self._balancer.is_suspect(replica, now),
+            self._backoff.in_backoff(replica.id, now),
+            self._permits.is_limited(replica),
+        )
+        kept = self._kept.get(replica.id)
+        if (
+            kept is not None
+            and kept.conditions == conditions
+            and 0 <= now - kept.taken_at <= SNAPSHOT_MAX_AGE_S
+        ):
+            return kept.snapshot
+        snapshot = self._take_snapshot(replica, prefilling, spread, now)
+        self._kept[replica.id] = _KeptSnapshot(now, conditions, snapshot)
+        return snapshot
+
+    def _take_snapshot(
+        self, replica: Replica, prefilling: bool, spread: float, now: float
     ) -> DecodeSnapshot:
         lease_totals = self._leases.lease_totals(replica.id)
         return DecodeSnapshot(
--- a/marjoramstile/pools/scheduler.py
+++ b/marjoramstile/pools/scheduler.py
@@ -19,17 +19,16 @@
 from marjoramstile.pools.backoff import ReplicaBackoff
 from marjoramstile.pools.decisions import (
     PREFILL_LOOKAHEAD_S,
-    Generation,
     Placement,
     PoolSnapshot,
     Requirements,
     choose_placement,
     first_to_fit,
-    mean_tokens,
 )
 from marjoramstile.pools.estimator import PoolEstimator
 from marjoramstile.pools.expected_retries import ExpectedRetries
 from marjoramstile.pools.leases import LOCAL_PREFILL_FACTOR, Lease, LeaseTable
+from marjoramstile.pools.memory import Generation, mean_tokens
 from marjoramstile.pools.messages import (
     LeaseEnd,
     LeaseOutcome,
--- a/marjoramstile/pools/waiting.py
+++ b/marjoramstile/pools/waiting.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from marjoramstile.pools.decisions import Generation, mean_tokens
+from marjoramstile.pools.memory import Generation, mean_tokens
 from marjoramstile.pools.messages import PlacementRequest, Urgency
 
 # A request is dropped when its daemon has not polled for this long.
--- a/tests/pools/test_decisions.py
+++ b/tests/pools/test_decisions.py
@@ -9,15 +9,14 @@
 from marjoramstile.pools.decisions import (
     PREFILL_LOOKAHEAD_S,
     DecodeSnapshot,
-    Generation,
     PoolSnapshot,
     PrefillSnapshot,
     Requirements,
     capacity_times,
     choose_placement,
-    peak_tokens,
 )
 from marjoramstile.pools.hints import HintModel
+from marjoramstile.pools.memory import Generation, peak_tokens
 from marjoramstile.pools.messages import Urgency
 from marjoramstile.pools.statistics import GenerationProfile, PoolStatistics
 from tests.pools.support import request
--- a/tests/pools/test_scheduler.py
+++ b/tests/pools/test_scheduler.py
@@ -327,3 +327,25 @@
         message = PlacementCancel(f"gone-{number}", SERVICE, 0)
         pool.scheduler.cancel(message, pool.now)
     assert len(snapshots) <= 4
+
+
+def test_a_kept_snapshot_shows_a_new_lease_and_an_ended_one_at_once():
+    """A snapshot that is used again must not hide what changed at its replica."""
+    pool = Pool(decode=1)
+    before = pool.scheduler.pool_snapshot(pool.now)
+    grant = pool.ask(request("a"))
+    held = pool.scheduler.pool_snapshot(pool.now)
+    pool.end(request("a"), grant)
+    after = pool.scheduler.pool_snapshot(pool.now)
+    counts = [len(item.decode[0].generations) for item in (held, after)]
+    assert counts == [1, 0]
+    assert not before.decode
+
+
+def test_a_kept_snapshot_is_renewed_as_its_generations_grow():
+    pool = Pool(decode=1)
+    pool.ask(request("a"))
+    first = pool.scheduler.pool_snapshot(pool.now).decode[0]
+    assert pool.scheduler.pool_snapshot(pool.now + 0.01).decode[0] is first
+    later = pool.scheduler.pool_snapshot(pool.now + 1.0).decode[0]
+    assert later.generations[0].tokens > first.generations[0].tokens
