Pools: the speed of each replica is learned, and placing goes by it

A scheduler knew one prefill and one decode speed for a whole pool. Where replicas run at 0.55 to 1.2 of the usual speed, prompts queued at slow prefill replicas whose busy time was underestimated, and decode replicas were chosen by memory alone.

pools/speeds.py keeps a bounded, shrunk and forgetting factor for each incarnation and stage, from the lease reports. Prefill replicas are chosen by the completion of the prompt, decode replicas by memory and speed, busy times and forecasts count speed, and a request is overdue by the replica that would prefill it. The next scheduler gets the factors of replicas that clearly differ in a message of a new kind. Within a dead band a factor is exactly 1.0, so an even pool is scheduled as before.

Requirements.needs_prefill_replica is replaced by prefill_s and prefill_slack_s, which are compared with each decode replica's own speed; its test now checks both sides of the limit.

--- a/marjoramstile/peers/pool_datagrams.py
+++ b/marjoramstile/peers/pool_datagrams.py
@@ -47,7 +47,9 @@
     PlacementRequest,
     PoolMessage,
     ProfileUpdate,
+    SpeedUpdate,
 )
+from marjoramstile.pools.speeds import ReplicaSpeed
 from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.streams.keeper import StreamKeeper
 from marjoramstile.streams.messages import (
@@ -63,6 +65,7 @@
     "renew": LeaseRenewal,
     "end": LeaseEnd,
     "means": ProfileUpdate,
+    "speeds": SpeedUpdate,
     "grant": PlacementGrant,
     "queued": PlacementQueued,
     "refusal": PlacementRefusal,
@@ -84,7 +87,14 @@
 _CRASH_MESSAGES = (CrashReport, BeginQuery, BeginAnswer, BlockUpdate)
 _STREAM_MESSAGES = (StreamBegun, VersionQuery, VersionAnswer)
 Message = PoolMessage | LimitMessage | CrashMessage | StreamMessage
-_PARTS = (LeaseUsage, GenerationProfile, LimitedReplica, BeginCount, BlockEntry)
+_PARTS = (
+    LeaseUsage,
+    GenerationProfile,
+    ReplicaSpeed,
+    LimitedReplica,
+    BeginCount,
+    BlockEntry,
+)
 _FIELD_TYPES = {
     kind: typing.get_type_hints(kind) for kind in (*_KINDS.values(), *_PARTS)
 }
--- a/marjoramstile/pools/client.py
+++ b/marjoramstile/pools/client.py
@@ -25,9 +25,11 @@
     PlacementRequest,
     PoolMessage,
     ProfileUpdate,
+    SpeedUpdate,
     placement_id,
 )
 from marjoramstile.pools.shards import PoolShards, SchedulerSelector
+from marjoramstile.pools.speeds import next_batch
 from marjoramstile.utils import BackgroundTasks, loop_time
 
 # Timeouts of the first answer, one for each time that the request is sent: datagrams
@@ -128,6 +130,7 @@
         self._leases: dict[str, HeldLease] = {}
         self._renewing = False
         self._asked_at: dict[tuple[str, int], dict[str, float]] = defaultdict(dict)
+        self._last_shared: dict[tuple[str, int], str] = {}
 
     @property
     def leases(self) -> int:
@@ -281,6 +284,27 @@
             if peer.vm.name != self._own_vm:
                 self._sender.send(peer, ProfileUpdate(service, 0, profile))
 
+    def share_speeds(self, service: str) -> None:
+        """Send the speeds of replicas to the next schedulers of this daemon's shards.
+
+        One small message a shard is sent at a time; later ones hold the other replicas.
+        """
+        for shard in range(self._shards.count(service)):
+            ranked = self._selector.ranked(service, shard)
+            if ranked[:1] != (self._own_vm,):
+                continue
+            others = [
+                peer
+                for peer in self._selector.candidates(service, shard)
+                if peer.vm.name != self._own_vm
+            ]
+            speeds = self._host.differing_speeds(service, shard) if others else []
+            if speeds:
+                key = service, shard
+                batch = next_batch(speeds, self._last_shared.get(key, ""))
+                self._last_shared[key] = batch[-1].replica
+                self._sender.send(others[0], SpeedUpdate(service, shard, batch))
+
     def _notify_schedulers(self, message: LeaseEnd | LeaseRenewal) -> None:
         """Send a message to all daemons that schedule a shard or may do so soon.
 
--- a/marjoramstile/pools/decisions.py
+++ b/marjoramstile/pools/decisions.py
@@ -27,6 +27,18 @@
 # Bonus of a replica in the requesting daemon's data centre when decode replicas are
 # ranked by free memory, as a fraction of a replica's memory.
 LOCALITY_BONUS = 0.05
+# Bonus of a replica that decodes infinitely faster than the mean one, in the same unit;
+# a replica of half the mean speed has as much of a malus. Memory dominates: fast
+# replicas may be fuller by at most twice this.
+SPEED_BONUS = 0.2
+# Free fraction of the memory below which the bonus shrinks, to 0 at none: what is
+# nearly full refuses or preempts whatever its speed.
+PRESSURE_FRACTION = 0.5
+# What a prefill replica in another data centre than the decode replica counts as
+# longer, if replicas differ in speed: the KV cache crosses a slower link.
+REMOTE_PREFILL_S = 0.03
+# A decode replica prefills at half the speed of a prefill replica.
+LOCAL_PREFILL_FACTOR = 2.0
 
 
 @dataclass(frozen=True)
@@ -74,7 +86,8 @@
     ``suspect`` replicas have failed recently and are chosen last. ``prefilling`` ones
     prefill a prompt themselves, which slows down their decoding. ``in_backoff`` ones
     have recently refused a reservation or not answered. ``version`` is that of the
-    replica's software; ``limited`` ones name a limit on requests.
+    replica's software; ``limited`` ones name a limit on requests. ``speed`` is that of
+    decoding and ``prefill_speed`` that of prefilling, both relative to the pool.
     """
 
     replica_id: str
@@ -89,6 +102,8 @@
     in_backoff: bool = False
     version: str = ""
     limited: bool = False
+    speed: float = 1.0
+    prefill_speed: float = 1.0
 
     def fits(self, generation: Generation) -> bool:
         """Return whether a generation fits until its end; any fits an idle replica."""
@@ -127,13 +142,24 @@
 
 @dataclass(frozen=True)
 class PrefillSnapshot:
-    """Snapshot of a prefill replica; ``busy_s`` is the time until it is free."""
+    """Snapshot of a prefill replica; ``busy_s`` is the time until it is free.
+
+    ``speed`` is relative to the pool.
+    """
 
     replica_id: str
     data_centre: str
     busy_s: float
     suspect: bool = False
     version: str = ""
+    speed: float = 1.0
+
+    def completion_s(self, prefill_s: float) -> float:
+        """Return the time until a prompt is prefilled.
+
+        ``prefill_s`` is what the mean replica takes for it.
+        """
+        return self.busy_s + prefill_s / self.speed
 
 
 @dataclass(frozen=True)
@@ -177,14 +203,21 @@
 
     A late request must leave capacity for the ``typical`` generation on some replicas
     (see ``late_reserve``) for requests that can still be on time.
-    ``needs_prefill_replica`` means that a local prefill, which is slower, would make
-    the request late.
+    ``prefill_s`` is the time in which the mean prefill
+    replica prefills the prompt, and ``prefill_slack_s`` how much longer it may take: a
+    local prefill is slower and may make the request late.
     """
 
     generation: Generation
     urgency: Urgency
     typical: Generation
-    needs_prefill_replica: bool = False
+    prefill_s: float = 0.0
+    prefill_slack_s: float = math.inf
+
+    def allows_local_prefill(self, replica: DecodeSnapshot) -> bool:
+        """Return whether a decode replica prefills soon enough for the request."""
+        local_s = LOCAL_PREFILL_FACTOR * self.prefill_s / replica.prefill_speed
+        return local_s - self.prefill_s <= self.prefill_slack_s
 
 
 def choose_placement(
@@ -199,7 +232,8 @@
     local_prefill = not ready
     if local_prefill and not pool.prefill_saturated:
         return None
-    if local_prefill and pool.prefill and not _allows_local_prefill(requirements):
+    is_late = requirements.urgency == Urgency.LATE
+    if local_prefill and pool.prefill and is_late:
         return None
     decode = _choose_decode(pool, request, requirements, local_prefill)
     if decode is None:
@@ -207,7 +241,8 @@
     if local_prefill:
         return Placement(decode.replica_id, None)
     return Placement(
-        decode.replica_id, _choose_prefill(ready, decode, request).replica_id
+        decode.replica_id,
+        _choose_prefill(ready, decode, request, requirements.prefill_s).replica_id,
     )
 
 
@@ -225,13 +260,6 @@
     return fitting > late_reserve(pool)
 
 
-def _allows_local_prefill(requirements: Requirements) -> bool:
-    """Return whether a decode replica may prefill as all prefill replicas are busy."""
-    return (
-        not requirements.needs_prefill_replica and requirements.urgency != Urgency.LATE
-    )
-
-
 def _choose_decode(
     pool: PoolSnapshot,
     request: PlacementRequest,
@@ -245,6 +273,8 @@
         if replica.replica_id not in request.avoid
         and not (local_prefill and replica.prefilling)
     ]
+    if local_prefill and pool.prefill:
+        allowed = [item for item in allowed if requirements.allows_local_prefill(item)]
     allowed.sort(key=lambda replica: _decode_rank(replica, request), reverse=True)
     return next(
         (replica for replica in allowed if replica.fits(requirements.generation)), None
@@ -254,26 +284,51 @@
 def _decode_rank(
     replica: DecodeSnapshot, request: PlacementRequest
 ) -> tuple[bool, float]:
+    """Return the rank by memory and expected completion.
+
+    Answers pools of uneven replicas: a generation ends sooner on a fast one, which
+    frees its memory sooner, too.
+    """
     free = replica.free_tokens / max(1, replica.kv_tokens)
     near = LOCALITY_BONUS if replica.data_centre == request.data_centre else 0.0
-    return not replica.suspect, free + near
+    return not replica.suspect, free + near + _speed_bonus(replica.speed, free)
+
+
+def _speed_bonus(speed: float, free: float) -> float:
+    """Return what a replica's speed is worth as a free fraction of its memory."""
+    if speed == 1.0:
+        return 0.0
+    saved = max(-1.0, 1.0 - 1.0 / speed)
+    pressure = min(1.0, max(0.0, free) / PRESSURE_FRACTION)
+    return SPEED_BONUS * saved * pressure
 
 
 def _choose_prefill(
-    ready: list[PrefillSnapshot], decode: DecodeSnapshot, request: PlacementRequest
+    ready: list[PrefillSnapshot],
+    decode: DecodeSnapshot,
+    request: PlacementRequest,
+    prefill_s: float,
 ) -> PrefillSnapshot:
     """Return the best prefill replica.
 
     Idle ones come first, then those in the data centre of the decode replica, then
     those that are free soonest; replicas to avoid, suspect ones and those of another
-    software version than the decode replica come last.
+    software version than the decode replica come last. If some differ in speed, the one
+    that completes the prompt first is the best instead.
     """
+    uneven = any(replica.speed != 1.0 for replica in ready)
+
+    def completion_s(replica: PrefillSnapshot) -> float:
+        remote_s = REMOTE_PREFILL_S * (replica.data_centre != decode.data_centre)
+        return replica.completion_s(prefill_s) + remote_s if uneven else 0.0
+
     return min(
         ready,
         key=lambda replica: (
             replica.replica_id in request.avoid,
             replica.suspect,
             replica.version != decode.version,
+            completion_s(replica),
             replica.busy_s > 0.0,
             replica.data_centre != decode.data_centre,
             replica.busy_s,
@@ -326,13 +381,16 @@
         if replica.fits_beside(replica.generations, generation):
             return replica.replica_id
         ends = sorted(
-            item.remaining for item in replica.generations if item.remaining < best
+            item.remaining
+            for item in replica.generations
+            if item.remaining / replica.speed < best
         )
         if ends and replica.fits_beside(
             _generations_after(replica.generations, ends[-1]), generation
         ):
             found = replica.replica_id
-            best = ends[_first_end_that_fits(replica, generation, ends)]
+            first = ends[_first_end_that_fits(replica, generation, ends)]
+            best = first / replica.speed
     return found
 
 
--- a/marjoramstile/pools/estimator.py
+++ b/marjoramstile/pools/estimator.py
@@ -3,22 +3,28 @@
 from marjoramstile.pools.hints import HintModel
 from marjoramstile.pools.leases import Lease
 from marjoramstile.pools.messages import LeaseUsage
+from marjoramstile.pools.speeds import ReplicaSpeeds
 from marjoramstile.pools.statistics import PoolStatistics
+from marjoramstile.routes.replica_types import Stage
 
 # Prefills slower than this fraction of the estimated speed mostly had to wait for
 # something else, so they get a lower weight.
 SLOW_PREFILL_RATIO = 0.75
 SLOW_PREFILL_WEIGHT = 0.1
+# Weight of the speed of a prefill that was queued behind others: how long it waited is
+# only estimated.
+QUEUED_PREFILL_WEIGHT = 0.5
 
 
 class PoolEstimator:
-    """Statistics of a pool's workload and a model of its output lengths.
+    """Statistics of a pool's workload, speeds of replicas, a model of output lengths.
 
     The pool's scheduler owns it and reports requests and leases to it.
     """
 
     def __init__(self):
         self.statistics = PoolStatistics()
+        self.speeds = ReplicaSpeeds()
         self._hints = HintModel()
 
     @property
@@ -54,21 +60,47 @@
         seconds = usage.decode_s - lease.decode_s
         if tokens > 0 and seconds > 0:
             self.statistics.observe_decode(tokens, seconds, now)
+            self._observe_decode_speed(lease, tokens, seconds, now)
         if lease.prefill_pending and usage.prefill_s > 0:
             lease.prefill_pending = False
             self._observe_prefill(lease, usage.prefill_s, now)
 
+    def _observe_decode_speed(
+        self, lease: Lease, tokens: int, seconds: float, now: float
+    ) -> None:
+        if lease.decode_started_at_ms and self.statistics.has_enough_data:
+            expected_s = tokens * self.statistics.decode_s_per_token
+            self.speeds.observe_decode(
+                lease.decode,
+                lease.decode_started_at_ms,
+                tokens,
+                seconds / expected_s,
+                now,
+            )
+
     def _observe_prefill(self, lease: Lease, seconds: float, now: float) -> None:
         """Add the speed of a prefill.
 
         One that was queued behind others only shows a lower bound of the speed: it is
         used only if that exceeds the present estimate.
         """
+        expected_s = lease.prefill_unit_s
+        if expected_s > 0 and self.statistics.has_enough_data:
+            self.speeds.observe(
+                lease.grant.prefill,
+                lease.prefill_started_at_ms,
+                Stage.PREFILL,
+                seconds / expected_s,
+                now,
+                1.0 if lease.prefill_started_at_once else QUEUED_PREFILL_WEIGHT,
+            )
         speed = lease.prompt_tokens / seconds
         estimated = self.statistics.prefill_tokens_per_s
         if lease.prefill_started_at_once or speed > estimated:
             weight = (
-                1.0 if speed > SLOW_PREFILL_RATIO * estimated else SLOW_PREFILL_WEIGHT
+                1.0
+                if speed > SLOW_PREFILL_RATIO * lease.prefill_speed * estimated
+                else SLOW_PREFILL_WEIGHT
             )
             tokens = weight * lease.prompt_tokens
             self.statistics.observe_prefill(tokens, weight * seconds, now)
--- a/marjoramstile/pools/forecasts.py
+++ b/marjoramstile/pools/forecasts.py
@@ -1,7 +1,11 @@
 """Pure functions that forecast, from a snapshot, how long a request will wait."""
 
-from marjoramstile.pools.decisions import Generation, PoolSnapshot, capacity_times
-from marjoramstile.pools.leases import LOCAL_PREFILL_FACTOR
+from marjoramstile.pools.decisions import (
+    LOCAL_PREFILL_FACTOR,
+    Generation,
+    PoolSnapshot,
+    capacity_times,
+)
 from marjoramstile.pools.statistics import PoolStatistics
 
 
@@ -31,10 +35,10 @@
     """
     if not pool.prefill:
         return 0.0
-    speed = len(pool.prefill) * statistics.prefill_tokens_per_s
+    speed = sum(item.speed for item in pool.prefill) * statistics.prefill_tokens_per_s
     if pool.prefill_saturated:
         local_speed = statistics.prefill_tokens_per_s / LOCAL_PREFILL_FACTOR
-        speed += len(pool.decode) * local_speed
+        speed += sum(item.prefill_speed for item in pool.decode) * local_speed
     return pool.prefill_busy_s + prompt_tokens / speed
 
 
@@ -57,10 +61,13 @@
     return None
 
 
-def _capacity_times(pool: PoolSnapshot, generation: Generation) -> list[int]:
-    """Return when the pool fits one request, two, and so on, in tokens added."""
+def _capacity_times(pool: PoolSnapshot, generation: Generation) -> list[float]:
+    """Return when the pool fits one request, two, and so on.
+
+    Times are counted in tokens that a generation at a replica of the mean speed adds.
+    """
     return sorted(
-        tokens
+        tokens / replica.speed
         for replica in pool.decode
         for tokens in capacity_times(replica, generation)
     )
--- a/marjoramstile/pools/host.py
+++ b/marjoramstile/pools/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable
 from functools import partial, singledispatchmethod
 
@@ -16,13 +17,15 @@
     PlacementRefusal,
     PlacementRequest,
     ProfileUpdate,
+    SpeedUpdate,
 )
 from marjoramstile.pools.permits import UNLIMITED, ReplicaPermits
 from marjoramstile.pools.scheduler import PoolScheduler
 from marjoramstile.pools.shards import PoolShards
+from marjoramstile.pools.speeds import ReplicaSpeed
 from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.routes.balancing import Balancer
-from marjoramstile.routes.replica_types import Replica
+from marjoramstile.routes.replica_types import Replica, Stage
 from marjoramstile.routes.requests import RefusalReason
 from marjoramstile.routes.table import EngineTraits
 from marjoramstile.utils import loop_time
@@ -106,6 +109,28 @@
                 total = total.plus(lease_totals.requests, lease_totals.tokens)
         return total
 
+    def speed(self, replica: Replica, stage: Stage) -> float | None:
+        """Return a replica's speed relative to its pool; None if unknown here."""
+        if replica.stage is None:
+            return None
+        key = replica.service, self._shards.shard_of(replica)
+        scheduler = self._schedulers.get(key)
+        if scheduler is None:
+            return None
+        return scheduler.speeds.known_factor(replica, stage, loop_time())
+
+    def differing_speeds(self, service: str, shard: int) -> list[ReplicaSpeed]:
+        """Return the speeds of a shard's replicas that clearly differ."""
+        scheduler = self._schedulers.get((service, shard))
+        return [] if scheduler is None else scheduler.speeds.differing(loop_time())
+
+    def pop_speed_changes(self) -> Counter[str]:
+        """Return how many speeds changed since the last call, by service."""
+        changes: Counter[str] = Counter()
+        for (service, _), scheduler in self._schedulers.items():
+            changes[service] += scheduler.speeds.pop_changes()
+        return changes
+
     @singledispatchmethod
     def handle_message(self, message: object, reply: Reply, polls: bool = True) -> None:
         """Handle a message; ``reply`` is called with each answer, now or later.
@@ -156,6 +181,12 @@
             scheduler = self.scheduler(message.service, message.shard)
             scheduler.statistics.replace(message.profile, loop_time())
 
+    @handle_message.register
+    def _(self, message: SpeedUpdate, reply: Reply, polls: bool = True) -> None:
+        if self._knows(message.service, message.shard):
+            scheduler = self.scheduler(message.service, message.shard)
+            scheduler.speeds.adopt(message.speeds, loop_time())
+
     def _knows(self, service: str, shard: int) -> bool:
         """Return whether the service has engines and the shard number is valid."""
         return self._engine_of(service) is not None and 0 <= shard < MAX_SHARDS
--- a/marjoramstile/pools/leases.py
+++ b/marjoramstile/pools/leases.py
@@ -15,8 +15,6 @@
 # Tokens that a generation beyond its expected length is still expected to produce, as
 # a fraction of those that it has produced.
 OVERRUN_FRACTION = 0.3
-# A decode replica prefills at half the speed of a prefill replica.
-LOCAL_PREFILL_FACTOR = 2.0
 
 
 @dataclass
@@ -28,7 +26,11 @@
     a prefill replica has the prompt and the duration of the prefill is not yet known,
     ``prefill_started_at_once`` that no other prompt was ahead of it.
     ``local_prefill_until`` is when a local prefill by the decode replica is expected
-    to end. Times are those of the event loop's clock.
+    to end. ``prefill_s`` is the expected time of the prefill without the wait for it,
+    by a replica of speed ``prefill_speed`` relative to the pool; ``prefill_unit_s`` is
+    that of the wait and the prefill together if it had the pool's speed. The starts of
+    the replicas tell their incarnations; 0 if that is not known. Times are those of the
+    event loop's clock.
     """
 
     id: str
@@ -40,6 +42,11 @@
     prefill_pending: bool = False
     prefill_started_at_once: bool = False
     local_prefill_until: float = 0.0
+    prefill_s: float = 0.0
+    prefill_speed: float = 1.0
+    prefill_unit_s: float = 0.0
+    prefill_started_at_ms: int = 0
+    decode_started_at_ms: int = 0
     produced_tokens: int = 0
     decode_s: float = 0.0
     renewed_at: float = 0.0
@@ -55,9 +62,14 @@
         """Memory of the lease: what is expected, or what is in use if that is more."""
         return max(self.tokens, self.prompt_tokens + self.produced_tokens)
 
-    def generation(self, now: float, statistics: PoolStatistics) -> Generation:
-        """Return the expected present state of the generation."""
-        produced = self._produced_tokens(now, statistics)
+    def generation(
+        self, now: float, statistics: PoolStatistics, speed: float = 1.0
+    ) -> Generation:
+        """Return the expected present state of the generation.
+
+        ``speed`` is that of its decode replica relative to the pool.
+        """
+        produced = self._produced_tokens(now, statistics, speed)
         remaining = max(self.output_tokens - produced, OVERRUN_FRACTION * produced)
         return Generation(
             self.prompt_tokens + round(produced),
@@ -65,16 +77,17 @@
             round(produced + remaining),
         )
 
-    def _produced_tokens(self, now: float, statistics: PoolStatistics) -> float:
+    def _produced_tokens(
+        self, now: float, statistics: PoolStatistics, speed: float
+    ) -> float:
         """Return the tokens produced: those reported and those estimated since then."""
         since = self.renewed_at
         if not self.produced_tokens:
             since = (
                 self.granted_at + self.prompt_tokens / statistics.prefill_tokens_per_s
             )
-        return (
-            self.produced_tokens + max(0.0, now - since) / statistics.decode_s_per_token
-        )
+        tokens_per_s = speed / statistics.decode_s_per_token
+        return self.produced_tokens + max(0.0, now - since) * tokens_per_s
 
     def is_expired(self, now: float) -> bool:
         """Return whether the lease's daemon has not confirmed or renewed it in time."""
@@ -153,11 +166,18 @@
         return expired
 
     def generations(
-        self, replica_id: str, now: float, statistics: PoolStatistics
+        self,
+        replica_id: str,
+        now: float,
+        statistics: PoolStatistics,
+        speed: float = 1.0,
     ) -> tuple[Generation, ...]:
-        """Return the expected present states of the generations at a replica."""
+        """Return the expected present states of the generations at a replica.
+
+        ``speed`` is the replica's in decoding, relative to the pool.
+        """
         leases = self._by_replica.get(replica_id, {}).values()
-        return tuple(lease.generation(now, statistics) for lease in leases)
+        return tuple(lease.generation(now, statistics, speed) for lease in leases)
 
     def local_prefills(self, now: float) -> set[str]:
         """Return the ids of the decode replicas that run a local prefill."""
--- a/marjoramstile/pools/messages.py
+++ b/marjoramstile/pools/messages.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from enum import IntEnum, StrEnum
 
+from marjoramstile.pools.speeds import ReplicaSpeed
 from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.routes.requests import RefusalReason
 
@@ -164,11 +165,25 @@
     profile: GenerationProfile
 
 
+@dataclass(frozen=True)
+class SpeedUpdate:
+    """Speeds of a shard's replicas, sent to the daemon that would schedule it next.
+
+    It holds some of those that differ from the pool; later messages hold the others.
+    Builds that don't know it ignore it.
+    """
+
+    service: str
+    shard: int
+    speeds: tuple[ReplicaSpeed, ...]
+
+
 PoolMessage = (
     PlacementRequest
     | PlacementCancel
     | LeaseRenewal
     | LeaseEnd
     | ProfileUpdate
+    | SpeedUpdate
     | PlacementAnswer
 )
--- a/marjoramstile/pools/pool_state.py
+++ b/marjoramstile/pools/pool_state.py
@@ -3,9 +3,15 @@
 from collections.abc import Callable
 
 from marjoramstile.pools.backoff import ReplicaBackoff
-from marjoramstile.pools.decisions import DecodeSnapshot, PoolSnapshot, PrefillSnapshot
+from marjoramstile.pools.decisions import (
+    LOCAL_PREFILL_FACTOR,
+    PREFILL_LOOKAHEAD_S,
+    DecodeSnapshot,
+    PoolSnapshot,
+    PrefillSnapshot,
+)
 from marjoramstile.pools.estimator import PoolEstimator
-from marjoramstile.pools.leases import LOCAL_PREFILL_FACTOR, Lease, LeaseTable
+from marjoramstile.pools.leases import Lease, LeaseTable
 from marjoramstile.pools.messages import PlacementGrant
 from marjoramstile.pools.permits import ReplicaPermits
 from marjoramstile.routes.balancing import Balancer
@@ -85,7 +91,11 @@
             return PoolSnapshot((), ())
         local_prefills = self._leases.local_prefills(now)
         spread = self._estimator.spread
-        replicas = max(1, len(self._replicas(Stage.PREFILL)))
+        speeds = self._estimator.speeds
+        prefill_speed = sum(
+            speeds.factor(replica, Stage.PREFILL, now)
+            for replica in self._replicas(Stage.PREFILL)
+        )
         return PoolSnapshot(
             tuple(
                 self._decode_snapshot(
@@ -95,20 +105,22 @@
                 if not self._backoff.is_unreachable(replica.id, now)
             ),
             self._prefill_snapshots(now),
-            self._estimator.prefill_s(queued_prompt_tokens) / replicas,
+            self._estimator.prefill_s(queued_prompt_tokens) / (prefill_speed or 1.0),
         )
 
     def _decode_snapshot(
         self, replica: Replica, prefilling: bool, spread: float, now: float
     ) -> DecodeSnapshot:
         lease_totals = self._leases.lease_totals(replica.id)
+        speeds = self._estimator.speeds
+        speed = speeds.factor(replica, Stage.DECODE, now)
         return DecodeSnapshot(
             replica_id=replica.id,
             data_centre=replica.data_centre,
             kv_tokens=self.engine.kv_tokens,
             free_tokens=self.engine.kv_tokens - lease_totals.tokens,
             generations=self._leases.generations(
-                replica.id, now, self._estimator.statistics
+                replica.id, now, self._estimator.statistics, speed
             ),
             slots=self.engine.slots,
             spread=spread,
@@ -117,6 +129,8 @@
             in_backoff=self._backoff.in_backoff(replica.id, now),
             version=replica.version,
             limited=self._permits.is_limited(replica),
+            speed=speed,
+            prefill_speed=speeds.likely_factor(replica, Stage.PREFILL, now),
         )
 
     def _prefill_snapshots(self, now: float) -> tuple[PrefillSnapshot, ...]:
@@ -127,26 +141,67 @@
                 max(0.0, self._prefill_free_at.get(replica.id, 0.0) - now),
                 self._balancer.is_suspect(replica, now),
                 replica.version,
+                self._estimator.speeds.factor(replica, Stage.PREFILL, now),
             )
             for replica in self._permitted(Stage.PREFILL)
         )
 
-    def prefill_busy_s(self, now: float) -> float:
-        """Return the time until a prefill replica is free; 0 if there is none."""
-        return min((item.busy_s for item in self._prefill_snapshots(now)), default=0.0)
+    def prefill_delay_s(self, now: float) -> float:
+        """Return by how much a prompt is prefilled later than now at the pool's speed.
+
+        It is the wait for the replica that would prefill a typical prompt first, at
+        most PREFILL_LOOKAHEAD_S, and what it takes longer than the mean replica;
+        negative if a fast one is free. 0 if there is no prefill replica.
+        """
+        prompt, _ = self._estimator.statistics.typical
+        prefill_s = self._estimator.prefill_s(prompt)
+        replicas = self._prefill_snapshots(now)
+        if not replicas:
+            return 0.0
+        first = min(replicas, key=lambda item: item.completion_s(prefill_s))
+        extra_s = prefill_s / first.speed - prefill_s
+        return min(first.busy_s, PREFILL_LOOKAHEAD_S) + extra_s
+
+    def _find(self, replica_id: str | None, stage: Stage) -> Replica | None:
+        """Return a usable replica of a stage by id."""
+        return next(
+            (item for item in self._replicas(stage) if item.id == replica_id), None
+        )
+
+    def started_at_ms(self, decode: str) -> int:
+        """Return the start of a usable decode replica; 0 if it isn't usable."""
+        replica = self._find(decode, Stage.DECODE)
+        return 0 if replica is None else replica.started_at_ms
 
     def begin_prefill(self, lease: Lease, now: float) -> None:
         """Add the prompt of a new lease to the work of its prefill replica."""
         prefill = lease.grant.prefill
-        prefill_s = self._estimator.prefill_s(lease.prompt_tokens)
+        mean_s = self._estimator.prefill_s(lease.prompt_tokens)
+        self._record_speeds(lease, now)
         if prefill is None:
-            lease.local_prefill_until = now + LOCAL_PREFILL_FACTOR * prefill_s
+            local_s = LOCAL_PREFILL_FACTOR * mean_s / lease.prefill_speed
+            lease.local_prefill_until = now + local_s
             return
         starts_at = max(now, self._prefill_free_at.get(prefill, 0.0))
-        self._prefill_free_at[prefill] = starts_at + prefill_s
+        lease.prefill_s = mean_s / lease.prefill_speed
+        lease.prefill_unit_s = mean_s + (starts_at - now) * lease.prefill_speed
+        self._prefill_free_at[prefill] = starts_at + lease.prefill_s
         lease.prefill_pending = True
         lease.prefill_started_at_once = starts_at == now
 
+    def _record_speeds(self, lease: Lease, now: float) -> None:
+        """Record a new lease's incarnations and the speed of its prefill."""
+        speeds = self._estimator.speeds
+        decode = self._find(lease.decode, Stage.DECODE)
+        prefill = self._find(lease.grant.prefill, Stage.PREFILL)
+        if decode is not None:
+            lease.decode_started_at_ms = decode.started_at_ms
+        if prefill is not None:
+            lease.prefill_started_at_ms = prefill.started_at_ms
+            lease.prefill_speed = speeds.factor(prefill, Stage.PREFILL, now)
+        elif decode is not None:
+            lease.prefill_speed = speeds.likely_factor(decode, Stage.PREFILL, now)
+
     def cancel_prefill(self, lease: Lease) -> None:
         """Remove the prompt of an ended lease from its prefill replica's work.
 
@@ -154,9 +209,7 @@
         """
         prefill = lease.grant.prefill
         if prefill is not None and lease.prefill_pending:
-            self._prefill_free_at[prefill] -= self._estimator.prefill_s(
-                lease.prompt_tokens
-            )
+            self._prefill_free_at[prefill] -= lease.prefill_s
 
     def record_decode_failure(self, replica_id: str, now: float) -> None:
         """Record a failure of a decode replica."""
--- a/marjoramstile/pools/scheduler.py
+++ b/marjoramstile/pools/scheduler.py
@@ -11,6 +11,7 @@
 expected for it.
 """
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -18,7 +19,6 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.pools.backoff import ReplicaBackoff
 from marjoramstile.pools.decisions import (
-    PREFILL_LOOKAHEAD_S,
     Generation,
     Placement,
     PoolSnapshot,
@@ -29,7 +29,7 @@
 )
 from marjoramstile.pools.estimator import PoolEstimator
 from marjoramstile.pools.expected_retries import ExpectedRetries
-from marjoramstile.pools.leases import LOCAL_PREFILL_FACTOR, Lease, LeaseTable
+from marjoramstile.pools.leases import Lease, LeaseTable
 from marjoramstile.pools.messages import (
     LeaseEnd,
     LeaseOutcome,
@@ -46,6 +46,7 @@
 from marjoramstile.pools.permits import UNLIMITED, ReplicaPermits
 from marjoramstile.pools.pool_state import PoolState
 from marjoramstile.pools.refusals import Refusals
+from marjoramstile.pools.speeds import ReplicaSpeeds
 from marjoramstile.pools.statistics import PoolStatistics
 from marjoramstile.pools.waiting import RequestQueue, WaitingRequest
 from marjoramstile.routes.balancing import Balancer
@@ -130,6 +131,11 @@
         """Statistics of the pool's generations."""
         return self._estimator.statistics
 
+    @property
+    def speeds(self) -> ReplicaSpeeds:
+        """Learned speeds of the shard's replicas."""
+        return self._estimator.speeds
+
     def pop_answers(self) -> list[PlacementAnswer]:
         """Return the answers collected since the last call, and clear them."""
         answers, self._answers = self._answers, []
@@ -270,6 +276,7 @@
             decode_s=usage.decode_s,
             renewed_at=now,
             confirmed=True,
+            decode_started_at_ms=self._state.started_at_ms(usage.decode),
         )
         self._leases.add(lease)
         self._estimator.observe_adopted(usage, now)
@@ -337,8 +344,8 @@
 
     def _refuse_overdue(self, now: float) -> None:
         """Refuse requests that would be late even if they were placed now."""
-        busy_s = self._state.prefill_busy_s(now)
-        for waiting in self._queue.overdue(now + min(busy_s, PREFILL_LOOKAHEAD_S)):
+        delay_s = self._state.prefill_delay_s(now)
+        for waiting in self._queue.overdue(now + delay_s):
             self._refuse(waiting, self.pool_snapshot(now), now)
 
     def _next_placement(self, now: float) -> tuple[WaitingRequest, Placement] | None:
@@ -370,13 +377,14 @@
     def _requirements(self, waiting: WaitingRequest, now: float) -> Requirements:
         prompt, output = self.statistics.typical
         prefill_s = self._estimator.prefill_s(waiting.request.prompt_tokens)
-        extra_s = (LOCAL_PREFILL_FACTOR - 1) * prefill_s
         on_time = waiting.urgency == Urgency.ON_TIME
+        left_s = waiting.deadline - now if on_time else math.inf
         return Requirements(
             waiting.generation,
             waiting.urgency,
             typical=Generation(prompt, output, output),
-            needs_prefill_replica=on_time and now + extra_s > waiting.deadline,
+            prefill_s=prefill_s,
+            prefill_slack_s=left_s,
         )
 
     def _grant(self, waiting: WaitingRequest, placement: Placement, now: float) -> None:
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -605,13 +605,17 @@
 
     async def _rebalance_stages(self) -> None:
         if self.entry.ready:
-            self._share_profiles()
+            self._share_estimates()
             await self.stages.step(self._table)
 
-    def _share_profiles(self) -> None:
+    def _share_estimates(self) -> None:
         for service in self._table.services.values():
             if service.engine is not None:
                 self.pool.share_profile(service.name)
+                self.pool.share_speeds(service.name)
+        for service, changes in self.schedulers.pop_speed_changes().items():
+            for _ in range(changes):
+                self.metrics.count("replica_speed_changed", service)
 
     async def _expire(self) -> None:
         now = loop_time()
--- a/marjoramstile/routes/stages.py
+++ b/marjoramstile/routes/stages.py
@@ -4,7 +4,7 @@
 current one is worth a move.
 """
 
-from marjoramstile.pools.leases import LOCAL_PREFILL_FACTOR
+from marjoramstile.pools.decisions import LOCAL_PREFILL_FACTOR
 from marjoramstile.pools.statistics import GenerationProfile
 
 # Share of a prefill replica's speed that a decode replica adds by prefilling some
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -18,7 +18,7 @@
 from marjoramstile.routes.carrying import RequestCarrier
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.order_rows import NO_ORDERS, orders_of
-from marjoramstile.routes.replica_types import Replica
+from marjoramstile.routes.replica_types import Replica, Stage
 from marjoramstile.routes.replicas import ReplicaDirectory
 from marjoramstile.routes.table import RoutingTable
 from marjoramstile.utils import loop_time
@@ -128,9 +128,15 @@
         "limit_per_s": sources.limits.limit_per_s(replica),
         "leases": lease_totals.requests,
         "leased_tokens": lease_totals.tokens,
+        "prefill_speed": _rounded(sources.schedulers.speed(replica, Stage.PREFILL)),
+        "decode_speed": _rounded(sources.schedulers.speed(replica, Stage.DECODE)),
     }
 
 
+def _rounded(factor: float | None) -> float | None:
+    return None if factor is None else round(factor, 2)
+
+
 @SUBJECTS.register("routes", on_all_daemons=False)
 def route_rows(sources: StatusSources) -> list[Row]:
     """Return the routes of the configuration in force on this daemon."""
--- a/tests/peers/test_pool_datagrams.py
+++ b/tests/peers/test_pool_datagrams.py
@@ -35,8 +35,10 @@
     PlacementQueued,
     PlacementRefusal,
     ProfileUpdate,
+    SpeedUpdate,
     Urgency,
 )
+from marjoramstile.pools.speeds import ReplicaSpeed
 from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.routes.requests import RefusalReason
 from marjoramstile.streams.messages import (
@@ -61,6 +63,7 @@
     LeaseRenewal("llm", 0, (LEASE_USAGE, LEASE_USAGE)),
     LeaseEnd("llm", 0, "c", LEASE_USAGE, LeaseOutcome.NO_ROOM),
     ProfileUpdate("llm", 0, GenerationProfile(3200.0, 800.0, 0.004, 33_000.0)),
+    SpeedUpdate("llm", 1, (ReplicaSpeed("d0", 1_764_000_000_000, None, 0.55),)),
     PermitRequest("7", LIMITED, 1.7),
     PermitAnswer("7", True, 1.7, 0.0),
     PermitAnswer("7", False, None, 0.6),
@@ -110,6 +113,7 @@
                 "renew",
                 "end",
                 "means",
+                "speeds",
                 "permit",
                 "limit",
                 "crash",
--- a/tests/pools/support.py
+++ b/tests/pools/support.py
@@ -1,13 +1,15 @@
 """Pools, requests and replicas for tests of schedulers."""
 
 import random
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from marjoramstile.pools.messages import (
     LeaseEnd,
     LeaseOutcome,
+    LeaseRenewal,
     LeaseUsage,
     PlacementGrant,
+    PlacementRefusal,
     PlacementRequest,
 )
 from marjoramstile.pools.scheduler import PoolScheduler
@@ -112,3 +114,135 @@
             produced * 0.0042,
             0.1,
         )
+
+
+@dataclass
+class _Running:
+    """A granted generation of a PoolLoad with the times at which its stages end."""
+
+    asked: PlacementRequest
+    grant: PlacementGrant
+    prefill_s: float
+    decode_began: float
+    ends_at: float
+    output: int
+
+
+class PoolLoad:
+    """Plays random requests to a scheduler whose replicas have given speeds.
+
+    Replicas prefill one prompt after the other at 33,000 tokens per second times their
+    speed; a generation decodes a token in 4 ms over its replica's speed. Reports come
+    every second and at the end, as those of daemons do.
+    """
+
+    PREFILL_TOKENS_PER_S = 33_000.0
+    DECODE_S_PER_TOKEN = 0.004
+    STEP_S = 0.02
+
+    def __init__(self, speeds: dict[str, float], seed: int):
+        self._speeds = speeds
+        self._rng = random.Random(seed)
+        prefill = sum(name.startswith("e") for name in speeds)
+        self.pool = Pool(prefill, len(speeds) - prefill)
+        self._free_at = dict.fromkeys(speeds, 0.0)
+        self._running: dict[str, _Running] = {}
+        self._asked: dict[str, tuple[PlacementRequest, float, int]] = {}
+        self.grants: list[PlacementGrant] = []
+        self.first_token_s: list[float] = []
+        self.refused = 0
+
+    def play(self, seconds: float, per_s: float) -> "PoolLoad":
+        """Play a load of so many requests per second on average."""
+        pool = self.pool
+        until = pool.now + seconds
+        next_at = pool.now
+        next_report = pool.now + 1.0
+        while pool.now < until:
+            while next_at <= pool.now:
+                self._ask()
+                next_at += self._rng.expovariate(per_s)
+            self._end_finished()
+            if pool.now >= next_report:
+                self._report()
+                next_report += 1.0
+            pool.now += self.STEP_S
+            pool.scheduler.process_queue(pool.now)
+            self._collect()
+        return self
+
+    def late_share(self, target_s: float) -> float:
+        """Return the share of requests refused or with a late first token."""
+        late = self.refused + sum(item > target_s for item in self.first_token_s)
+        return late / (self.refused + len(self.first_token_s))
+
+    def first_token_percentile(self, percent: int) -> float:
+        """Return a percentile of the time to the first token."""
+        ordered = sorted(self.first_token_s)
+        return ordered[percent * len(ordered) // 100]
+
+    def _ask(self) -> None:
+        name = f"q-{len(self._asked)}"
+        prompt = round(3200 * self._rng.lognormvariate(0.0, 0.4))
+        output = round(600 * self._rng.lognormvariate(0.0, 0.4))
+        asked = request(name, prompt_tokens=prompt, output_tokens=output)
+        self._asked[name] = asked, self.pool.now, output
+        self.pool.scheduler.ask(asked, ENGINE, self.pool.now, polls=False)
+        self._collect()
+
+    def _collect(self) -> None:
+        for answer in self.pool.scheduler.pop_answers():
+            if isinstance(answer, PlacementGrant):
+                self._start(answer)
+            elif isinstance(answer, PlacementRefusal):
+                self.refused += 1
+
+    def _start(self, grant: PlacementGrant) -> None:
+        asked, asked_at, output = self._asked[grant.id]
+        now = self.pool.now
+        where = grant.prefill or grant.decode
+        factor = 1.0 if grant.prefill else 0.5
+        speed = factor * self._speeds[where] * self.PREFILL_TOKENS_PER_S
+        ends = max(now, self._free_at[where]) + asked.prompt_tokens / speed
+        self._free_at[where] = ends
+        decode_s = output * self.DECODE_S_PER_TOKEN / self._speeds[grant.decode]
+        self.grants.append(grant)
+        self.first_token_s.append(ends - asked_at)
+        self._running[grant.id] = _Running(
+            asked, grant, ends - now, ends, ends + decode_s, output
+        )
+
+    def _usage(self, item: _Running) -> LeaseUsage:
+        now = self.pool.now
+        decoded_s = min(max(0.0, now - item.decode_began), self._decode_s(item))
+        whole_s = self._decode_s(item)
+        produced = round(item.output * decoded_s / whole_s)
+        return LeaseUsage(
+            item.grant.id,
+            item.grant.decode,
+            item.asked.prompt_tokens,
+            item.asked.output_tokens,
+            produced,
+            decoded_s,
+            item.prefill_s if now >= item.decode_began else 0.0,
+        )
+
+    @staticmethod
+    def _decode_s(item: _Running) -> float:
+        return item.ends_at - item.decode_began
+
+    def _report(self) -> None:
+        usages = tuple(self._usage(item) for item in self._running.values())
+        renewal = LeaseRenewal(SERVICE, 0, usages)
+        self.pool.scheduler.renew(renewal, self.pool.now)
+
+    def _end_finished(self) -> None:
+        now = self.pool.now
+        for item in [item for item in self._running.values() if item.ends_at <= now]:
+            del self._running[item.grant.id]
+            content = item.asked.content
+            end = LeaseEnd(
+                SERVICE, 0, content, self._usage(item), LeaseOutcome.FINISHED
+            )
+            self.pool.scheduler.end(end, now)
+            self._collect()
--- a/tests/pools/test_client.py
+++ b/tests/pools/test_client.py
@@ -327,3 +327,28 @@
     grant = PlacementGrant("unknown", SERVICE, 0, "d0", None, 1)
     daemons[0].client.handle_answer(grant, cancelled.append)
     assert [message.id for message in cancelled] == ["unknown"]
+
+
+async def test_the_speeds_of_replicas_reach_only_the_scheduler_that_is_next():
+    """Else its first choices after a failover would be those of an even pool."""
+    network, daemons = fleet(5)
+    first = scheduler_of(daemons)
+    second, third = (
+        network.daemons[vm] for vm in first.selector.ranked(SERVICE, 0)[1:]
+    )
+    for daemon in daemons:
+        daemon.client.share_speeds(SERVICE)
+    assert network.sent == 0
+    speeds = first.host.scheduler(SERVICE, 0).speeds
+    for _ in range(20):
+        for name, ratio in (("d0", 2.0), ("d1", 0.9), ("d2", 0.9)):
+            speeds.observe(name, 1, Stage.DECODE, ratio, loop_time())
+    for daemon in daemons:
+        daemon.client.share_speeds(SERVICE)
+    assert network.sent == 1
+    await asyncio.sleep(2 * DELAY_S)
+    slow = replica("d0", Stage.DECODE)
+    factor = first.host.speed(slow, Stage.DECODE)
+    assert factor < 0.8
+    assert second.host.speed(slow, Stage.DECODE) == pytest.approx(factor, abs=0.01)
+    assert third.host.speed(slow, Stage.DECODE) is None
--- a/tests/pools/test_decisions.py
+++ b/tests/pools/test_decisions.py
@@ -155,7 +155,10 @@
     busy = PrefillSnapshot("e0", "a", 0.3)
     pool = PoolSnapshot((decode_replica("a"),), (busy,), queued_prefill_s=0.5)
     assert choose(pool, requirements()).prefill is None
-    assert choose(pool, requirements(needs_prefill_replica=True)) is None
+    in_time = requirements(prefill_s=0.1, prefill_slack_s=0.1)
+    assert choose(pool, in_time).prefill is None
+    too_late = requirements(prefill_s=0.1, prefill_slack_s=0.099)
+    assert choose(pool, too_late) is None
     assert choose(pool, requirements(Urgency.LATE)) is None
 
 
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -3,6 +3,8 @@
 import json
 import random
 
+import pytest
+
 from marjoramstile.crashes.blocklist import BlockEntry, Blocklist
 from marjoramstile.membership.view import PeerState, Report, View
 from marjoramstile.mirrors.follower import MirrorFollower
@@ -20,7 +22,7 @@
 )
 from marjoramstile.routes.table import EntryLimits, RouteKind, RoutingTable
 from marjoramstile.utils import loop_time
-from tests.routes.support import RoutingCore, route
+from tests.routes.support import LLM, RoutingCore, route
 
 
 def listed(vm: str) -> ListedVM:
@@ -108,6 +110,20 @@
     assert limits == {"e0": None, "d0": 1.7, "d1": None}
 
 
+async def test_rows_of_replicas_show_the_speeds_that_their_scheduler_has_learned():
+    sources = sources_of("a")
+    speeds = sources.schedulers.scheduler(LLM, 0).speeds
+    started_at_ms = sources.directory.get("d0").started_at_ms
+    for _ in range(20):
+        speeds.observe("d0", started_at_ms, Stage.DECODE, 2.0, loop_time())
+        speeds.observe("d1", started_at_ms, Stage.DECODE, 1.0, loop_time())
+    rows = FleetStatus(sources, FakePeerClient()).own_rows("replicas")
+    shown = {row["replica"]: row["decode_speed"] for row in rows}
+    assert shown["d0"] == pytest.approx(0.8, abs=0.1)
+    assert shown["e0"] is None
+    assert {row["prefill_speed"] for row in rows} == {None}
+
+
 async def test_rows_of_all_daemons_are_joined_and_silent_ones_named():
     other = FleetStatus(sources_of("b"), FakePeerClient())
     status = FleetStatus(sources_of("a", "b", "c"), FakePeerClient(b=other))
