Stages: the split counts capacity in speed, and waves don't take moves back

The split counted replicas, so in a pool of uneven replicas it gave a stage too much or too little. Capacity is now the sum of the learned speeds, and the fastest replicas move to the stage that is short. Equally fast pools are split as before.

Run: pytest tests/routes/test_stages.py tests/routes/test_orders.py tests/routes/test_restored_orders.py tests/routes/test_decisions.py; python -m bench.speeds.

--- a/bench/speeds.py
+++ b/bench/speeds.py
@@ -14,8 +14,10 @@
 from marjoramstile.pools.messages import SpeedUpdate
 from marjoramstile.pools.scheduler import PoolScheduler
 from marjoramstile.pools.speeds import ReplicaSpeeds, next_batch
+from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.replica_types import Replica, ReplicaState, Stage
+from marjoramstile.routes.stages import StageSpeeds, wanted_prefill
 
 # A pool in one shard, and the largest one of docs/CAPACITY.md in a single shard, which
 # is far more than a scheduler has (about 40).
@@ -25,6 +27,7 @@
 MESSAGES_PER_S = 1.0
 ENTRY_SPEEDS = (0.55, 1.2)
 REPEATS = 200
+PROFILE = GenerationProfile(3200.0, 800.0, 3.5 / 800.0, 33_000.0)
 
 
 def replicas_of(count: int) -> list[Replica]:
@@ -103,6 +106,23 @@
     return measure(place, REPEATS)
 
 
+def split_us(replicas: list[Replica], speeds: ReplicaSpeeds) -> float:
+    """Return the time of the decision on the split, made every second."""
+
+    def decide() -> int:
+        prefill, decode = (
+            [
+                StageSpeeds(*(speeds.likely_factor(item, one, 2.0) for one in Stage))
+                for item in replicas
+                if item.stage == stage
+            ]
+            for stage in Stage
+        )
+        return wanted_prefill(PROFILE, prefill, decode, ENGINE.kv_tokens)
+
+    return measure(decide, REPEATS)
+
+
 def measure_pool(count: int) -> dict[str, object]:
     """Measure one pool."""
     replicas = replicas_of(count)
@@ -124,6 +144,7 @@
         "place_us": place_us(replicas, learned=True),
         "place_even_us": place_us(replicas, learned=False),
         "share_us": measure(lambda: next_batch(speeds.differing(2.0), ""), REPEATS),
+        "split_us": split_us(replicas, speeds),
         "state_bytes": state_bytes(replicas),
         "differing": len(differing),
         "message_bytes": len(message),
--- a/marjoramstile/routes/orders.py
+++ b/marjoramstile/routes/orders.py
@@ -12,6 +12,7 @@
 
 import math
 import time
+from collections import defaultdict
 from collections.abc import Callable
 
 from marjoramstile.logs import get_logger
@@ -35,14 +36,17 @@
 from marjoramstile.routes.replica_types import Replica, Stage
 from marjoramstile.routes.replicas import USABLE, ReplicaDirectory
 from marjoramstile.routes.requests import ReplicaError
-from marjoramstile.routes.stages import wanted_prefill_count
+from marjoramstile.routes.stages import (
+    IMBALANCE_MIN_S,
+    MoveDamper,
+    StageSpeeds,
+    wanted_prefill,
+)
 from marjoramstile.routes.table import EngineTraits, RoutingTable
 from marjoramstile.utils import loop_time
 
 # Longest time from reading the row to sending the order.
 ORDER_DELAY_MAX_S = 1.0
-# Time for which the same move must have been wanted before it is ordered.
-IMBALANCE_MIN_S = 1.5
 # Only the scheduler candidates of the pool's first shard give orders. Each waits this
 # much longer than the candidate ranked before it, which may not reach the store.
 TAKEOVER_DELAY_S = 3.0
@@ -50,6 +54,9 @@
 SETTLE_S = 8.0
 # Statuses of an order that is being carried out, or is already fulfilled.
 ACCEPTED_STATUSES = (200, 202)
+# Digits to which speeds are compared when replicas are chosen to move: those that are
+# about as fast go by what they have to give up.
+SPEED_DIGITS = 1
 # Pause after a round of orders of a service, before failed ones are retried.
 RETRY_S = 1.0
 
@@ -89,7 +96,7 @@
         self._lease_s = lease_s
         self._created_at = loop_time()
         self._held_at: dict[str, float] = {}
-        self._wanted_since: dict[str, tuple[tuple[bool, int], float]] = {}
+        self._dampers: dict[str, MoveDamper] = defaultdict(MoveDamper)
         self._paused_until: dict[str, float] = {}
 
     async def step(self, table: RoutingTable | None) -> None:
@@ -112,22 +119,28 @@
         stages = self._directory.expected_stages(service)
         prefill = [replica for replica, stage in stages if stage == Stage.PREFILL]
         decode = [replica for replica, stage in stages if stage == Stage.DECODE]
-        wanted = self._wanted(service, engine, len(prefill), len(decode))
+        wanted = self._wanted(service, engine, prefill, decode)
         change = wanted - len(prefill)
-        if self._wanted_for_s(service, change, len(stages), now) < imbalance_min_s:
+        damper = self._dampers[service]
+        if not damper.is_due(change, len(stages), now, imbalance_min_s):
             return
         self._paused_until[service] = now + RETRY_S
         stage = Stage.DECODE if change < 0 else Stage.PREFILL
-        candidates = self._movable(service, prefill if change < 0 else decode)
+        candidates = self._movable(service, prefill if change < 0 else decode, stage)
         if candidates:
             logger.info(
                 "split_wanted", service=service, prefill=len(prefill), wanted=wanted
             )
         for replica in candidates[: abs(change)]:
-            await self._move(service, engine, replica, stage)
+            if await self._move(service, engine, replica, stage):
+                damper.record_move(change, len(stages), loop_time())
 
     def _wanted(
-        self, service: str, engine: EngineTraits, prefill: int, decode: int
+        self,
+        service: str,
+        engine: EngineTraits,
+        prefill: list[Replica],
+        decode: list[Replica],
     ) -> int:
         """Return how many replicas should prefill.
 
@@ -135,60 +148,70 @@
         """
         profile = self._scheduler(service, 0).statistics.profile()
         if profile is not None:
-            return wanted_prefill_count(profile, prefill, decode, engine.kv_tokens)
-        return prefill - 1 if prefill and not decode else prefill
+            return wanted_prefill(
+                profile,
+                self._stage_speeds(service, prefill),
+                self._stage_speeds(service, decode),
+                engine.kv_tokens,
+            )
+        return len(prefill) - 1 if prefill and not decode else len(prefill)
 
-    def _movable(self, service: str, replicas: list[Replica]) -> list[Replica]:
-        """Return those usable and not moving, the fewest leased tokens first.
+    def _stage_speeds(self, service: str, replicas: list[Replica]) -> list[StageSpeeds]:
+        """Return the speeds of replicas; of another shard, they count as usual."""
+        speeds = self._scheduler(service, 0).speeds
+        now = loop_time()
+        return [
+            StageSpeeds(*(speeds.likely_factor(replica, stage, now) for stage in Stage))
+            for replica in replicas
+        ]
 
-        One that names a limit stays: its permits would be lost to its stage.
+    def _movable(
+        self, service: str, replicas: list[Replica], stage: Stage
+    ) -> list[Replica]:
+        """Return those usable and not moving, the fastest in the new stage first.
+
+        That stage is short. Equally fast ones are sorted by their leased tokens, the
+        fewest first. One that names a limit stays: its permits would be lost to its
+        stage.
         """
         free = [
             item
             for item in replicas
             if self._directory.standing(item) in USABLE and not self._is_limited(item)
         ]
-        leases = self._scheduler(service, 0).leases
-        return sorted(
-            free,
-            key=lambda replica: (leases.lease_totals(replica.id).tokens, replica.id),
-        )
+        scheduler = self._scheduler(service, 0)
+        now = loop_time()
+
+        def rank(replica: Replica) -> tuple[float, int, str]:
+            speed = scheduler.speeds.likely_factor(replica, stage, now)
+            tokens = scheduler.leases.lease_totals(replica.id).tokens
+            return -round(speed, SPEED_DIGITS), tokens, replica.id
 
-    def _wanted_for_s(
-        self, service: str, change: int, pool_size: int, now: float
-    ) -> float:
-        """Return for how long the same change has been wanted at this pool size."""
-        if change == 0:
-            self._wanted_since.pop(service, None)
-            return 0.0
-        wanted = (change > 0, pool_size)
-        known = self._wanted_since.get(service)
-        if known is None or known[0] != wanted:
-            self._wanted_since[service] = (wanted, now)
-            return 0.0
-        return now - known[1]
+        return sorted(free, key=rank)
 
     async def _move(
         self, service: str, engine: EngineTraits, replica: Replica, stage: Stage
-    ) -> None:
+    ) -> bool:
+        """Order a move if the replica can make one; return whether it was ordered."""
         try:
             report = await self._client.stage_report(replica)
         except ReplicaError as error:
             logger.info("no_stage_report", replica=replica.id, reason=repr(error))
-            return
+            return False
         if report.busy or report.stage == stage:
-            return
+            return False
         began = boot_time()
         token = await self._acquire_token(service, engine, replica, stage)
         if token is None:
-            return
+            return False
         if boot_time() - began > ORDER_DELAY_MAX_S:
             logger.warning("order_withheld", service=service, reason="too late")
-            return
+            return False
         until = loop_time() + engine.switch_s + SETTLE_S
         self._directory.record_move(replica.id, stage, until)
         order = StageOrder(stage, self._view.own.vm.name, token, report.orders)
         await self._send_order(replica, order)
+        return True
 
     async def _send_order(self, replica: Replica, order: StageOrder) -> None:
         try:
--- a/tests/routes/test_orders.py
+++ b/tests/routes/test_orders.py
@@ -166,6 +166,21 @@
     assert {replica for _, replica, _ in stages.orders} <= {"r0"}
 
 
+async def test_fast_replicas_are_moved_to_the_stage_that_is_short():
+    """Else more replicas would have to move for the same throughput."""
+    stages = FakeStages(replicas(1, 12))
+    item = rebalancer("a", FakeStore(), stages)
+    speeds = item._scheduler(LLM, 0).speeds
+    for _ in range(20):
+        for replica in stages.directory.all:
+            ratio = 0.5 if replica.id in ("r5", "r9") else 1.0
+            speeds.observe(replica.id, 1, Stage.DECODE, ratio, loop_time())
+    await run([item], 30)
+    moved = [replica for _, replica, _ in stages.orders]
+    assert moved
+    assert set(moved) <= {"r5", "r9"}
+
+
 async def test_two_daemons_that_both_rank_first_never_share_a_token_or_alternate():
     stages = FakeStages(replicas(6, 3), silent=True)
     others = FakeStages(replicas(6, 3), stages.orders, silent=True)
