Balancer: a replica's latency bears noise, is forgotten, and new replicas get calls

The moving average of a replica's latency began at 50 ms whatever the service takes: a new replica of a faster service got no calls while the others had free places. A replica that once was slow was never tried again, and one noisy call raised its cost at once.

The latency is now the median of the last five calls, counts from 1.5 times the lowest on, and its excess halves in 10 s without calls. Two calls in a row of three medians replace the calls before, so that a replica that is really slow is found with the second slow answer. Statistics of a replica are no longer constructed anew for each look-up.

--- a/bench/speeds.py
+++ b/bench/speeds.py
@@ -123,6 +123,15 @@
     return measure(decide, REPEATS)
 
 
+def choose_us(replicas: list[Replica]) -> float:
+    """Return the time of the choice among replicas of a plain service."""
+    balancer = Balancer("a", random.Random(1))
+    for number, replica in enumerate(replicas):
+        for _ in range(OBSERVATIONS):
+            balancer.stats(replica).observe_latency(0.1 + number / 1000, 0.0)
+    return measure(lambda: balancer.choose(replicas, 1.0), REPEATS)
+
+
 def measure_pool(count: int) -> dict[str, object]:
     """Measure one pool."""
     replicas = replicas_of(count)
@@ -144,6 +153,7 @@
         "place_us": place_us(replicas, learned=True),
         "place_even_us": place_us(replicas, learned=False),
         "share_us": measure(lambda: next_batch(speeds.differing(2.0), ""), REPEATS),
+        "choose_us": choose_us(replicas),
         "split_us": split_us(replicas, speeds),
         "state_bytes": state_bytes(replicas),
         "differing": len(differing),
--- a/marjoramstile/routes/balancing.py
+++ b/marjoramstile/routes/balancing.py
@@ -1,16 +1,36 @@
-"""Choice among replicas by outstanding work, latency and recent failures."""
+"""Choice among replicas by outstanding work, latency and recent failures.
+
+A replica's latency is the median of its last calls, so that a share of slow calls, as
+noise causes it, does not make a replica slow. It counts only if it clearly exceeds that
+of the fastest replica, and is forgotten in some seconds without calls: a replica that
+is avoided would never show that it is fast again.
+"""
 
 import math
 import random
+import statistics
+from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from marjoramstile.routes.loads import PrefillLoads
 from marjoramstile.routes.replica_types import Replica
 
-# Weight of the newest sample in the moving average of a replica's latency.
-LATENCY_WEIGHT = 0.2
-INITIAL_LATENCY_S = 0.05
+# Calls of which the median is a replica's latency, and fewest for which it is known.
+LATENCY_SAMPLES = 5
+MIN_LATENCY_SAMPLES = 2
+# Two calls in a row of so many medians are taken for a change of the replica rather
+# than for noise, which makes calls two to three times as long; older calls are dropped.
+SLOWDOWN_RATIO = 3.0
+# The same for one call of so small a part of the median: a replica that is avoided gets
+# few calls to show that it is fast again.
+RECOVERY_RATIO = 0.5
+# Ratio to the lowest latency up to which replicas count as equally fast.
+LATENCY_TOLERANCE = 1.5
+# Time without a call in which what a latency exceeds the lowest one by halves.
+LATENCY_HALF_LIFE_S = 10.0
+# Least latency that is compared: shorter ones differ by what the daemon itself does.
+MIN_LATENCY_S = 0.001
 # Time in which the weight of a failure halves.
 FAILURE_HALF_LIFE_S = 2.0
 FAILURE_COST = 3.0
@@ -27,9 +47,18 @@
     """This daemon's statistics of one incarnation of a replica."""
 
     outstanding: int = 0
-    latency_s: float = INITIAL_LATENCY_S
     failures: float = 0.0
     failures_at: float = 0.0
+    answered_at: float = -math.inf
+    _latencies: deque[float] = field(
+        default_factory=lambda: deque(maxlen=LATENCY_SAMPLES)
+    )
+    _latency_s: float | None = None
+
+    @property
+    def latency_s(self) -> float | None:
+        """Median latency of the last calls; None if there were too few."""
+        return self._latency_s
 
     def recent_failures(self, now: float) -> float:
         """Return the number of failures, decayed exponentially by age."""
@@ -41,9 +70,33 @@
         self.failures = self.recent_failures(now) + weight
         self.failures_at = now
 
-    def observe_latency(self, latency_s: float) -> None:
-        """Add a response time to the moving average."""
-        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+    def observe_latency(self, latency_s: float, now: float) -> None:
+        """Add the latency of a call that was answered."""
+        self.answered_at = now
+        self._latencies.append(max(latency_s, MIN_LATENCY_S))
+        self._drop_calls_before_change()
+        self._latency_s = None
+        if len(self._latencies) >= MIN_LATENCY_SAMPLES:
+            self._latency_s = statistics.median(self._latencies)
+
+    def _drop_calls_before_change(self) -> None:
+        before = self._latency_s
+        if before is None:
+            return
+        last = list(self._latencies)[-2:]
+        if min(last) >= SLOWDOWN_RATIO * before:
+            self._latencies = deque(last, maxlen=LATENCY_SAMPLES)
+        elif last[-1] <= RECOVERY_RATIO * before:
+            self._latencies = deque(last[-1:], maxlen=LATENCY_SAMPLES)
+
+    def slowness(self, lowest_s: float, now: float) -> float:
+        """Return the latency relative to the lowest one; 1 if they hardly differ."""
+        if self._latency_s is None:
+            return 1.0
+        excess = self._latency_s / lowest_s - 1.0
+        age_s = max(0.0, now - self.answered_at)
+        ratio = 1.0 + excess * math.exp2(-age_s / LATENCY_HALF_LIFE_S)
+        return 1.0 if ratio < LATENCY_TOLERANCE else ratio
 
 
 class Balancer:
@@ -56,9 +109,11 @@
 
     def stats(self, replica: Replica) -> ReplicaStats:
         """Return the statistics of a replica's incarnation."""
-        return self._stats.setdefault(
-            (replica.id, replica.started_at_ms), ReplicaStats()
-        )
+        key = (replica.id, replica.started_at_ms)
+        stats = self._stats.get(key)
+        if stats is None:
+            stats = self._stats[key] = ReplicaStats()
+        return stats
 
     def is_suspect(self, replica: Replica, now: float) -> bool:
         """Return whether a replica's recent failures exceed SUSPECT_FAILURES."""
@@ -78,9 +133,16 @@
 
     def choose(self, replicas: Iterable[Replica], now: float) -> Replica | None:
         """Return the replica with the lowest estimated cost; None if there is none."""
+        candidates = list(replicas)
+        latencies = (self.stats(replica).latency_s for replica in candidates)
+        known = [latency_s for latency_s in latencies if latency_s is not None]
+        lowest_s = min(known, default=MIN_LATENCY_S)
         return min(
-            replicas,
-            key=lambda replica: (self._cost(replica, now), self._rng.random()),
+            candidates,
+            key=lambda replica: (
+                self._cost(replica, lowest_s, now),
+                self._rng.random(),
+            ),
             default=None,
         )
 
@@ -105,8 +167,9 @@
             default=None,
         )
 
-    def _cost(self, replica: Replica, now: float) -> float:
+    def _cost(self, replica: Replica, lowest_s: float, now: float) -> float:
         stats = self.stats(replica)
         remote = REMOTE_COST if replica.data_centre != self._data_centre else 0.0
         queue = 1 + stats.outstanding + remote
-        return queue * stats.latency_s * (1 + FAILURE_COST * stats.recent_failures(now))
+        failures = 1 + FAILURE_COST * stats.recent_failures(now)
+        return queue * stats.slowness(lowest_s, now) * failures
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -135,7 +135,8 @@
             raise
         finally:
             stats.outstanding -= 1
-        stats.observe_latency(loop_time() - started)
+        now = loop_time()
+        stats.observe_latency(now - started, now)
         if reply.status >= SERVER_ERROR:
             stats.record_failure(loop_time(), weight=0.2)
         return reply
--- a/marjoramstile/routes/stages.py
+++ b/marjoramstile/routes/stages.py
@@ -84,7 +84,7 @@
     return best if rates[best] >= GAIN_MIN * rates[current] else current
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class _Split:
     """Numbers of replicas in the two stages and the sums of their speeds.
 
