Platform: one module decides whether an answer is whole

Cause: the HTTP client library takes any status for a final one, waits after 101 and 199, and takes each end of a connection for the end of an answer without a length, also while the request is still being written. Callers got 000, 099, 600 and 999 as answers, and 300 bytes of a broken-off answer as a complete 200. A connection that was closed after an early answer kept the unsent rest of its upload (8 MB of 12 MB) for good.

Change: platform/wholeness.py judges heads and ends; connections to replicas, carriers and the store ask the kernel whether the peer has received the whole request (TIOCOUTQ) and ended by FIN (TCP_INFO). Lost answers are logged and counted by peer and reason. A closed connection drops the rest of its request. An invalid answer to a control call no longer counts as a failed link.

test_eof_with_a_pending_socket_error gives its mocked transport a descriptor and a write buffer, which are asked for now; what it checks is the same.

--- a/marjoramstile/platform/answers.py
+++ b/marjoramstile/platform/answers.py
@@ -11,6 +11,7 @@
 )
 from marjoramstile.logs import get_logger
 from marjoramstile.platform import headers as platform_headers
+from marjoramstile.platform.wholeness import lost_answer
 from marjoramstile.routes.ports import StreamAnswer
 from marjoramstile.routes.requests import AnswerLostError, Headers, Reply
 
@@ -39,7 +40,7 @@
         async for chunk in response.content.iter_any():
             yield chunk
     except (ClientError, OSError, TimeoutError, ValueError) as error:
-        raise AnswerLostError(repr(error)) from error
+        raise lost_answer(error) from error
 
 
 async def read_body(
--- a/marjoramstile/platform/carriers.py
+++ b/marjoramstile/platform/carriers.py
@@ -14,6 +14,11 @@
 from marjoramstile.platform import headers as platform_headers
 from marjoramstile.platform.answers import read_reply, stream_answer
 from marjoramstile.platform.replicas import send_request
+from marjoramstile.platform.wholeness import (
+    AnswerFault,
+    AnswerFaults,
+    BrokenAnswerError,
+)
 from marjoramstile.results import ResultCode
 from marjoramstile.routes.carrying import CarriedSend, Carrier
 from marjoramstile.routes.ports import StreamAnswer
@@ -45,9 +50,16 @@
 class HTTPCarrierClient:
     """Implements the routing core's CarrierClient."""
 
-    def __init__(self, session: ClientSession, buffers: BufferBudget):
+    def __init__(
+        self,
+        session: ClientSession,
+        buffers: BufferBudget,
+        faults: AnswerFaults | None = None,
+    ):
+        """``faults`` records which answers aren't whole."""
         self._session = session
         self._buffers = buffers
+        self._faults = faults or AnswerFaults()
 
     @asynccontextmanager
     async def send(
@@ -58,15 +70,16 @@
         carried: CarriedSend,
     ) -> AsyncIterator[StreamAnswer]:
         """Send a request; the connection closes after the block."""
-        response = await self._request(carrier, request, timeout_s, carried)
-        try:
-            _raise_own_failure(response)
-            named = response.headers.get(platform_headers.REQUEST_ID)
-            if named not in (None, request.id):
-                raise AnswerLostError("the answer bears another request's id")
-            yield stream_answer(response)
-        finally:
-            response.close()
+        with self._faults.watch(carrier.vm):
+            response = await self._request(carrier, request, timeout_s, carried)
+            try:
+                _raise_own_failure(response)
+                named = response.headers.get(platform_headers.REQUEST_ID)
+                if named not in (None, request.id):
+                    raise BrokenAnswerError(AnswerFault.OTHER_REQUEST)
+                yield stream_answer(response)
+            finally:
+                response.close()
 
     async def _request(
         self,
--- a/marjoramstile/platform/connections.py
+++ b/marjoramstile/platform/connections.py
@@ -1,20 +1,30 @@
-"""Connections to replicas on which a reset is never taken for the end of a response.
+"""Connections on which only a whole answer is taken for one.
 
-aiohttp treats the end of a connection as the end of a response without a length,
-even if the connection was reset; libuv reports a reset that it polls together with
-the last bytes as a regular end of file.
+aiohttp treats the end of a connection as the end of a response without a length, even
+if the connection was reset, or if the request is still being written; libuv reports a
+reset that it polls together with the last bytes as a regular end of file.
 """
 
-import os
+import array
+import asyncio
+import fcntl
 import socket
+import termios
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
-from aiohttp import ClientPayloadError, TCPConnector
+from aiohttp import TCPConnector
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
 from marjoramstile.logs import get_logger
+from marjoramstile.platform.wholeness import (
+    AnswerFault,
+    UnwholeAnswerError,
+    end_fault,
+    head_fault,
+)
 
 # Bytes of a response besides its body: heads, interim responses, chunk sizes and
 # extensions, trailers. It includes bytes that are read and not yet parsed.
@@ -27,6 +37,9 @@
 # interim responses.
 HEAD_SLICE_BYTES = 4096
 
+# State of a TCP connection whose peer has sent FIN, in the first byte of TCP_INFO.
+TCP_CLOSE_WAIT = 8
+
 # Replicas accept connections in milliseconds.
 SLOW_CONNECT_S = 0.15
 
@@ -34,27 +47,29 @@
 
 
 class ReplicaConnection(ResponseHandler):
-    """aiohttp client protocol that distinguishes a reset from the end of a response.
+    """aiohttp client protocol that fails a response which is not whole.
 
-    It carries one response, and aborts the connection if the framing of that response
-    exceeds the limit.
+    It carries one response, and aborts the connection if the response turns out not to
+    be whole, or if its framing exceeds the limit.
     """
 
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
         self._received_bytes = 0
-        self._endless = False
+        self._request_written = False
+        self._failure: UnwholeAnswerError | None = None
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes; abort the connection if there is too much framing.
 
         aiohttp calls this with no bytes to go on after a pause.
         """
-        while len(data) > HEAD_SLICE_BYTES and not (self._body_bytes or self._endless):
+        while len(data) > HEAD_SLICE_BYTES and not (self._body_bytes or self._failure):
             self._parse(data[:HEAD_SLICE_BYTES])
             data = data[HEAD_SLICE_BYTES:]
-        if not self._endless:
+        if not self._failure:
             self._parse(data)
+            self._check_request_written()
 
     @property
     def _body_bytes(self) -> int:
@@ -69,48 +84,114 @@
         if framing_bytes > max_bytes + FRAMING_BYTES_PER_BODY_BYTE * body_bytes:
             self._abort_endless_framing(framing_bytes)
 
+    def _check_request_written(self) -> None:
+        """Note whether the peer had received the whole request at the last bytes."""
+        if not self._request_written and self._has_open_payload:
+            self._request_written = _unsent_bytes(self.transport) == 0
+
+    @property
+    def _has_open_payload(self) -> bool:
+        return self._payload is not None and not self._payload.is_eof()
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Take the head of an interim or the final response, unless it is invalid."""
+        message, _ = data
+        fault = head_fault(message.code, message.headers)
+        if fault is None:
+            super().feed_data(data, size)
+        else:
+            self._fail(fault, f"status {message.code:03}")
+
     def _abort_endless_framing(self, framing_bytes: int) -> None:
-        self._endless = True
-        if self.transport is None or self.transport.is_closing():
+        if self.transport is not None and not self.transport.is_closing():
+            logger.warning("answer_without_end", framing_bytes=framing_bytes)
+        self._fail(AnswerFault.ENDLESS)
+
+    def _fail(self, fault: AnswerFault, detail: str = "") -> None:
+        """Fail the response, and abort the connection."""
+        if self._failure is not None:
             return
-        logger.warning("answer_without_end", framing_bytes=framing_bytes)
-        error = ClientPayloadError("the replica sends what is no answer without end")
-        self._fail_payload(error)
-        self.set_exception(error)
-        self.transport.abort()
+        self._failure = UnwholeAnswerError(fault, detail)
+        self._fail_payload()
+        self.set_exception(self._failure)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _fail_payload(self) -> None:
+        if self._has_open_payload:
+            self._payload.set_exception(self._failure)
+
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Fail the response; the first reason why it is not whole is kept."""
+        if self._failure is None:
+            super().set_exception(exc, *cause)
+        else:
+            super().set_exception(self._failure)
 
     def eof_received(self) -> None:
-        """Fail the response if the end of file hides a reset."""
-        error = self._pending_socket_error()
-        if error:
-            self._fail_payload(OSError(error, os.strerror(error)))
-        super().eof_received()
+        """Fail a response without a length if its end is not that of the answer.
 
-    def _pending_socket_error(self) -> int:
-        transport_socket = self.transport.get_extra_info("socket")
-        if transport_socket is None:
-            return 0
-        return transport_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        One with a length or chunks shows by itself whether it is whole.
+        """
+        if self._has_open_payload:
+            fault = end_fault(not _ended_by_fin(self.transport), self._request_written)
+            if fault is not None:
+                self._fail(fault)
+        super().eof_received()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail a response that is incomplete when the connection is reset."""
-        if exc is not None:
-            self._fail_payload(exc)
+        if exc is not None and self._failure is None and self._has_open_payload:
+            self._failure = UnwholeAnswerError(AnswerFault.RESET, repr(exc))
+            self._fail_payload()
         super().connection_lost(exc)
 
-    def _fail_payload(self, cause: BaseException) -> None:
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(ClientPayloadError("the connection was reset"), cause)
+    def close(self) -> None:
+        """Close the connection; drop what the peer has not taken of the request."""
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self.abort()
+        else:
+            super().close()
+
+
+def _unsent_bytes(transport: asyncio.Transport | None) -> int:
+    """Return the bytes written that the peer's system has not acknowledged.
+
+    The bytes of a response acknowledge what its sender had received before.
+    """
+    if transport is None:
+        return 0
+    unsent = array.array("i", [0])
+    fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, unsent)
+    return unsent[0] + transport.get_write_buffer_size()
+
+
+def _ended_by_fin(transport: asyncio.Transport) -> bool:
+    """Return whether the peer has ended the connection, and not reset it.
+
+    The state tells this also if a failed write has taken the socket's error.
+    """
+    transport_socket = transport.get_extra_info("socket")
+    if transport_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return False
+    info = transport_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return info[0] == TCP_CLOSE_WAIT
+
 
+class AnswerConnector(TCPConnector):
+    """Opens connections on which only a whole answer is taken for one."""
 
-class ReplicaConnector(TCPConnector):
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._factory = partial(ReplicaConnection, loop=self._loop)
+
+
+class ReplicaConnector(AnswerConnector):
     """Opens connections to replicas, and tells of those that take long."""
 
     def __init__(self, on_slow_connect: Callable[[], None], **options):
         """``on_slow_connect`` is called SLOW_CONNECT_S after an attempt's begin."""
         super().__init__(**options)
-        self._factory = partial(ReplicaConnection, loop=self._loop)
         self._on_slow_connect = on_slow_connect
 
     async def connect(self, *args, **options) -> Connection:
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -40,6 +40,7 @@
     settings_path,
 )
 from marjoramstile.platform.store import PlatformStore, create_store_session
+from marjoramstile.platform.wholeness import AnswerFaults
 from marjoramstile.ports.feeds import StoredRow
 from marjoramstile.process import (
     complete_unless,
@@ -85,9 +86,14 @@
     ):
         self._settings = settings
         self._buffers = BufferBudget(int(settings.memory_bytes * BUFFER_MEMORY_SHARE))
-        self._store = PlatformStore(store_session, str(settings.store), self._buffers)
+        faults = AnswerFaults()
+        self._store = PlatformStore(
+            store_session, str(settings.store), self._buffers, faults
+        )
         notices = ReplicaNotices()
-        replicas = HTTPReplicaClient(replica_session, notices, self._buffers, links)
+        replicas = HTTPReplicaClient(
+            replica_session, notices, self._buffers, links, faults
+        )
         ports = RouterPorts(
             feed=self._store,
             replicas=replicas,
@@ -95,7 +101,7 @@
             stages=replicas,
             notices=notices,
             links=links,
-            carriers=HTTPCarrierClient(replica_session, self._buffers),
+            carriers=HTTPCarrierClient(replica_session, self._buffers, faults),
             buffers=self._buffers,
         )
         self._node = RouterNode(
@@ -105,6 +111,7 @@
             REPLICAS_TABLE,
             random.Random(),
         )
+        faults.count_with(self._node.metrics.count)
         self._node.configuration_mirror.subscribe(self._apply_configuration)
         self._node.replicas_mirror.subscribe(self._apply_replica)
         self._shares = DescriptorShares.of(settings.descriptors)
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -34,6 +34,14 @@
     stream_answer,
 )
 from marjoramstile.platform.connections import ReplicaConnector
+from marjoramstile.platform.wholeness import (
+    AnswerFault,
+    AnswerFaults,
+    BrokenAnswerError,
+    UnwholeAnswerError,
+    fault_of,
+    lost_answer,
+)
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.order_ports import StageOrder, StageReport
@@ -47,6 +55,7 @@
     NoDescriptorError,
     NotExecutedError,
     NotSentError,
+    ReplicaError,
     Reply,
     RoutedRequest,
     SendOptions,
@@ -92,15 +101,17 @@
         notices: ReplicaNotices,
         buffers: BufferBudget,
         links: ReplicaLinks,
+        faults: AnswerFaults | None = None,
     ):
         """``notices`` records which replicas are leaving or asked for a pause.
 
-        ``links`` records which connections fail.
+        ``links`` records which connections fail, ``faults`` which answers aren't whole.
         """
         self._session = session
         self._notices = notices
         self._buffers = buffers
         self._links = links
+        self._faults = faults or AnswerFaults()
 
     async def call(
         self, replica: Replica, request: RoutedRequest, timeout_s: float
@@ -157,7 +168,7 @@
             status, answer = await self._control(
                 "GET", replica.address, "/v1/report", None, replica
             )
-        except NotSentError as error:
+        except (NotSentError, AnswerLostError) as error:
             logger.info("report_lost", replica=replica.id, reason=repr(error))
             return None
         try:
@@ -299,9 +310,22 @@
                 answer = parse_object(data) if is_object else JSONObject({})
                 return response.status, answer
         except (ClientError, OSError, TimeoutError, ValueError) as error:
-            failure = _not_sent_error(error)
-            self._record_link_failure(failure)
-            raise failure from error
+            name = address if replica is None else replica.id
+            raise self._control_failure(name, error) from error
+        except BrokenAnswerError as error:
+            self._faults.record(address if replica is None else replica.id, error.fault)
+            raise
+
+    def _control_failure(self, name: str, error: Exception) -> ReplicaError:
+        """Record why a control call failed, and return its error."""
+        fault = fault_of(error)
+        if fault is not None:
+            self._faults.record(name, fault)
+        if isinstance(error, UnwholeAnswerError):
+            return lost_answer(error)
+        failure = _not_sent_error(error)
+        self._record_link_failure(failure)
+        return failure
 
     async def _read_control_answer(self, response: ClientResponse) -> bytes:
         """Return a whole body; raise AnswerLostError if truncated or too long."""
@@ -319,14 +343,15 @@
     ) -> AsyncIterator[ClientResponse]:
         """Send a request; yield the response of a replica that ran it."""
         sent_at = loop_time()
-        response = await self._send(replica, request, timeout_s, options)
-        try:
-            self._record_response(replica, response)
-            _check_response(response, request)
-            self._record_no_limit(replica, response, sent_at)
-            yield response
-        finally:
-            response.close()
+        with self._faults.watch(replica.id):
+            response = await self._send(replica, request, timeout_s, options)
+            try:
+                self._record_response(replica, response)
+                _check_response(response, request)
+                self._record_no_limit(replica, response, sent_at)
+                yield response
+            finally:
+                response.close()
 
     async def _send(
         self,
@@ -384,7 +409,7 @@
     except (ClientConnectorError, ConnectionTimeoutError) as error:
         raise _not_sent_error(error) from error
     except (ClientError, OSError, TimeoutError, ValueError) as error:
-        raise AnswerLostError(repr(error)) from error
+        raise lost_answer(error) from error
 
 
 def _request_headers(
@@ -417,4 +442,4 @@
     if platform_headers.NOT_EXECUTED in response.headers:
         raise NotExecutedError(response.status)
     if response.headers.get(platform_headers.REQUEST_ID) != request.id:
-        raise AnswerLostError("the answer bears another request's id")
+        raise BrokenAnswerError(AnswerFault.OTHER_REQUEST)
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -20,7 +20,6 @@
     ClientResponse,
     ClientSession,
     ClientTimeout,
-    TCPConnector,
 )
 from result import Err, Ok, Result
 
@@ -28,7 +27,9 @@
 from marjoramstile.json_fields import JSONObject, MalformedJSONError, parse_object
 from marjoramstile.logs import get_logger
 from marjoramstile.platform.answers import AnswerTooLongError, body_chunks, read_body
+from marjoramstile.platform.connections import AnswerConnector
 from marjoramstile.platform.eras import HEADER, StoreEras
+from marjoramstile.platform.wholeness import AnswerFaults, fault_of
 from marjoramstile.ports.feeds import (
     NUMBER_MAX,
     Changes,
@@ -50,6 +51,8 @@
 ROWS_PER_READ = 500
 # Longest answer that is read; a page has at most 1 MB of rows.
 ANSWER_MAX_BYTES = 8_388_608
+# The store's name in the log line and the counter of answers that are not whole.
+STORE_NAME = "store"
 GONE = 410
 # Status given to answers that are too long, as if the store had refused them.
 TOO_LONG = 413
@@ -78,16 +81,23 @@
     Open connections may fall silent without a reset. One that is kept for later calls
     would cost each of them a timeout; new ones work.
     """
-    return ClientSession(connector=TCPConnector(limit=0, force_close=True))
+    return ClientSession(connector=AnswerConnector(limit=0, force_close=True))
 
 
 class PlatformStore:
     """Rows, feeds and transactions; implements TableFeed and OrderStore."""
 
-    def __init__(self, session: ClientSession, address: str, buffers: BufferBudget):
-        """Answers are read into ``buffers``."""
+    def __init__(
+        self,
+        session: ClientSession,
+        address: str,
+        buffers: BufferBudget,
+        faults: AnswerFaults | None = None,
+    ):
+        """Answers are read into ``buffers``; ``faults`` records those not whole."""
         self._session = session
         self._buffers = buffers
+        self._faults = faults or AnswerFaults()
         self._url = f"http://{address}/v1"
         self._eras = StoreEras()
 
@@ -221,6 +231,9 @@
         except AnswerTooLongError as error:
             return Err(StoreError(str(error), TOO_LONG))
         except (AnswerLostError, ClientError, OSError, ValueError) as error:
+            fault = fault_of(error)
+            if fault is not None:
+                self._faults.record(STORE_NAME, fault)
             return Err(StoreError(repr(error)))
 
     async def _read(self, response: ClientResponse) -> bytes:
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -242,12 +242,16 @@
     loop = create_loop()
     connection = ReplicaConnection(loop)
     transport = Mock()
-    transport.get_extra_info.return_value.getsockopt.return_value = errno.ECONNRESET
-    connection.connection_made(transport)
-    connection.set_response_params(read_until_eof=True)
-    connection.data_received(UNFRAMED_HEAD + b"par")
-    (_, payload), _ = connection._buffer[0]
-    connection.eof_received()
+    transport.get_write_buffer_size.return_value = 0
+    transport_socket = transport.get_extra_info.return_value
+    transport_socket.getsockopt.return_value = errno.ECONNRESET
+    with socket.socket() as unconnected:
+        transport_socket.fileno.return_value = unconnected.fileno()
+        connection.connection_made(transport)
+        connection.set_response_params(read_until_eof=True)
+        connection.data_received(UNFRAMED_HEAD + b"par")
+        (_, payload), _ = connection._buffer[0]
+        connection.eof_received()
     assert isinstance(payload.exception(), ClientPayloadError)
     loop.close()
 
--- a/tests/platform/test_wholeness.py
+++ b/tests/platform/test_wholeness.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import struct
 from collections.abc import AsyncIterator
@@ -20,6 +21,13 @@
 from marjoramstile.platform.front import FrontHandler
 from marjoramstile.platform.replicas import HTTPReplicaClient, create_replica_session
 from marjoramstile.platform.store import create_store_session
+from marjoramstile.platform.wholeness import (
+    AnswerFault,
+    BrokenAnswerError,
+    end_fault,
+    head_fault,
+)
+from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.carrying import CarriedSend, Carrier
 from marjoramstile.routes.links import ReplicaLinks
 from marjoramstile.routes.notices import ReplicaNotices
@@ -261,7 +269,7 @@
     """A closed connection kept what the replica had not read, without end."""
     connector = client._session.connector
     async with EarlyReplica(framed("413"), "open").serve() as target:
-        call = asyncio.create_task(client.call(target, upload(2_000_000), 4.0))
+        call = asyncio.create_task(client.call(target, upload(12_000_000), 4.0))
         transports = []
         while not call.done():
             transports += [
@@ -275,6 +283,75 @@
     assert not any(sizes)
 
 
+@pytest.mark.parametrize(
+    ("data", "end", "size", "fault"),
+    [
+        (framed("600"), "open", 0, AnswerFault.INVALID_STATUS),
+        (framed("101"), "open", 0, AnswerFault.UPGRADE),
+        (early("none"), "fin", 2_000_000, AnswerFault.ENDED_EARLY),
+        (early("length"), "fin", 2_000_000, AnswerFault.ENDED_EARLY),
+        (early("length"), "fin", 0, AnswerFault.BROKEN_OFF),
+        (early("chunks"), "fin", 0, AnswerFault.BROKEN_OFF),
+        (early("none"), "reset", 0, AnswerFault.RESET),
+        (b"", "fin", 0, AnswerFault.NO_ANSWER),
+        (framed("200").replace(b"q1", b"q2"), "open", 0, AnswerFault.OTHER_REQUEST),
+        (b"no answer\r\n\r\n", "open", 0, AnswerFault.MALFORMED),
+    ],
+)
+async def test_operators_do_not_see_which_replica_sends_what(
+    client, data, end, size, fault
+):
+    metrics = Metrics()
+    client._faults.count_with(metrics.count)
+    async with EarlyReplica(data, end).serve() as target:
+        with pytest.raises(BrokenAnswerError) as raised:
+            await client.call(target, upload(size), CALL_TIMEOUT_S)
+        assert raised.value.fault == fault
+        assert metrics.value("answers_not_whole", f"i-1 {fault}") == 1
+        with pytest.raises(ReplicaError):
+            await client.acquire_hold(target, 100, 1.0)
+
+
+async def test_an_invalid_answer_to_a_control_call_shows_lost_links(client):
+    """The replica has accepted a connection; only its answer is wrong."""
+    async with EarlyReplica(framed("600"), "open").serve() as target:
+        with pytest.raises(BrokenAnswerError):
+            await client.acquire_hold(target, 100, 1.0)
+    assert not client._links._doubted.is_set()
+
+
+@pytest.mark.parametrize(
+    ("status", "lines", "fault"),
+    [
+        (100, {}, None),
+        (103, {"Link": "a"}, None),
+        (103, {"Content-Length": "2"}, AnswerFault.MALFORMED),
+        (101, {}, AnswerFault.UPGRADE),
+        (0, {}, AnswerFault.INVALID_STATUS),
+        (99, {}, AnswerFault.INVALID_STATUS),
+        (199, {}, AnswerFault.INVALID_STATUS),
+        (200, {"Upgrade": "h2c"}, None),
+        (599, {}, None),
+        (600, {}, AnswerFault.INVALID_STATUS),
+    ],
+)
+def test_a_head_is_judged_wrongly(status, lines, fault):
+    assert head_fault(status, lines) == fault
+
+
+@pytest.mark.parametrize(
+    ("was_reset", "request_was_written", "fault"),
+    [
+        (False, True, None),
+        (False, False, AnswerFault.ENDED_EARLY),
+        (True, True, AnswerFault.RESET),
+        (True, False, AnswerFault.RESET),
+    ],
+)
+def test_an_end_is_judged_wrongly(was_reset, request_was_written, fault):
+    assert end_fault(was_reset, request_was_written) == fault
+
+
 CARRIED = CarriedSend("vm-1", 2, None)
 
 
@@ -383,3 +460,39 @@
         got = await harness.exchange(data, TEST_TIMEOUT_S)
     assert got.startswith(b"HTTP/1.1 502 ")
     assert early_replica.requests == 1
+
+
+async def test_an_idempotent_call_is_not_repeated_after_an_invalid_answer(client):
+    async with (
+        front(client, EarlyReplica(framed("600"), "open"), RouteKind.IDEMPOTENT) as one,
+        EarlyReplica(framed("200"), "open").serve() as sound,
+    ):
+        one.core.directory.put(dataclasses.replace(sound, id="i-2"))
+        for _ in range(5):
+            got = await one.exchange(call_head("POST", 0), TEST_TIMEOUT_S)
+            assert got.startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize("end", ENDS)
+async def test_a_stream_that_ends_during_the_upload_seems_complete(client, end):
+    """The head has been passed on: the caller's connection ends without an end."""
+    event = b"id: 1\ndata: a\n\n"
+    early_replica = EarlyReplica(answer("200", SERVER_LINES, event), end)
+    async with early_replica.serve() as target:
+        received, error = await read_until_lost(client, target)
+    assert received in (b"", event)
+    assert isinstance(error, AnswerLostError)
+
+
+async def read_until_lost(client, target: Replica):
+    """Return what a stream brings until its error, and the error."""
+    received = b""
+    options = SendOptions()
+    sent = upload(2_000_000)
+    try:
+        async with client.stream(target, sent, CALL_TIMEOUT_S, options) as opened:
+            async for chunk in opened.chunks:
+                received += chunk
+    except ReplicaError as error:
+        return received, error
+    return received, None
