Hedging: a slow idempotent call is sent to a second replica, within a share

Cause: a few calls to plain services take far longer than usual through noise on one replica, while others have room.

Off unless hedging.maxShare is set. A request's send record counts sends, so that a first send that failed does not hide a hedge that may have run.

Run: tests/hedging, tests/routes, tests/platform, tests/fronts: all pass.

--- a/marjoramstile/limits/client.py
+++ b/marjoramstile/limits/client.py
@@ -77,6 +77,10 @@
         )
         return decision
 
+    def is_limited(self, replica: Replica) -> bool:
+        """Return whether a replica names a limit."""
+        return self._coordinator.limit_per_s(replica) is not None
+
     def _keep_denial(self, replica: Replica, decision: PermitDecision) -> None:
         if decision.granted:
             return
--- a/marjoramstile/platform/settings.py
+++ b/marjoramstile/platform/settings.py
@@ -100,9 +100,26 @@
         bounds=_bounds(document),
         memory_bytes=_memory_bytes(document),
         descriptors=_descriptors(document),
+        hedge_max_share=_hedge_max_share(document),
     )
 
 
+def _hedge_max_share(document: _Section) -> float:
+    """Return the share of requests that may be hedged; without one, none are."""
+    if not document.has("hedging"):
+        return 0.0
+    return document.section("hedging").get("maxShare", _share, 0.0)
+
+
+def _share(value: Any) -> float:
+    if isinstance(value, bool):
+        raise ValueError("must be a number")
+    share = float(value)
+    if not 0.0 <= share <= 1.0:
+        raise ValueError("must be from 0 to 1")
+    return share
+
+
 def _memory_bytes(document: _Section) -> int:
     """Return the memory of the process; by default that of the smallest VM."""
     if not document.has("limits"):
--- a/marjoramstile/routes/checked_client.py
+++ b/marjoramstile/routes/checked_client.py
@@ -26,12 +26,11 @@
 @contextmanager
 def recorded_send(request: RoutedRequest) -> Iterator[None]:
     """Record that a request may run, unless the block tells that it did not."""
-    before = request.sends.may_have_run
-    request.sends.may_have_run = True
+    request.sends.count += 1
     try:
         yield
     except (NotSentError, NotExecutedError):
-        request.sends.may_have_run = before
+        request.sends.count -= 1
         raise
 
 
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -14,6 +14,7 @@
 from marjoramstile.descriptors import DescriptorShares
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.hedging.hedger import Hedger
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.listeners import acquire_listener, acquire_socket
@@ -328,6 +329,7 @@
             settings.bounds.lease_s,
         )
         self._build_carrying(client)
+        self.hedger = Hedger(settings.hedge_max_share, self.budget, self.metrics)
         calls = PlainCallRunner(
             self.directory,
             client,
@@ -336,6 +338,7 @@
             crashes,
             self._permits,
             self._ports.links,
+            self.hedger,
         )
         generations = self._build_generations(client, crashes)
         self.entry = RequestDispatcher(
@@ -533,6 +536,7 @@
             carrier=self._carrier,
             running=lambda: self.entry.running,
             burn=self.entry.burn,
+            hedger=self.hedger,
         )
         self.status = FleetStatus(sources, self.peer_client)
         handler = RouterPeerHandler(
--- a/marjoramstile/routes/replicas.py
+++ b/marjoramstile/routes/replicas.py
@@ -226,6 +226,18 @@
             ]
         return list(self._usable[group])
 
+    def has_paused(self, service: str) -> bool:
+        """Return whether a replica of a plain service has asked for a pause.
+
+        It counts until a request after the pause was answered.
+        """
+        return any(
+            replica.service == service
+            and replica.stage is None
+            and self._notices.pause_state(replica) != PauseState.NONE
+            for replica in self._replicas.values()
+        )
+
     def pause_left_s(
         self, service: str, stage: Stage | None, now: float
     ) -> float | None:
--- a/marjoramstile/routes/requests.py
+++ b/marjoramstile/routes/requests.py
@@ -22,9 +22,14 @@
 
 @dataclass
 class SendRecord:
-    """Whether a request has been sent to a replica that may run it."""
+    """To how many replicas a request has been sent that may run it, or have run it."""
 
-    may_have_run: bool = False
+    count: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run the request."""
+        return self.count > 0
 
 
 @dataclass(frozen=True)
--- a/marjoramstile/routes/settings.py
+++ b/marjoramstile/routes/settings.py
@@ -60,6 +60,8 @@
     """One VM's routing daemon.
 
     ``descriptors`` is how many files and sockets the process may open.
+    ``hedge_max_share`` is the share of each service's idempotent requests that may be
+    sent to a second replica while the first is slow; 0 turns hedging off.
     """
 
     vm: str
@@ -72,3 +74,4 @@
     memory_bytes: int
     descriptors: int
     log_level: str = "info"
+    hedge_max_share: float = 0.0
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -5,6 +5,7 @@
 from dataclasses import asdict, dataclass
 
 from marjoramstile.crashes.blocklist import BlockEntry, Blocklist
+from marjoramstile.hedging.hedger import Hedger
 from marjoramstile.language.registry import Row, SubjectRegistry
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.membership.view import View
@@ -42,6 +43,7 @@
     carrier: RequestCarrier
     running: Callable[[], int]
     burn: BurnReport
+    hedger: Hedger
 
 
 SUBJECTS: SubjectRegistry[StatusSources] = SubjectRegistry()
@@ -208,6 +210,34 @@
     return [asdict(row) for row in sources.burn.rows(loop_time())]
 
 
+@SUBJECTS.register("hedging", on_all_daemons=True)
+def hedging_rows(sources: StatusSources) -> list[Row]:
+    """Return each service's hedged requests on this daemon since its start.
+
+    ``after_s`` is the wait after which a request is hedged; empty while too few answers
+    were seen.
+    """
+    return [
+        {
+            "daemon": sources.view.own.vm.name,
+            "service": name,
+            "after_s": _rounded(sources.hedger.tail_s(name)),
+            "usual_s": _rounded(sources.hedger.usual_s(name)),
+            "requests": service.requests,
+            "sent": service.sent,
+            "won": service.won,
+            "refused": ", ".join(
+                f"{reason}:{count}" for reason, count in sorted(service.refused.items())
+            ),
+        }
+        for name, service in sources.hedger.services.items()
+    ]
+
+
+def _rounded(duration_s: float | None) -> float | None:
+    return None if duration_s is None else _seconds(duration_s)
+
+
 def _seconds(duration_s: float) -> float | None:
     """Return a duration rounded for display; None if it is infinite."""
     return None if duration_s == float("inf") else round(duration_s, 3)
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -9,6 +9,7 @@
 from marjoramstile.crashes.coordinator import CrashCoordinator
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.crashes.sharing import BlocklistSharing
+from marjoramstile.hedging.hedger import Hedger
 from marjoramstile.limits.client import PermitClient
 from marjoramstile.limits.coordinator import LimitCoordinator
 from marjoramstile.membership.nodes import NodeEntry
@@ -111,6 +112,7 @@
     vm: str = "vm-1"
     engine: EngineTraits = ENGINE
     carriers: CarrierClient | None = None
+    hedge_max_share: float = 0.0
 
     def __post_init__(self):
         self.tasks = BackgroundTasks()
@@ -125,8 +127,10 @@
         self._build_crashes()
         self._build_pools()
         self._build_carrier()
+        self.metrics = Metrics()
+        self.hedger = Hedger(self.hedge_max_share, self.budget, self.metrics)
         self.calls = PlainCallRunner(
-            *common, self.budget, self.crashes, self.permits, self.links
+            *common, self.budget, self.crashes, self.permits, self.links, self.hedger
         )
         failures = FailureRecorder(self.directory, self.balancer)
         self.generations = GenerationRunner(
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -20,7 +20,7 @@
 )
 from marjoramstile.routes.table import EntryLimits, RouteKind, RoutingTable
 from marjoramstile.utils import loop_time
-from tests.routes.support import RoutingCore, route
+from tests.routes.support import RoutingCore, request, route
 
 
 def listed(vm: str) -> ListedVM:
@@ -42,7 +42,7 @@
 
 def sources_of(vm: str, *others: str) -> StatusSources:
     """Return the status sources of one daemon, which sees the others as alive."""
-    core = RoutingCore(vm=vm)
+    core = RoutingCore(vm=vm, hedge_max_share=0.05)
     core.add_engines(1, 2)
     view = View(listed(vm), f"i-{vm}")
     view.merge_list([listed(name) for name in (vm, *others)], 0.0)
@@ -66,6 +66,7 @@
         carrier=core.carrier,
         running=lambda: 3,
         burn=BurnReport(),
+        hedger=core.hedger,
     )
 
 
@@ -75,6 +76,7 @@
     sources.blocklist.merge(entry, loop_time())
     row = OrdersRow("i-b", 5.0, (StageMove("d0", Stage.PREFILL, 9.0),))
     value = json.dumps(row.to_value()).encode()
+    sources.hedger.record_request(request("q", route(RouteKind.IDEMPOTENT)))
     sources.burn.record("llm", "stream", good=False, now=loop_time())
     sources.orders.apply(Changes((StoredRow("llm", 4, value),), 4, complete=True))
     status = FleetStatus(sources, FakePeerClient())
