Configuration: only streams are resumable

Cause: a route of kind non_idempotent, or of an unknown kind, that states resumable was taken for one whose requests may be repeated; such a request could run maxAttempts times.

Change: the decoder takes resumable for streams only. The settings tests of hedging come with it.

Run: tests/platform/test_translation.py (two of the new cases failed before) and test_unreadable_rows.py: pass.

--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -74,17 +74,18 @@
 
 def _route(item: JSONObject) -> Route:
     timeout_s = _seconds(item, "timeoutMs")
+    kind = _route_kind(item.text("kind"))
     return Route(
         name=item.text("name"),
         host=item.text("host").lower(),
         prefix=item.text("prefix"),
-        kind=_route_kind(item.text("kind")),
+        kind=kind,
         timeout_s=timeout_s,
         target_latency_s=_seconds_or(item, "targetLatencyMs", timeout_s),
         priority=item.integer("priority", maximum=PRIORITY_MAX, default=0),
         shares=_shares(item),
         max_attempts=item.integer("maxAttempts", maximum=ATTEMPTS_MAX, default=1),
-        resumable=item.flag("resumable", False),
+        resumable=item.flag("resumable", False) and kind == RouteKind.STREAM,
         gap_target_s=_seconds_or(item, "gapTargetMs", None),
         public=item.flag("public", False),
     )
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -227,6 +227,25 @@
     assert platform_headers.resumed_id(headers) == resumed
 
 
+@pytest.mark.parametrize(
+    ("kind", "resumable", "repeatable"),
+    [
+        ("stream", True, True),
+        ("stream", False, False),
+        ("idempotent", False, True),
+        ("non_idempotent", True, False),
+        ("later_kind", True, False),
+    ],
+)
+def test_a_request_that_may_run_once_is_repeated_on_a_resumable_route(
+    kind, resumable, repeatable
+):
+    """Only streams are resumed; an unknown kind's requests must not be retried."""
+    item = {**ROUTE, "kind": kind, "resumable": resumable}
+    table = decode_routing_table(as_bytes({**CONFIG, "routes": [item]}))
+    assert table.routes[0].repeatable == repeatable
+
+
 def write(tmp_path, document) -> str:
     """Write a settings file and return its path."""
     path = tmp_path / "settings.yaml"
@@ -279,6 +298,13 @@
         ({"platform": {}}, "platform.address"),
         ({"limits": {"maxFds": "many"}}, "limits.maxFds"),
         ({"limits": {"maxFds": 0}}, "limits.maxFds"),
+        ({"hedging": None}, "hedging"),
+        ({"hedging": {"maxShare": "some"}}, "hedging.maxShare"),
+        ({"hedging": {"maxShare": True}}, "hedging.maxShare"),
+        ({"hedging": {"maxShare": -0.1}}, "hedging.maxShare"),
+        ({"hedging": {"maxShare": 1.1}}, "hedging.maxShare"),
+        ({"hedging": {"maxShare": float("nan")}}, "hedging.maxShare"),
+        ({"hedging": {"maxShare": float("inf")}}, "hedging.maxShare"),
     ],
 )
 def test_invalid_setting_is_reported_with_its_path(tmp_path, change, path):
@@ -286,6 +312,15 @@
     assert loaded.unwrap_err().path == path
 
 
+@pytest.mark.parametrize(
+    ("hedging", "max_share"),
+    [({}, 0.0), ({"hedging": {}}, 0.0), ({"hedging": {"maxShare": 0.05}}, 0.05)],
+)
+def test_hedging_is_on_without_a_share_or_off_with_one(tmp_path, hedging, max_share):
+    path = write(tmp_path, {**SETTINGS, **hedging})
+    assert load_platform_settings(path).unwrap().hedge_max_share == max_share
+
+
 def test_missing_or_invalid_settings_file_is_an_error(tmp_path):
     assert load_platform_settings(tmp_path / "none").is_err()
     broken = tmp_path / "broken"
