--- a/marjoramstile/pools/scheduler.py
+++ b/marjoramstile/pools/scheduler.py
@@ -344,6 +344,8 @@
 
     def _refuse_overdue(self, now: float) -> None:
         """Refuse requests that would be late even if they were placed now."""
+        if not self._queue:
+            return
         delay_s = self._state.prefill_delay_s(now)
         for waiting in self._queue.overdue(now + delay_s):
             self._refuse(waiting, self.pool_snapshot(now), now)
