--- a/marjoramstile/hedging/hedger.py
+++ b/marjoramstile/hedging/hedger.py
@@ -145,7 +145,9 @@
 
     def record_ended(self, request: RoutedRequest, winner: str, won: bool) -> None:
         """Record which replica answered a hedged request; ``won`` if the second."""
+        service = self._service(request.service)
+        service.share.record_ended(won)
         if won:
-            self._service(request.service).won += 1
+            service.won += 1
             self._metrics.count("hedges_won", request.service)
         logger.info("hedge_ended", request=request.id, replica=winner, won=won)
--- a/tests/hedging/test_decisions.py
+++ b/tests/hedging/test_decisions.py
@@ -146,6 +146,22 @@
         assert sent <= max_share * number + 1e-6
 
 
+def test_hedges_that_never_win_use_the_whole_share():
+    """Where all replicas have queues, hedges only make them longer."""
+    share = HedgeShare(0.1)
+    sent = 0
+    for _ in range(5000):
+        share.record_request()
+        if share.allows_one:
+            share.consume()
+            share.record_ended(won=False)
+            sent += 1
+    assert 0.01 * 5000 <= sent < 0.02 * 5000
+    for _ in range(20):
+        share.record_ended(won=True)
+    assert share.used_part == 1.0
+
+
 def test_a_quiet_time_saves_up_hedges_without_end():
     share = HedgeShare(0.5)
     for _ in range(1000):
