Quotas: a workspace's units are counted over all VMs by the daemon that owns it

Cause: the quota of a workspace was read from the configuration and not applied. Change: the first live daemon by rendezvous hashing keeps the account of a workspace, a sum over a sliding window; the others spend small leases of units and ask for more. A request is charged before its replica is chosen, gets 429 with a Retry-After if its workspace has too few units, and is given back if it did not run.

The whole suite was not run.

--- a/marjoramstile/peers/pool_datagrams.py
+++ b/marjoramstile/peers/pool_datagrams.py
@@ -1,4 +1,4 @@
-"""Messages about pools, limits, crashes and streams, as UDP datagrams.
+"""Messages about pools, limits, crashes, streams and quotas, as UDP datagrams.
 
 Lost datagrams are tolerated: requests are repeated and leases renewed. The format is
 JSON, as thrift's parsers may never return on malformed input.
@@ -49,6 +49,18 @@
     ProfileUpdate,
 )
 from marjoramstile.pools.statistics import GenerationProfile
+from marjoramstile.quotas.client import QuotaClient
+from marjoramstile.quotas.messages import (
+    QuotaAnswer,
+    QuotaBackup,
+    QuotaMessage,
+    QuotaReport,
+    QuotaRequest,
+    Sender,
+    SpenderState,
+    WorkspaceUse,
+)
+from marjoramstile.quotas.owner import QuotaOwner
 from marjoramstile.streams.keeper import StreamKeeper
 from marjoramstile.streams.messages import (
     StreamBegun,
@@ -77,14 +89,28 @@
     "stream": StreamBegun,
     "version?": VersionQuery,
     "version": VersionAnswer,
+    "units?": QuotaRequest,
+    "units": QuotaAnswer,
+    "spent": QuotaReport,
+    "used": QuotaBackup,
 }
 _KIND_NAMES = {kind: name for name, kind in _KINDS.items()}
 _ANSWERS = (PlacementGrant, PlacementQueued, PlacementRefusal)
 _LIMIT_MESSAGES = (PermitRequest, PermitUse, LimitReport)
 _CRASH_MESSAGES = (CrashReport, BeginQuery, BeginAnswer, BlockUpdate)
 _STREAM_MESSAGES = (StreamBegun, VersionQuery, VersionAnswer)
-Message = PoolMessage | LimitMessage | CrashMessage | StreamMessage
-_PARTS = (LeaseUsage, GenerationProfile, LimitedReplica, BeginCount, BlockEntry)
+_QUOTA_MESSAGES = (QuotaRequest, QuotaReport, QuotaBackup)
+Message = PoolMessage | LimitMessage | CrashMessage | StreamMessage | QuotaMessage
+_PARTS = (
+    LeaseUsage,
+    GenerationProfile,
+    LimitedReplica,
+    BeginCount,
+    BlockEntry,
+    Sender,
+    SpenderState,
+    WorkspaceUse,
+)
 _FIELD_TYPES = {
     kind: typing.get_type_hints(kind) for kind in (*_KINDS.values(), *_PARTS)
 }
@@ -161,11 +187,15 @@
         permits: PermitClient,
         crashes: CrashCoordinator,
         streams: StreamKeeper,
+        quotas: QuotaClient,
+        quota_owner: QuotaOwner,
     ):
         self._host = host
         self._client = client
         self._crashes = crashes
         self._streams = streams
+        self._quotas = quotas
+        self._quota_owner = quota_owner
         self._coordinator = coordinator
         self._permits = permits
         self._transport: asyncio.DatagramTransport | None = None
@@ -200,6 +230,10 @@
             self._crashes.handle_message(message, reply)
         elif isinstance(message, _STREAM_MESSAGES):
             self._streams.handle_message(message, reply)
+        elif isinstance(message, QuotaAnswer):
+            self._quotas.handle_answer(message)
+        elif isinstance(message, _QUOTA_MESSAGES):
+            self._quota_owner.handle_message(message, reply)
         else:
             self._host.handle_message(message, reply)
 
--- a/marjoramstile/platform/settings.py
+++ b/marjoramstile/platform/settings.py
@@ -9,6 +9,12 @@
 from result import Err, Ok, Result
 
 from marjoramstile.descriptors import process_descriptors
+from marjoramstile.quotas.windows import (
+    DEFAULT_OVERAGE,
+    DEFAULT_SLACK,
+    DEFAULT_WINDOW_S,
+    QuotaBounds,
+)
 from marjoramstile.routes.budget import BudgetLimits
 from marjoramstile.routes.settings import (
     Address,
@@ -24,6 +30,11 @@
 DEFAULT_LEASE_MS = 3000
 DEFAULT_ADDRESS_TTL_S = 1.0
 DEFAULT_MEMORY_MB = 128
+# Windows of quotas that can be kept: messages between daemons must be much faster, and
+# the longest one is that of a day.
+QUOTA_WINDOW_MIN_S = 0.5
+QUOTA_WINDOW_MAX_S = 86_400.0
+NUMBER_MAX = 1e15
 BYTES_PER_MB = 1_048_576
 # Optional listener of the completions front; not one of the platform's own fields.
 COMPLETIONS_LISTENER = "completions"
@@ -156,9 +167,27 @@
             window_s=bounds.get("budgetWindowS", float),
             slack=bounds.get("budgetSlack", float),
         ),
+        quotas=QuotaBounds(
+            window_s=bounds.get("quotaWindowS", _quota_window_s, DEFAULT_WINDOW_S),
+            overage=bounds.get("quotaOverage", _at_least_0, DEFAULT_OVERAGE),
+            slack=bounds.get("quotaSlack", _at_least_0, DEFAULT_SLACK),
+        ),
     )
 
 
+def _quota_window_s(value: Any) -> float:
+    """Return a window; one that can't be used is that by default."""
+    window_s = float(value)
+    if not 0 < window_s <= QUOTA_WINDOW_MAX_S:
+        return DEFAULT_WINDOW_S
+    return max(window_s, QUOTA_WINDOW_MIN_S)
+
+
+def _at_least_0(value: Any) -> float:
+    """Return a bound that can be used: negative ones and no numbers allow nothing."""
+    return min(float(value), NUMBER_MAX) if float(value) > 0 else 0.0
+
+
 def _bytes(megabytes: Any) -> int:
     return int(float(megabytes) * BYTES_PER_MB)
 
--- /dev/null
+++ b/marjoramstile/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of workspaces, which bind all daemons together."""
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -7,6 +7,7 @@
 
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.logs import get_logger
+from marjoramstile.quotas.client import FREE, QuotaClient, QuotaDecision
 from marjoramstile.reports.burn import BurnReport
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.budget import WindowedRetryBudget
@@ -89,6 +90,7 @@
         generations: GenerationRunner,
         crashes: CrashDetector,
         carrier: RequestCarrier,
+        quotas: QuotaClient,
         budget: WindowedRetryBudget,
         forecast: DurationForecast,
         metrics: Metrics,
@@ -101,6 +103,7 @@
         self._generations = generations
         self._crashes = crashes
         self._carrier = carrier
+        self._quotas = quotas
         self._budget = budget
         self._forecast = forecast
         self._metrics = metrics
@@ -302,7 +305,9 @@
             return await self._carrier.run(request, responder)
         try:
             return await self._run_here(request, table, responder)
-        except RequestRefusedError:
+        except RequestRefusedError as refusal:
+            if refusal.reason == RefusalReason.QUOTA:
+                raise
             self._carrier.check_carried(request)
             if not self._carrier.may_carry(request):
                 raise
@@ -310,6 +315,30 @@
 
     async def _run_here(
         self, request: RoutedRequest, table: RoutingTable, responder: Responder
+    ) -> Reply | None:
+        decision = await self._charge(request)
+        try:
+            return await self._run_charged(request, table, responder)
+        except RequestRefusedError:
+            self._quotas.give_back(decision.charge)
+            raise
+        except BaseException:
+            if not request.sends.may_have_run:
+                self._quotas.give_back(decision.charge)
+            raise
+
+    async def _charge(self, request: RoutedRequest) -> QuotaDecision:
+        """Charge a request to its workspace; raise RequestRefusedError if denied."""
+        workspace = request.workspace
+        if workspace is None or workspace.quota is None:
+            return FREE
+        decision = await self._quotas.acquire(workspace, request.size, request.id)
+        if not decision.granted:
+            raise RequestRefusedError(RefusalReason.QUOTA, decision.wait_s)
+        return decision
+
+    async def _run_charged(
+        self, request: RoutedRequest, table: RoutingTable, responder: Responder
     ) -> Reply | None:
         self._budget.record_request(request.service, request.arrived)
         await self._crashes.check(request)
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -41,6 +41,9 @@
 from marjoramstile.pools.shards import PoolShards, SchedulerSelector
 from marjoramstile.ports.feeds import StoredRow, TableFeed, era_of
 from marjoramstile.ports.vms import ListedState, ListedVM
+from marjoramstile.quotas.client import QuotaClient
+from marjoramstile.quotas.owner import QuotaOwner
+from marjoramstile.quotas.ranking import OwnerRanking
 from marjoramstile.reports.exposition import exposition_text
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.addresses import FrontAddresses
@@ -98,6 +101,7 @@
 LIST_PERIOD_S = 0.5
 EXPIRY_PERIOD_S = 0.25
 STAGES_PERIOD_S = 1.0
+QUOTAS_PERIOD_S = 0.25
 # Streams that began within this time before a kill of all daemons can't be taken up.
 STREAMS_PERIOD_S = 0.25
 ADDRESS_TTL_S = 1.5
@@ -328,6 +332,7 @@
             settings.bounds.lease_s,
         )
         self._build_carrying(client)
+        self._build_quotas()
         calls = PlainCallRunner(
             self.directory,
             client,
@@ -345,6 +350,7 @@
             generations,
             crashes,
             self._carrier,
+            self.quotas,
             self.budget,
             DurationForecast(self.schedulers.profile, self._engine_of),
             self.metrics,
@@ -444,6 +450,28 @@
         )
         self._ports.notices.record_limits_in(self.limits)
 
+    def _build_quotas(self) -> None:
+        """Build the owner of workspaces' quotas, and the client that asks owners."""
+        bounds = self.settings.bounds.quotas
+        ranking = OwnerRanking(self.view, bounds.window_s, loop_time())
+        self.quota_owner = QuotaOwner(
+            ranking,
+            bounds,
+            lambda: self._table.workspaces if self._table else None,
+            self._daemon_count,
+        )
+        self.quotas = QuotaClient(
+            self.view,
+            ranking,
+            self.quota_owner,
+            self._sender,
+            bounds,
+            self._daemon_count,
+            self.metrics,
+            self.tasks,
+            self._rng,
+        )
+
     def _engine_of(self, service: str) -> EngineTraits | None:
         routed = self._table.services.get(service) if self._table else None
         return routed.engine if routed else None
@@ -528,6 +556,8 @@
             balancer=self.balancer,
             schedulers=self.schedulers,
             limits=self.limits,
+            quotas=self.quotas,
+            quota_owner=self.quota_owner,
             blocklist=self.blocklist,
             links=self._ports.links,
             carrier=self._carrier,
@@ -569,6 +599,7 @@
         self._every(PROBE_PERIOD_S, self.prober.step, "probe")
         self._every(EXPIRY_PERIOD_S, self._expire, "expire")
         self._every(STAGES_PERIOD_S, self._rebalance_stages, "stages")
+        self._every(QUOTAS_PERIOD_S, self._step_quotas, "quotas")
 
     async def _follow_configuration(self) -> None:
         """Follow the store, after asking other daemons.
@@ -595,6 +626,8 @@
                 self._permits,
                 self._crash_coordinator,
                 self.streams,
+                self.quotas,
+                self.quota_owner,
             ),
             sock=bound,
         )
@@ -624,6 +657,10 @@
         self.limits.tell_newcomers()
         self.carrier_peers.forget_missing()
 
+    async def _step_quotas(self) -> None:
+        self.quotas.step()
+        self.quota_owner.step()
+
     async def leave(self) -> None:
         """Announce to all daemons that this one accepts no new callers."""
         self.view.leave(loop_time())
--- a/marjoramstile/routes/settings.py
+++ b/marjoramstile/routes/settings.py
@@ -3,6 +3,7 @@
 import ipaddress
 from dataclasses import dataclass
 
+from marjoramstile.quotas.windows import QuotaBounds
 from marjoramstile.routes.budget import BudgetLimits
 
 PORT_MAX = 65535
@@ -53,6 +54,7 @@
     lease_s: float
     retries: BudgetLimits
     heartbeat_s: float = 1.2
+    quotas: QuotaBounds = QuotaBounds()
 
 
 @dataclass(frozen=True)
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -13,6 +13,8 @@
 from marjoramstile.peers.membership_client import JoinedRows, MembershipClient
 from marjoramstile.pools.host import SchedulerHost
 from marjoramstile.ports.feeds import era_of, number_of
+from marjoramstile.quotas.client import QuotaClient
+from marjoramstile.quotas.owner import QuotaOwner
 from marjoramstile.reports.burn import BurnReport, merge_burn_rows
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.carrying import RequestCarrier
@@ -22,6 +24,7 @@
 from marjoramstile.routes.replicas import ReplicaDirectory
 from marjoramstile.routes.table import RoutingTable
 from marjoramstile.utils import loop_time
+from marjoramstile.workspaces.table import QuotaUnit
 
 
 @dataclass(frozen=True)
@@ -37,6 +40,8 @@
     balancer: Balancer
     schedulers: SchedulerHost
     limits: LimitCoordinator
+    quotas: QuotaClient
+    quota_owner: QuotaOwner
     blocklist: Blocklist
     links: ReplicaLinks
     carrier: RequestCarrier
@@ -202,6 +207,33 @@
     return None if wait_s is None else _seconds(wait_s)
 
 
+@SUBJECTS.register("quotas", on_all_daemons=True)
+def quota_rows(sources: StatusSources) -> list[Row]:
+    """Return the quotas that this daemon has charged lately, or grants as the owner.
+
+    ``left`` and ``granted_per_s`` are known to the owner only.
+    """
+    keys = [account.key for account in sources.quotas.accounts]
+    keys += [key for key in sources.quota_owner.keys if key not in keys]
+    return [_quota_row(sources, *key) for key in keys]
+
+
+def _quota_row(sources: StatusSources, workspace: str, unit: QuotaUnit) -> Row:
+    now = loop_time()
+    owned = sources.quota_owner.describe((workspace, unit))
+    account = sources.quotas.account((workspace, unit))
+    return {
+        "daemon": sources.view.own.vm.name,
+        "workspace": workspace,
+        "unit": str(unit),
+        "owner": sources.quotas.owner_of(workspace),
+        "left": None if owned is None else round(owned.left, 3),
+        "granted_per_s": None if owned is None else round(owned.granted_per_s, 3),
+        "balance": 0.0 if account is None else round(account.balance(now), 3),
+        "spent": 0.0 if account is None else round(account.recent(now), 3),
+    }
+
+
 @SUBJECTS.register("burn", on_all_daemons=True, join=merge_burn_rows)
 def burn_rows(sources: StatusSources) -> list[Row]:
     """Return this daemon's share of the service-level burn."""
--- a/tests/peers/test_pool_datagrams.py
+++ b/tests/peers/test_pool_datagrams.py
@@ -38,18 +38,31 @@
     Urgency,
 )
 from marjoramstile.pools.statistics import GenerationProfile
+from marjoramstile.quotas.messages import (
+    OwnerRole,
+    QuotaAnswer,
+    QuotaBackup,
+    QuotaReport,
+    QuotaRequest,
+    Sender,
+    SpenderState,
+    WorkspaceUse,
+)
 from marjoramstile.routes.requests import RefusalReason
 from marjoramstile.streams.messages import (
     StreamBegun,
     VersionAnswer,
     VersionQuery,
 )
+from marjoramstile.workspaces.table import QuotaUnit
 from tests.pools.support import request
 from tests.support import captured_logs
 
 LIMITED = LimitedReplica("p0", 1_764_000_000_000, "ledger", 0)
 ENTRY = BlockEntry("llm", "part/a", 2, True, 1, 5.5, ("d0",), "crashes")
 LEASE_USAGE = LeaseUsage("q", "d0", 3200, 800, 44, 0.19, 0.096)
+SENDER = Sender("vm-1", "0a1b2c", 7)
+SPENDER = SpenderState("first", QuotaUnit.TOKENS, 51_200.0, 800.0, 12_800.0)
 MESSAGES = [
     request("q", avoid=("d0", "d1")),
     request("q"),
@@ -76,6 +89,10 @@
     VersionQuery("q", "llm", "0a1b2c3d4e5f"),
     VersionAnswer("q", "vm-1", "v1", ("v1", "v1.1")),
     VersionAnswer("q", "vm-1", None, ()),
+    QuotaRequest(SENDER, SPENDER, 64_000.0, 3_200.0, 8_000.0, 3_900.0, 4_000.0, False),
+    QuotaAnswer("vm-1", 7, OwnerRole.OWNER, 8_000.0, 100.5, 0.2, 44_000.0),
+    QuotaReport(SENDER, (SPENDER, SPENDER)),
+    QuotaBackup("vm-1", (WorkspaceUse("first", QuotaUnit.REQUESTS, 12.5),)),
 ]
 
 
@@ -95,7 +112,7 @@
         def handle_answer(self, answer, send_reply=None):
             received.append(answer)
 
-    roles = [Role() for _ in range(6)]
+    roles = [Role() for _ in range(8)]
     PoolProtocol(*roles).datagram_received(data, ("10.0.0.1", 1))
     return received
 
@@ -115,6 +132,10 @@
                 "crash",
                 "blocked",
                 "stream",
+                "units?",
+                "units",
+                "spent",
+                "used",
             ]
         )
         | st.none()
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import re
+from dataclasses import replace
 
 import pytest
 import pytest_asyncio
@@ -10,6 +12,14 @@
 
 from marjoramstile.fronts import answers, bodies
 from marjoramstile.platform.front import FrontHandler, PlatformEndpoints
+from marjoramstile.workspaces.keys import key_digest
+from marjoramstile.workspaces.table import (
+    Quota,
+    QuotaUnit,
+    Workspace,
+    WorkspaceKeys,
+    WorkspaceTable,
+)
 from standins.replica_pool import ReplicaModel
 from tests.fronts.support import FrontHarness
 from tests.platform.support import HOST
@@ -73,6 +83,18 @@
     assert (await harness.exchange(lines + body)).startswith(b"HTTP/1.1 200")
 
 
+async def test_a_request_over_the_quota_is_told_when_to_come_again(harness):
+    quota = Quota(0.25, 1.0, QuotaUnit.REQUESTS, 0)
+    keys = WorkspaceKeys(Workspace("first", None, quota), (key_digest("k"),))
+    harness.table = replace(harness.table, workspaces=WorkspaceTable([keys]))
+    request = head("/plain/x", "Authorization: Bearer k")
+    answers = [await harness.exchange(request) for _ in range(4)]
+    assert all(item.startswith(b"HTTP/1.1 200") for item in answers[:3])
+    assert answers[3].startswith(b"HTTP/1.1 429")
+    (wait,) = re.findall(rb"Retry-After: ([0-9.]+)", answers[3])
+    assert 0 < float(wait) <= 8.0
+
+
 async def test_a_path_without_route_is_not_found(harness):
     assert (await harness.exchange(head("/other/x"))).startswith(b"HTTP/1.1 404")
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -14,6 +14,7 @@
     decode_routing_table,
 )
 from marjoramstile.platform.settings import load_platform_settings
+from marjoramstile.quotas.windows import QuotaBounds
 from marjoramstile.routes.replica_types import ReplicaState, Stage
 from marjoramstile.routes.requests import GenerationSize
 from marjoramstile.routes.table import RouteKind
@@ -249,6 +250,33 @@
     assert str(settings.listeners.completions) == "10.1.0.35:8150"
 
 
+@pytest.mark.parametrize(
+    ("bounds", "quotas"),
+    [
+        ({}, QuotaBounds(8.0, 0.1, 0.0)),
+        (
+            {"quotaWindowS": 10, "quotaOverage": 0.05, "quotaSlack": 190000},
+            QuotaBounds(10.0, 0.05, 190_000.0),
+        ),
+        (
+            {"quotaWindowS": 0, "quotaOverage": -1, "quotaSlack": -5},
+            QuotaBounds(8.0, 0.0, 0.0),
+        ),
+        (
+            {"quotaWindowS": 1e12, "quotaOverage": 0, "quotaSlack": 1e300},
+            QuotaBounds(8.0, 0.0, 1e15),
+        ),
+        ({"quotaWindowS": 1e-9}, QuotaBounds(0.5, 0.1, 0.0)),
+    ],
+    ids=["absent", "given", "below 0", "huge", "tiny window"],
+)
+def test_bounds_of_quotas_can_always_be_used(tmp_path, bounds, quotas):
+    """A window of 0 would lock all callers out."""
+    document = {**SETTINGS, "bounds": {**SETTINGS["bounds"], **bounds}}
+    settings = load_platform_settings(write(tmp_path, document)).unwrap()
+    assert settings.bounds.quotas == quotas
+
+
 @pytest.mark.parametrize(
     ("limits", "descriptors"),
     [
@@ -274,6 +302,10 @@
         ({"listen": {**SETTINGS["listen"], "front": "here"}}, "listen.front"),
         ({"listen": {**SETTINGS["listen"], "completions": 8}}, "listen.completions"),
         ({"bounds": {**SETTINGS["bounds"], "graceS": "long"}}, "bounds.graceS"),
+        (
+            {"bounds": {**SETTINGS["bounds"], "quotaWindowS": "long"}},
+            "bounds.quotaWindowS",
+        ),
         ({"internalPorts": [7660]}, "internalPorts"),
         ({"internalPorts": [7660, 99999]}, "internalPorts"),
         ({"platform": {}}, "platform.address"),
--- a/tests/routes/support.py
+++ b/tests/routes/support.py
@@ -17,6 +17,10 @@
 from marjoramstile.pools.host import SchedulerHost
 from marjoramstile.pools.shards import PoolShards, SchedulerSelector
 from marjoramstile.ports.vms import ListedState, ListedVM
+from marjoramstile.quotas.client import QuotaClient
+from marjoramstile.quotas.owner import QuotaOwner
+from marjoramstile.quotas.ranking import OwnerRanking
+from marjoramstile.quotas.windows import QuotaBounds
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.budget import BudgetLimits, WindowedRetryBudget
@@ -125,6 +129,7 @@
         self._build_crashes()
         self._build_pools()
         self._build_carrier()
+        self._build_quotas()
         self.calls = PlainCallRunner(
             *common, self.budget, self.crashes, self.permits, self.links
         )
@@ -177,6 +182,24 @@
             self.links, self.carrier_peers, self.carriers, self.budget
         )
 
+    def _build_quotas(self) -> None:
+        """Build quotas of a daemon that is alone, and that has long been there."""
+        bounds = QuotaBounds()
+        started = loop_time() - 2 * bounds.window_s
+        ranking = OwnerRanking(self.view, bounds.window_s, started)
+        self.quota_owner = QuotaOwner(ranking, bounds, lambda: None, lambda: 1)
+        self.quotas = QuotaClient(
+            self.view,
+            ranking,
+            self.quota_owner,
+            None,
+            bounds,
+            lambda: 1,
+            Metrics(),
+            self.tasks,
+            random.Random(7),
+        )
+
     def _build_streams(self) -> StreamVersions:
         registry = StreamRegistry()
         self.versions = VersionHistory(self.directory)
@@ -206,6 +229,7 @@
             self.generations,
             self.crashes,
             self.carrier,
+            self.quotas,
             self.budget,
             DurationForecast(
                 self.schedulers.profile,
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -3,6 +3,8 @@
 import json
 import random
 
+import pytest
+
 from marjoramstile.crashes.blocklist import BlockEntry, Blocklist
 from marjoramstile.membership.view import PeerState, Report, View
 from marjoramstile.mirrors.follower import MirrorFollower
@@ -20,6 +22,7 @@
 )
 from marjoramstile.routes.table import EntryLimits, RouteKind, RoutingTable
 from marjoramstile.utils import loop_time
+from marjoramstile.workspaces.table import Quota, QuotaUnit, Workspace
 from tests.routes.support import RoutingCore, route
 
 
@@ -61,6 +64,8 @@
         balancer=core.balancer,
         schedulers=core.schedulers,
         limits=core.limits,
+        quotas=core.quotas,
+        quota_owner=core.quota_owner,
         blocklist=Blocklist(),
         links=core.links,
         carrier=core.carrier,
@@ -77,6 +82,8 @@
     value = json.dumps(row.to_value()).encode()
     sources.burn.record("llm", "stream", good=False, now=loop_time())
     sources.orders.apply(Changes((StoredRow("llm", 4, value),), 4, complete=True))
+    quota = Quota(10.0, 5.0, QuotaUnit.REQUESTS, 0)
+    await sources.quotas.acquire(Workspace("first", quota=quota), None)
     status = FleetStatus(sources, FakePeerClient())
     for name in SUBJECTS:
         assert json.loads(json.dumps(status.own_rows(name)))
@@ -108,6 +115,16 @@
     assert limits == {"e0": None, "d0": 1.7, "d1": None}
 
 
+async def test_rows_of_quotas_show_the_owner_and_what_is_left():
+    sources = sources_of("vm-1")
+    quota = Quota(10.0, 5.0, QuotaUnit.REQUESTS, 0)
+    for _ in range(3):
+        await sources.quotas.acquire(Workspace("first", quota=quota), None)
+    (row,) = FleetStatus(sources, FakePeerClient()).own_rows("quotas")
+    assert (row["workspace"], row["owner"], row["spent"]) == ("first", "vm-1", 3.0)
+    assert row["left"] == pytest.approx(85 + 4.25 - 3)
+
+
 async def test_rows_of_all_daemons_are_joined_and_silent_ones_named():
     other = FleetStatus(sources_of("b"), FakePeerClient())
     status = FleetStatus(sources_of("a", "b", "c"), FakePeerClient(b=other))
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -159,7 +159,7 @@
             raise RecursionError("nested")
 
     failing = Failing()
-    protocol = PoolProtocol(failing, failing, failing, failing, failing, failing)
+    protocol = PoolProtocol(*[failing] * 8)
     with captured_logs() as logs:
         protocol.datagram_received(encode_message(MESSAGES[0]), ("10.0.0.9", 1))
     assert "datagram_not_handled" in logs.getvalue()
