Pools: placement requests name the workspace, its weight and its priority

Schedulers can't share capacity among workspaces that they don't know. The three new fields, and the workspace of a reported lease, are optional: a datagram holds them only up to the last one that is not default, so that a deployment without workspaces sends the bytes that it sent before, and the receiver fills in the defaults. Other fields stay mandatory, as a truncated message must be ignored.

Run: tests/peers/test_pool_datagrams.py, tests/routes/test_placement.py, tests/pools/test_client.py

--- a/marjoramstile/peers/pool_datagrams.py
+++ b/marjoramstile/peers/pool_datagrams.py
@@ -37,6 +37,7 @@
 from marjoramstile.pools.client import PoolClient
 from marjoramstile.pools.host import SchedulerHost
 from marjoramstile.pools.messages import (
+    OPTIONAL,
     LeaseEnd,
     LeaseRenewal,
     LeaseUsage,
@@ -88,6 +89,10 @@
 _FIELD_TYPES = {
     kind: typing.get_type_hints(kind) for kind in (*_KINDS.values(), *_PARTS)
 }
+_OPTIONAL_DEFAULTS = {
+    kind: [item.default for item in fields(kind) if OPTIONAL in item.metadata]
+    for kind in _FIELD_TYPES
+}
 _MALFORMED = (ValueError, TypeError, KeyError, IndexError)
 
 logger = get_logger(__name__)
@@ -102,7 +107,13 @@
 
 
 def _encode_fields(item: object) -> list:
-    return [_encode_value(getattr(item, field.name)) for field in fields(item)]
+    """Return the values of the fields, without optional ones at the end if default."""
+    values = [_encode_value(getattr(item, field.name)) for field in fields(item)]
+    for default in reversed(_OPTIONAL_DEFAULTS[type(item)]):
+        if values[-1] != default:
+            break
+        values.pop()
+    return values
 
 
 def _encode_value(value: object) -> object:
@@ -122,10 +133,14 @@
 
 
 def _decode_fields(kind: type, values: list) -> object:
+    """Return a message or a part of one; optional fields at the end may be missing."""
     field_types = _FIELD_TYPES[kind]
-    if not isinstance(values, list) or len(values) != len(field_types):
+    required = len(field_types) - len(_OPTIONAL_DEFAULTS[kind])
+    if not isinstance(values, list) or not (
+        required <= len(values) <= len(field_types)
+    ):
         raise ValueError(f"values do not match the fields of {kind.__name__}")
-    pairs = zip(field_types.values(), values, strict=True)
+    pairs = zip(field_types.values(), values, strict=False)
     return kind(*(_decode_value(field_type, value) for field_type, value in pairs))
 
 
--- a/marjoramstile/pools/client.py
+++ b/marjoramstile/pools/client.py
@@ -95,6 +95,7 @@
             self.produced_tokens,
             decode_s,
             self.prefill_s,
+            self.request.workspace,
         )
 
 
--- a/marjoramstile/pools/messages.py
+++ b/marjoramstile/pools/messages.py
@@ -1,14 +1,28 @@
 """Messages between daemons and the scheduler of a pool.
 
-Datagrams hold the values of the fields in the order of their declaration.
+Datagrams hold the values of the fields in the order of their declaration, without
+optional ones at the end that have their defaults.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
+from typing import Any
 
 from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.routes.requests import RefusalReason
 
+# Metadata key of fields that datagrams may lack.
+OPTIONAL = "optional"
+
+
+def optional_field(default: str | float | None) -> Any:
+    """Return a field that datagrams hold only up to the last one that is not default.
+
+    A field that is added to a message has to be optional, and the last one: daemons of
+    the version before don't send it, and reject messages that have it.
+    """
+    return field(default=default, metadata={OPTIONAL: True})
+
 
 class Urgency(IntEnum):
     """Classes of waiting requests, in the order in which they are placed."""
@@ -39,7 +53,8 @@
     ``time_left_s`` the time to its deadline. ``resumed`` means that the request
     continues a stream that has begun, ``retried`` that it was placed before.
     ``avoid`` are ids of replicas: none of them may decode, and one of them prefills
-    only if there is no other.
+    only if there is no other. ``workspace`` is empty if the caller named none;
+    ``weight`` is that of its fair share and ``workspace_priority`` None if it has none.
     """
 
     id: str
@@ -57,6 +72,19 @@
     resumed: bool = False
     retried: bool = False
     avoid: tuple[str, ...] = ()
+    workspace: str = optional_field("")
+    weight: float = optional_field(1.0)
+    workspace_priority: int | None = optional_field(None)
+
+    @property
+    def priority_class(self) -> tuple[int, int]:
+        """Priority of the workspace, or of the route if it has none, and the route's.
+
+        Classes are compared by the first, then by the second; 0 is the highest.
+        """
+        if self.workspace_priority is None:
+            return self.priority, self.priority
+        return self.workspace_priority, self.priority
 
 
 @dataclass(frozen=True)
@@ -109,6 +137,7 @@
     ``output_tokens`` is the caller's estimate of the output. ``produced_tokens`` are
     the tokens received so far and ``decode_s`` the time from the first to the last of
     them. ``prefill_s`` is the duration of the prefill; 0 if that is not known.
+    ``workspace`` is that of the request; empty if it has none.
     """
 
     id: str
@@ -118,6 +147,7 @@
     produced_tokens: int
     decode_s: float
     prefill_s: float
+    workspace: str = optional_field("")
 
 
 @dataclass(frozen=True)
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -29,6 +29,7 @@
 )
 from marjoramstile.routes.table import EngineTraits
 from marjoramstile.utils import BackgroundTasks, loop_time
+from marjoramstile.workspaces.table import Workspace
 
 # Tokens reserved for the answer, as a share of the caller's estimate: averaged over its
 # run, a generation holds half of its answer.
@@ -46,6 +47,8 @@
 # A version that has left the list may come back if its row has only expired.
 VERSION_RETRY_S = 2.0
 FINGERPRINT_CHARACTERS = 16
+# Weight of the fair share of a workspace whose requests no quota limits.
+DEFAULT_WEIGHT = 1.0
 
 logger = get_logger(__name__)
 
@@ -166,6 +169,7 @@
         avoid: frozenset[str],
     ) -> PlacementRequest:
         now = loop_time()
+        workspace = request.workspace
         return PlacementRequest(
             id=self._pool.new_id(),
             service=request.service,
@@ -182,6 +186,9 @@
             resumed=resumed,
             retried=bool(avoid),
             avoid=tuple(sorted(avoid)),
+            workspace="" if workspace is None else workspace.name,
+            weight=share_weight(workspace),
+            workspace_priority=None if workspace is None else workspace.priority,
         )
 
     def _build_next_request(
@@ -299,6 +306,14 @@
     return min(RETRY_PAUSE_S * 2 ** (try_number - IMMEDIATE_TRIES), RETRY_PAUSE_MAX_S)
 
 
+def share_weight(workspace: Workspace | None) -> float:
+    """Return the weight of a workspace's fair share: its quota's rate, if limited."""
+    quota = None if workspace is None else workspace.quota
+    if quota is None or quota.rate_per_s <= 0:
+        return DEFAULT_WEIGHT
+    return quota.rate_per_s
+
+
 def reserved_tokens(request: RoutedRequest, engine: EngineTraits) -> int:
     """Return the memory, in tokens, to reserve for a generation."""
     size = request.size
--- a/tests/peers/test_pool_datagrams.py
+++ b/tests/peers/test_pool_datagrams.py
@@ -1,6 +1,7 @@
 """Datagrams to schedulers: valid ones pass, malformed ones are logged and ignored."""
 
 import json
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, strategies as st
@@ -137,3 +138,52 @@
         assert receive(data[:-3]) == []
         assert receive(json.dumps(json.loads(data)[:-1]).encode()) == []
     assert receive(data) == [message]
+
+
+TODAY = (
+    b'["ask","q","llm",0,"c-q","a",3700,3200,800,1,0.9,0.0,14.0,false,false,[]]',
+    b'["renew","llm",0,[["q","d0",3200,800,44,0.19,0.096]]]',
+)
+
+
+@pytest.mark.parametrize(
+    ("message", "data"),
+    [
+        (request("q"), TODAY[0]),
+        (LeaseRenewal("llm", 0, (LEASE_USAGE,)), TODAY[1]),
+    ],
+)
+def test_a_message_without_workspace_is_sent_and_read_as_before_there_were_any(
+    message, data
+):
+    """Daemons of the version before reject a message with more fields."""
+    assert encode_message(message) == data
+    assert decode_message(data) == message
+
+
+@pytest.mark.parametrize(
+    ("changes", "added"),
+    [
+        ({"workspace": "w"}, 1),
+        ({"workspace": "w", "weight": 40.0}, 2),
+        ({"workspace": "w", "workspace_priority": 0}, 3),
+    ],
+)
+def test_optional_fields_are_sent_up_to_the_last_that_is_not_default(changes, added):
+    message = request("q", **changes)
+    data = encode_message(message)
+    assert decode_message(data) == message
+    assert len(json.loads(data)) == len(json.loads(TODAY[0])) + added
+
+
+def test_the_workspace_of_a_lease_is_sent_to_the_next_scheduler():
+    usage = replace(LEASE_USAGE, workspace="w")
+    message = LeaseRenewal("llm", 0, (usage, LEASE_USAGE))
+    assert decode_message(encode_message(message)) == message
+
+
+def test_a_message_with_more_fields_than_known_is_ignored():
+    values = json.loads(encode_message(request("q", workspace="w")))
+    with captured_logs():
+        assert receive(json.dumps([*values, 2.0, 1, "more"]).encode()) == []
+        assert receive(json.dumps([*values, "heavy"]).encode()) == []
