Pools: fair shares of workspaces, and room reserved for more urgent classes

While capacity is short, a workspace that floods a pool took the places of all others, and previews took the memory that masters need next. A shard's scheduler now knows the memory that each workspace's leases hold and ranks the requests of those over their weighted fair share behind the others; a workspace served about a quarter as often as all goes first. Less urgent classes leave places for the expected arrivals of more urgent ones, and queued requests are refused when others that went ahead of them make their deadline impossible. Forecasts count both.

Retries before the time of their refusal go behind those at that time. Without workspaces and with one class nothing of this applies.

--- a/marjoramstile/pools/expected_retries.py
+++ b/marjoramstile/pools/expected_retries.py
@@ -2,6 +2,8 @@
 
 from collections import OrderedDict
 
+# A retry that comes this much before its time still counts as one at that time.
+EARLY_TOLERANCE_S = 0.1
 # A caller that has not retried this long after its retry time is no longer expected.
 GRACE_S = 6.0
 MAX_ENTRIES = 4096
@@ -25,6 +27,11 @@
         due = self._expected.get(content)
         return due is not None and now <= due + GRACE_S
 
+    def is_early(self, content: str, now: float) -> bool:
+        """Return whether a request is a retry before the time it was told to wait."""
+        due = self._expected.get(content)
+        return due is not None and now < due - EARLY_TOLERANCE_S
+
     def forget(self, content: str) -> None:
         """Remove a request that has been served."""
         self._expected.pop(content, None)
--- a/marjoramstile/pools/forecasts.py
+++ b/marjoramstile/pools/forecasts.py
@@ -1,33 +1,60 @@
 """Pure functions that forecast, from a snapshot, how long a request will wait."""
 
+import math
+from collections.abc import Sequence
+
 from marjoramstile.pools.decisions import Generation, PoolSnapshot, capacity_times
 from marjoramstile.pools.leases import LOCAL_PREFILL_FACTOR
 from marjoramstile.pools.statistics import PoolStatistics
 
 
 def memory_wait_s(
-    pool: PoolSnapshot, generation: Generation, ahead: int, statistics: PoolStatistics
+    pool: PoolSnapshot,
+    generation: Generation,
+    ahead: int,
+    statistics: PoolStatistics,
+    inflow_per_s: float = 0.0,
+    times: Sequence[int] | None = None,
 ) -> float | None:
     """Return the time until there is memory for one more request.
 
-    ``ahead`` queued requests go first. None if the time can't be estimated. It is
-    limited to ``ahead + 1`` times the average interval between ends of generations: the
-    first of many generations ends sooner than any single one is expected to.
+    ``ahead`` queued requests go first, and so do more urgent ones that arrive in the
+    meantime, at ``inflow_per_s``. None if the time can't be estimated. It is limited to
+    ``ahead + 1`` times the average interval between ends of generations: the first of
+    many generations ends sooner than any single one is expected to. ``times`` are the
+    pool's capacity times if they are known.
     """
-    times = _capacity_times(pool, generation)
-    if ahead >= len(times):
+    if times is None:
+        times = pool_capacity_times(pool, generation)
+    s_per_token = statistics.decode_s_per_token
+    wait_s = next(
+        (
+            tokens * s_per_token
+            for number, tokens in enumerate(times[ahead:])
+            if number >= inflow_per_s * tokens * s_per_token
+        ),
+        None,
+    )
+    if wait_s is None:
         return None
     generations = max(1, sum(len(replica.generations) for replica in pool.decode))
+    left_fraction = 1 - inflow_per_s * statistics.decode_s / generations
+    if left_fraction <= 0:
+        return wait_s
     typical_s = (ahead + 1) * statistics.decode_s / generations
-    return min(times[ahead] * statistics.decode_s_per_token, typical_s)
+    return min(wait_s, typical_s / left_fraction)
 
 
 def prefill_wait_s(
-    pool: PoolSnapshot, prompt_tokens: int, statistics: PoolStatistics
+    pool: PoolSnapshot,
+    prompt_tokens: int,
+    statistics: PoolStatistics,
+    inflow_tokens_per_s: float = 0.0,
 ) -> float:
     """Return the time until ``prompt_tokens`` of requests ahead are prefilled.
 
-    Decode replicas prefill too when the prefill replicas are saturated.
+    Prompts of more urgent requests arrive at ``inflow_tokens_per_s``. Decode replicas
+    prefill too when the prefill replicas are saturated.
     """
     if not pool.prefill:
         return 0.0
@@ -35,7 +62,9 @@
     if pool.prefill_saturated:
         local_speed = statistics.prefill_tokens_per_s / LOCAL_PREFILL_FACTOR
         speed += len(pool.decode) * local_speed
-    return pool.prefill_busy_s + prompt_tokens / speed
+    if inflow_tokens_per_s >= speed:
+        return math.inf
+    return pool.prefill_busy_s + prompt_tokens / (speed - inflow_tokens_per_s)
 
 
 def late_wait_s(
@@ -50,14 +79,14 @@
     ``ahead`` requests go first, and so do those that arrive in the meantime, at
     ``inflow_per_s``. None if the time can't be estimated.
     """
-    for number, tokens in enumerate(_capacity_times(pool, generation)):
+    for number, tokens in enumerate(pool_capacity_times(pool, generation)):
         wait_s = tokens * statistics.decode_s_per_token
         if number >= ahead + inflow_per_s * wait_s:
             return wait_s
     return None
 
 
-def _capacity_times(pool: PoolSnapshot, generation: Generation) -> list[int]:
+def pool_capacity_times(pool: PoolSnapshot, generation: Generation) -> list[int]:
     """Return when the pool fits one request, two, and so on, in tokens added."""
     return sorted(
         tokens
--- a/marjoramstile/pools/leases.py
+++ b/marjoramstile/pools/leases.py
@@ -1,4 +1,4 @@
-"""Leases that a scheduler counts, and their totals at each replica."""
+"""Leases that a scheduler counts, and their totals by replica and by workspace."""
 
 from collections import defaultdict
 from collections.abc import Iterator
@@ -28,7 +28,8 @@
     a prefill replica has the prompt and the duration of the prefill is not yet known,
     ``prefill_started_at_once`` that no other prompt was ahead of it.
     ``local_prefill_until`` is when a local prefill by the decode replica is expected
-    to end. Times are those of the event loop's clock.
+    to end. ``workspace`` is empty if its caller named none. Times are those of the
+    event loop's clock.
     """
 
     id: str
@@ -44,6 +45,7 @@
     decode_s: float = 0.0
     renewed_at: float = 0.0
     confirmed: bool = False
+    workspace: str = ""
 
     @property
     def decode(self) -> str:
@@ -98,12 +100,16 @@
 
 
 class LeaseTable:
-    """Leases by id, and their totals by replica, updated with each change."""
+    """Leases by id, with totals by replica and workspace that follow each change.
+
+    ``workspace_tokens`` is the memory of the leases by workspace.
+    """
 
     def __init__(self):
         self._leases: dict[str, Lease] = {}
         self._totals: dict[str, LeaseTotals] = defaultdict(LeaseTotals)
         self._by_replica: dict[str, dict[str, Lease]] = defaultdict(dict)
+        self.workspace_tokens: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._leases)
@@ -123,13 +129,13 @@
         """Add a lease."""
         self._leases[lease.id] = lease
         self._by_replica[lease.decode][lease.id] = lease
-        self._count(lease.decode, 1, lease.kv_tokens)
+        self._count(lease, 1, lease.kv_tokens)
 
     def remove(self, lease_id: str) -> Lease | None:
         """Remove a lease and return it."""
         lease = self._leases.pop(lease_id, None)
         if lease is not None:
-            self._count(lease.decode, -1, -lease.kv_tokens)
+            self._count(lease, -1, -lease.kv_tokens)
             at_replica = self._by_replica[lease.decode]
             del at_replica[lease.id]
             if not at_replica:
@@ -143,7 +149,7 @@
         lease.decode_s = max(lease.decode_s, usage.decode_s)
         lease.renewed_at = now
         lease.confirmed = True
-        self._count(lease.decode, 0, lease.kv_tokens - before)
+        self._count(lease, 0, lease.kv_tokens - before)
 
     def expire(self, now: float) -> list[Lease]:
         """Remove the expired leases and return them."""
@@ -163,9 +169,14 @@
         """Return the ids of the decode replicas that run a local prefill."""
         return {lease.decode for lease in self if lease.local_prefill_until > now}
 
-    def _count(self, replica_id: str, requests: int, tokens: int) -> None:
-        total = self._totals[replica_id].plus(requests, tokens)
+    def _count(self, lease: Lease, requests: int, tokens: int) -> None:
+        total = self._totals[lease.decode].plus(requests, tokens)
         if total == NO_LEASES:
-            del self._totals[replica_id]
+            del self._totals[lease.decode]
+        else:
+            self._totals[lease.decode] = total
+        held = self.workspace_tokens.get(lease.workspace, 0) + tokens
+        if held:
+            self.workspace_tokens[lease.workspace] = held
         else:
-            self._totals[replica_id] = total
+            self.workspace_tokens.pop(lease.workspace, None)
--- a/marjoramstile/pools/refusals.py
+++ b/marjoramstile/pools/refusals.py
@@ -9,10 +9,16 @@
 from collections import OrderedDict, deque
 
 from marjoramstile.logs import get_logger
-from marjoramstile.pools.decisions import PoolSnapshot, late_reserve
+from marjoramstile.pools.decisions import Generation, PoolSnapshot, late_reserve
 from marjoramstile.pools.expected_retries import ExpectedRetries
-from marjoramstile.pools.forecasts import late_wait_s, memory_wait_s, prefill_wait_s
+from marjoramstile.pools.forecasts import (
+    late_wait_s,
+    memory_wait_s,
+    pool_capacity_times,
+    prefill_wait_s,
+)
 from marjoramstile.pools.messages import PlacementRefusal, PlacementRequest, Urgency
+from marjoramstile.pools.precedence import Precedence, Reserve
 from marjoramstile.pools.statistics import PoolStatistics
 from marjoramstile.pools.waiting import RequestQueue, WaitingRequest
 from marjoramstile.routes.requests import RefusalReason
@@ -20,6 +26,9 @@
 # A forecast must exceed the limit by more than these, as it may be wrong.
 FORECAST_MARGIN = 1.25
 FORECAST_SLACK_S = 0.05
+# A queued request that has less time left is not refused before its deadline: that
+# would save its caller too little if the forecast is wrong.
+EARLY_REFUSAL_MIN_S = 0.2
 # Bounds of the retry time. It is at most a third of the time to the deadline, unless
 # that is less than the lower bound.
 RETRY_MIN_S = 1.0
@@ -42,9 +51,14 @@
     """
 
     def __init__(
-        self, queue: RequestQueue, expected_retries: ExpectedRetries, rng: random.Random
+        self,
+        queue: RequestQueue,
+        expected_retries: ExpectedRetries,
+        precedence: Precedence,
+        rng: random.Random,
     ):
         self._queue = queue
+        self._precedence = precedence
         self._expected_retries = expected_retries
         self._rng = rng
         self._arrivals: deque[float] = deque()
@@ -69,34 +83,80 @@
 
         True also if the wait can't be estimated.
         """
-        wait_s = self._forecast_s(waiting, pool, statistics)
-        limit_s = waiting.deadline - now
-        return wait_s is None or wait_s > FORECAST_MARGIN * limit_s + FORECAST_SLACK_S
+        ahead = [item for item in self._queue.ahead_of(waiting) if _can_use(item, pool)]
+        prompts = sum(item.request.prompt_tokens for item in ahead)
+        reserve = self._precedence.reserve(pool, statistics)
+        wait_s = self._forecast_s(
+            waiting, len(ahead), prompts, pool, reserve, statistics
+        )
+        return _exceeds(wait_s, waiting.deadline - now)
+
+    def overtaken(
+        self, pool: PoolSnapshot, statistics: PoolStatistics, now: float
+    ) -> list[WaitingRequest]:
+        """Return the queued requests that would time out as others went ahead of them.
+
+        Those that nothing has overtaken are left to their deadline: their forecast
+        was good enough when they arrived.
+        """
+        if not any(item.overtaken for item in self._queue):
+            return []
+        prompt, output = statistics.typical
+        times = pool_capacity_times(pool, Generation(prompt, output, output))
+        reserve = self._precedence.reserve(pool, statistics)
+        hopeless: list[WaitingRequest] = []
+        ahead = prompts = 0
+        for item in self._queue:
+            left_s = item.deadline - now
+            if (
+                item.overtaken
+                and item.urgency == Urgency.ON_TIME
+                and left_s > EARLY_REFUSAL_MIN_S
+                and _exceeds(
+                    self._forecast_s(
+                        item, ahead, prompts, pool, reserve, statistics, times
+                    ),
+                    left_s,
+                )
+            ):
+                hopeless.append(item)
+            elif _can_use(item, pool):
+                ahead += 1
+                prompts += item.request.prompt_tokens
+        return hopeless
 
     def _forecast_s(
-        self, waiting: WaitingRequest, pool: PoolSnapshot, statistics: PoolStatistics
+        self,
+        waiting: WaitingRequest,
+        ahead: int,
+        prompts: int,
+        pool: PoolSnapshot,
+        reserve: Reserve,
+        statistics: PoolStatistics,
+        times: list[int] | None = None,
     ) -> float | None:
         """Return the expected wait; None if it can't be estimated.
 
-        Queued requests that can use no replica now, as streams whose software version
-        is away, delay nobody.
+        ``ahead`` queued requests with prompts of ``prompts`` tokens go first, and so do
+        more urgent ones that arrive in the meantime or for which room is reserved.
         """
         if not pool.decode:
             return None
-        usable = {replica.replica_id for replica in pool.decode}
-        ahead = [
-            item
-            for item in self._queue.ahead_of(waiting)
-            if not usable.issubset(item.request.avoid)
-        ]
-        position = len(ahead)
+        position = ahead + reserve.places(waiting.request)
         if waiting.urgency == Urgency.LATE:
             position += late_reserve(pool)
-        memory_s = memory_wait_s(pool, waiting.generation, position, statistics)
+        expected = self._precedence.inflow_before(waiting)
+        inflow_per_s = 0.0 if expected is None else expected.per_s
+        inflow_tokens = 0.0 if expected is None else expected.typical.tokens
+        memory_s = memory_wait_s(
+            pool, waiting.generation, position, statistics, inflow_per_s, times
+        )
         if memory_s is None:
             return None
-        prompts = sum(item.request.prompt_tokens for item in ahead)
-        return max(memory_s, prefill_wait_s(pool, prompts, statistics))
+        prefill_s = prefill_wait_s(
+            pool, prompts, statistics, inflow_per_s * inflow_tokens
+        )
+        return max(memory_s, prefill_s)
 
     def refuse(
         self,
@@ -138,6 +198,7 @@
         """
         others = sum(item is not waiting for item in self._queue)
         ahead = others + late_reserve(pool) + self._expected_retries.pending_count(now)
+        ahead += self._precedence.reserve(pool, statistics).places(waiting.request)
         return late_wait_s(
             pool, waiting.generation, ahead, self._inflow_per_s(now), statistics
         )
@@ -170,6 +231,8 @@
             service=waiting.request.service,
             tokens=waiting.tokens,
             urgency=waiting.urgency.name,
+            workspace=waiting.request.workspace,
+            standing=waiting.rank.standing.name,
             waited_s=round(now - waiting.queued_at, 3),
             expected_s=expected_s and round(expected_s, 3),
             queued=len(self._queue),
@@ -179,3 +242,19 @@
                 for replica in replicas
             ),
         )
+
+
+def _can_use(waiting: WaitingRequest, pool: PoolSnapshot) -> bool:
+    """Return whether a request can use any of the pool's replicas.
+
+    Those that can't, as streams whose software version is away, delay nobody.
+    """
+    avoid = waiting.request.avoid
+    if not avoid:
+        return True
+    return any(replica.replica_id not in avoid for replica in pool.decode)
+
+
+def _exceeds(wait_s: float | None, limit_s: float) -> bool:
+    """Return whether a forecast clearly exceeds a limit, or could not be made."""
+    return wait_s is None or wait_s > FORECAST_MARGIN * limit_s + FORECAST_SLACK_S
--- a/marjoramstile/pools/scheduler.py
+++ b/marjoramstile/pools/scheduler.py
@@ -5,9 +5,11 @@
 a new scheduler grants too many leases, a reservation on the replica is refused.
 
 Queued requests are ranked: resumed streams, then requests that can still be on time,
-then retries after a refusal. Each class is ordered by priority and time of arrival. A
-request may overtake another one only if it does not delay that one. A request whose
-expected wait is too long is refused on arrival, with the time after which capacity is
+then retries after a refusal. Each of these is ordered by whether the workspace holds
+more than its share, by priority and by time of arrival. A request may overtake another
+one only if it does not delay that one, and less urgent ones leave room for expected
+arrivals of more urgent ones. A request whose expected wait is too long is refused on
+arrival, or when others have gone ahead of it, with the time after which capacity is
 expected for it.
 """
 
@@ -45,7 +47,9 @@
 )
 from marjoramstile.pools.permits import UNLIMITED, ReplicaPermits
 from marjoramstile.pools.pool_state import PoolState
+from marjoramstile.pools.precedence import Precedence
 from marjoramstile.pools.refusals import Refusals
+from marjoramstile.pools.shares import WorkspaceShare
 from marjoramstile.pools.statistics import PoolStatistics
 from marjoramstile.pools.waiting import RequestQueue, WaitingRequest
 from marjoramstile.routes.balancing import Balancer
@@ -76,6 +80,8 @@
 # Length from which a queue is processed at most once a period, and that period.
 LONG_QUEUE = 4
 LONG_QUEUE_PERIOD_S = 0.02
+# Period at which queued requests that others went ahead of are examined again.
+OVERTAKEN_PERIOD_S = 0.1
 # Ends of leases whose requests were not sent to any replica.
 UNSENT_OUTCOMES = frozenset({LeaseOutcome.NO_ROOM, LeaseOutcome.UNREACHABLE})
 # Period at which expired leases are removed.
@@ -97,11 +103,14 @@
         balancer: Balancer,
         rng: random.Random,
         permits: ReplicaPermits = UNLIMITED,
+        count: Callable[[str], None] = lambda name: None,
     ):
         """``replicas`` returns the usable replicas of this shard in a stage.
 
         ``permits`` tells which of them may be sent requests under their limits.
+        ``count`` adds one to the counter of a name.
         """
+        self._count = count
         self._leases = LeaseTable()
         self._backoff = ReplicaBackoff()
         self._estimator = PoolEstimator()
@@ -110,8 +119,12 @@
         )
         self._queue = RequestQueue()
         self._expected_retries = ExpectedRetries()
-        self._refusals = Refusals(self._queue, self._expected_retries, rng)
+        self._precedence = Precedence(self._leases, self._queue)
+        self._refusals = Refusals(
+            self._queue, self._expected_retries, self._precedence, rng
+        )
         self._next_expiry = 0.0
+        self._next_overtaken = 0.0
         self._next_processing = 0.0
         self._answers: list[PlacementAnswer] = []
 
@@ -130,6 +143,11 @@
         """Statistics of the pool's generations."""
         return self._estimator.statistics
 
+    @property
+    def workspace_shares(self) -> list[WorkspaceShare]:
+        """The workspaces that hold memory or have queued requests."""
+        return self._precedence.rows()
+
     def pop_answers(self) -> list[PlacementAnswer]:
         """Return the answers collected since the last call, and clear them."""
         answers, self._answers = self._answers, []
@@ -195,13 +213,21 @@
         self, request: PlacementRequest, now: float, polls: bool
     ) -> WaitingRequest:
         urgency = self._urgency(request, now)
+        output_tokens = self._estimator.expected_output(request.output_tokens)
+        wait_limit_s = self._wait_limit_s(request, urgency)
+        if urgency == Urgency.ON_TIME and not request.retried:
+            self._precedence.observe_asked(request, output_tokens, wait_limit_s, now)
+        early = self._precedence.applies and self._expected_retries.is_early(
+            request.content, now
+        )
+        standing = self._precedence.standing(request.workspace)
         waiting = WaitingRequest(
-            self._queue.rank(request, urgency, now),
+            self._queue.rank(request, urgency, now, standing, early),
             request,
             urgency,
-            self._estimator.expected_output(request.output_tokens),
+            output_tokens,
             queued_at=now,
-            deadline=now + self._wait_limit_s(request, urgency),
+            deadline=now + wait_limit_s,
             polled_at=now if polls else None,
         )
         self._queue.add(waiting)
@@ -270,6 +296,7 @@
             decode_s=usage.decode_s,
             renewed_at=now,
             confirmed=True,
+            workspace=usage.workspace,
         )
         self._leases.add(lease)
         self._estimator.observe_adopted(usage, now)
@@ -318,6 +345,8 @@
             return
         self._queue.drop_abandoned(now)
         self._refuse_overdue(now)
+        self._precedence.update(now)
+        self._refuse_overtaken(now)
         while self._queue:
             placed = self._next_placement(now)
             if placed is None:
@@ -325,6 +354,7 @@
             waiting, placement = placed
             self._queue.remove(waiting)
             self._grant(waiting, placement, now)
+            self._precedence.rerank(now)
             self._refuse_overdue(now)
 
     def _expire(self, now: float) -> None:
@@ -341,20 +371,36 @@
         for waiting in self._queue.overdue(now + min(busy_s, PREFILL_LOOKAHEAD_S)):
             self._refuse(waiting, self.pool_snapshot(now), now)
 
+    def _refuse_overtaken(self, now: float) -> None:
+        """Refuse requests that can't be on time any more as others go ahead of them."""
+        if not self._precedence.applies or now < self._next_overtaken:
+            return
+        self._next_overtaken = now + OVERTAKEN_PERIOD_S
+        pool = self.pool_snapshot(now)
+        for waiting in self._refusals.overtaken(pool, self.statistics, now):
+            self._count("placements_refused_overtaken")
+            self._refuse(waiting, pool, now)
+
     def _next_placement(self, now: float) -> tuple[WaitingRequest, Placement] | None:
         """Return the next request to place, and where.
 
         It is the first one, or a later one that doesn't delay those ahead of it: the
         replicas expected to fit the blocked requests first are reserved for them, and
         a later request may be placed on the others. Late requests never overtake.
+        Less urgent requests are passed over if more urgent ones are about to arrive.
         """
         pool = self.pool_snapshot(now)
+        reserve = self._precedence.reserve(pool, self.statistics)
         blocked: list[WaitingRequest] = []
         reserved: set[str] = set()
         for waiting in self._queue.first_by_avoided(MAX_EXAMINED, MAX_AVOIDED_SETS):
             is_first = not blocked and not reserved
             if not is_first and waiting.urgency == Urgency.LATE:
                 return None
+            if not reserve.allows(waiting):
+                self._note_held_back(waiting, reserve.places(waiting.request), now)
+                blocked.append(waiting)
+                continue
             requirements = self._requirements(waiting, now)
             placement = choose_placement(pool, waiting.request, requirements)
             if placement is not None and not is_first:
@@ -367,6 +413,13 @@
             blocked.append(waiting)
         return None
 
+    def _note_held_back(self, waiting: WaitingRequest, places: int, now: float) -> None:
+        """Count a request that leaves room for more urgent ones, once, and log some."""
+        if not waiting.held_back:
+            waiting.held_back = True
+            self._count("placements_held_back")
+            self._precedence.log_held_back(waiting, places, now)
+
     def _requirements(self, waiting: WaitingRequest, now: float) -> Requirements:
         prompt, output = self.statistics.typical
         prefill_s = self._estimator.prefill_s(waiting.request.prompt_tokens)
@@ -397,10 +450,12 @@
             output_tokens=waiting.output_tokens,
             granted_at=now,
             renewed_at=now,
+            workspace=request.workspace,
         )
         self._state.begin_prefill(lease, now)
         self._state.use_permits(grant)
         self._leases.add(lease)
+        self._precedence.observe_granted(waiting, now)
         self._answers.append(grant)
 
     def _refuse(self, waiting: WaitingRequest, pool: PoolSnapshot, now: float) -> None:
--- a/marjoramstile/pools/waiting.py
+++ b/marjoramstile/pools/waiting.py
@@ -3,31 +3,53 @@
 import bisect
 import itertools
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from marjoramstile.pools.decisions import Generation, mean_tokens
 from marjoramstile.pools.messages import PlacementRequest, Urgency
+from marjoramstile.pools.shares import Standing
 
 # A request is dropped when its daemon has not polled for this long.
 POLL_TIMEOUT_S = 0.45
 
 
+class Rank(NamedTuple):
+    """Rank of a request in the queue; lower ones are placed first.
+
+    ``early`` means a retry before the time that its refusal named. ``arrived`` is when
+    the request arrived at its daemon; ``number`` counts the requests queued here.
+    """
+
+    urgency: Urgency
+    standing: Standing
+    workspace_priority: int
+    priority: int
+    early: bool
+    arrived: float
+    number: int
+
+
 @dataclass(order=True)
 class WaitingRequest:
     """A queued request; it is refused if it has not been placed by ``deadline``.
 
     ``output_tokens`` is the expected length of its output. ``polled_at`` is when its
-    daemon last polled; None if the daemon need not poll.
+    daemon last polled; None if the daemon need not poll. ``overtaken`` means that
+    another request has been placed in the queue ahead of it, ``held_back`` that it has
+    been passed over to leave room for more urgent ones.
     """
 
-    rank: tuple[int, int, float, int]
+    rank: Rank
     request: PlacementRequest = field(compare=False)
     urgency: Urgency = field(compare=False)
     output_tokens: int = field(compare=False)
     queued_at: float = field(compare=False)
     deadline: float = field(compare=False)
     polled_at: float | None = field(compare=False)
+    overtaken: bool = field(default=False, compare=False)
+    held_back: bool = field(default=False, compare=False)
 
     @property
     def tokens(self) -> int:
@@ -43,7 +65,7 @@
 
 
 class RequestQueue:
-    """Queued requests by urgency, priority and time of arrival; a scheduler owns it."""
+    """Queued requests by their ranks; a scheduler owns it."""
 
     def __init__(self):
         self._items: list[WaitingRequest] = []
@@ -63,16 +85,56 @@
         """Tokens of the prompts of all queued requests."""
         return sum(item.request.prompt_tokens for item in self._items)
 
+    @property
+    def workspace_tokens(self) -> dict[str, int]:
+        """Expected memory of the queued requests by workspace."""
+        tokens: Counter[str] = Counter()
+        for item in self._items:
+            tokens[item.request.workspace] += item.tokens
+        return tokens
+
     def rank(
-        self, request: PlacementRequest, urgency: Urgency, now: float
-    ) -> tuple[int, int, float, int]:
+        self,
+        request: PlacementRequest,
+        urgency: Urgency,
+        now: float,
+        standing: Standing = Standing.WITHIN_SHARE,
+        early: bool = False,
+    ) -> Rank:
         """Return the rank of a request that arrives in the queue now."""
         arrived = now - request.waited_s
-        return urgency, request.priority, arrived, next(self._numbers)
+        number = next(self._numbers)
+        return Rank(urgency, standing, *request.priority_class, early, arrived, number)
 
     def add(self, waiting: WaitingRequest) -> None:
         """Insert a request by its rank."""
-        bisect.insort(self._items, waiting)
+        index = bisect.bisect(self._items, waiting.rank, key=_rank_of)
+        self._items.insert(index, waiting)
+        for item in itertools.islice(self._items, index + 1, None):
+            item.overtaken = True
+
+    def rerank(self, standing_of: Callable[[str], Standing]) -> set[str]:
+        """Sort the requests by the present standings of their workspaces.
+
+        Returns the workspaces that are over their share now and were not before.
+        """
+        standings: dict[str, Standing] = {}
+        newly_over: set[str] = set()
+        changed = False
+        for item in self._items:
+            workspace = item.request.workspace
+            standing = standings.get(workspace)
+            if standing is None:
+                standing = standings[workspace] = standing_of(workspace)
+            if standing != item.rank.standing:
+                item.overtaken = item.overtaken or standing > item.rank.standing
+                if standing == Standing.OVER_SHARE:
+                    newly_over.add(workspace)
+                item.rank = item.rank._replace(standing=standing)
+                changed = True
+        if changed:
+            self._items.sort(key=_rank_of)
+        return newly_over
 
     def remove(self, waiting: WaitingRequest) -> None:
         """Remove a request."""
@@ -119,3 +181,7 @@
     def overdue(self, now: float) -> list[WaitingRequest]:
         """Return the requests whose deadline is not after ``now``."""
         return [item for item in self._items if now >= item.deadline]
+
+
+def _rank_of(waiting: WaitingRequest) -> Rank:
+    return waiting.rank
--- a/tests/pools/support.py
+++ b/tests/pools/support.py
@@ -1,13 +1,18 @@
 """Pools, requests and replicas for tests of schedulers."""
 
+import math
 import random
-from dataclasses import replace
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 
 from marjoramstile.pools.messages import (
     LeaseEnd,
     LeaseOutcome,
+    LeaseRenewal,
     LeaseUsage,
     PlacementGrant,
+    PlacementRefusal,
     PlacementRequest,
 )
 from marjoramstile.pools.scheduler import PoolScheduler
@@ -50,8 +55,11 @@
 class Pool:
     """A scheduler with replicas and a clock that tests may change."""
 
-    def __init__(self, prefill: int = 1, decode: int = 2):
+    def __init__(
+        self, prefill: int = 1, decode: int = 2, engine: EngineTraits = ENGINE
+    ):
         self.now = 100.0
+        self.engine = engine
         self.replicas = {
             Stage.PREFILL: [replica(f"e{n}", Stage.PREFILL) for n in range(prefill)],
             Stage.DECODE: [replica(f"d{n}", Stage.DECODE) for n in range(decode)],
@@ -60,12 +68,17 @@
             lambda stage: self.replicas[stage],
             Balancer("a", random.Random(1)),
             random.Random(2),
+            count=self._count,
         )
+        self.counters: Counter[str] = Counter()
         self.answers: list = []
 
+    def _count(self, name: str) -> None:
+        self.counters[name] += 1
+
     def ask(self, asked: PlacementRequest, polls: bool = False):
         """Send a placement request; return the latest answer to it."""
-        self.scheduler.ask(asked, ENGINE, self.now, polls)
+        self.scheduler.ask(asked, self.engine, self.now, polls)
         self.collect()
         return self.answer_to(asked.id)
 
@@ -111,4 +124,199 @@
             produced,
             produced * 0.0042,
             0.1,
+            asked.workspace,
         )
+
+
+# Speeds of the played replicas, and the time to the first event beside the prefill.
+DECODE_S_PER_TOKEN = 0.0042
+PREFILL_TOKENS_PER_S = 33_000
+EVENT_OVERHEAD_S = 0.08
+
+
+@dataclass(frozen=True)
+class CallerClass:
+    """Callers of one workspace and route; ``per_s`` is their rate at a time.
+
+    They send each refused request again ``retries`` times, after the time that the
+    refusal names if ``patient``, else at once.
+    """
+
+    name: str
+    per_s: Callable[[float], float]
+    workspace: str = ""
+    weight: float = 1.0
+    priority: int = 1
+    target_s: float = 0.9
+    workspace_priority: int | None = None
+    retries: int = 0
+    patient: bool = True
+
+
+@dataclass
+class Served:
+    """What the callers of a class got; ``waits_s`` are those of refused requests."""
+
+    asked: int = 0
+    on_time: int = 0
+    late: int = 0
+    refused: int = 0
+    tokens: int = 0
+    waits_s: list[float] = field(default_factory=list)
+
+    @property
+    def on_time_fraction(self) -> float:
+        """Requests that got their first event in time."""
+        return self.on_time / max(1, self.asked)
+
+    @property
+    def served_fraction(self) -> float:
+        """Requests that were served, in time or late."""
+        return (self.on_time + self.late) / max(1, self.asked)
+
+
+@dataclass
+class _Sent:
+    caller: CallerClass
+    request: PlacementRequest
+    output: int
+    first_at: float
+    asked_at: float
+    retries: int
+
+
+class LoadedPool:
+    """Plays callers on a scheduler and its replicas, in steps of 10 ms."""
+
+    STEP_S = 0.01
+
+    def __init__(self, pool: Pool, callers: list[CallerClass], seed: int):
+        self.pool = pool
+        self.callers = callers
+        self.served = {caller.name: Served() for caller in callers}
+        self._rng = random.Random(seed)
+        self._number = 0
+        self._sent: dict[str, _Sent] = {}
+        self._running: dict[str, tuple[float, _Sent, PlacementGrant]] = {}
+        self._again: list[tuple[float, _Sent]] = []
+        self._renew_at = pool.now
+
+    def play(self, seconds: float) -> None:
+        """Play the callers for some seconds, beginning at time 0 of their rates."""
+        begin = self.pool.now
+        while self.pool.now < begin + seconds:
+            self.pool.now += self.STEP_S
+            self._end_generations()
+            for caller in self.callers:
+                rate = caller.per_s(self.pool.now - begin)
+                for _ in range(self._poisson(rate * self.STEP_S)):
+                    self._send_new(caller)
+            self._send_again()
+            self._renew()
+            self.pool.scheduler.process_queue(self.pool.now)
+            self.pool.collect()
+            self._handle_answers()
+
+    def total(self) -> Served:
+        """Return the sums over all callers."""
+        items = self.served.values()
+        return Served(*(sum(getattr(item, name) for item in items) for name in _COUNTS))
+
+    def _poisson(self, mean: float) -> int:
+        count, product = 0, self._rng.random()
+        while product > math.exp(-mean):
+            count += 1
+            product *= self._rng.random()
+        return count
+
+    def _lognormal(self, mean: float, spread: float) -> int:
+        sigma = math.sqrt(math.log1p(spread * spread))
+        return max(1, round(mean * math.exp(self._rng.gauss(-(sigma**2) / 2, sigma))))
+
+    def _send_new(self, caller: CallerClass) -> None:
+        prompt = min(12_000, self._lognormal(3200, 0.5))
+        output = min(4000, self._lognormal(800, 0.7))
+        content = f"c-{self._number}"
+        asked = request(
+            "",
+            content=content,
+            prompt_tokens=prompt,
+            output_tokens=self._lognormal(output, 0.3),
+            priority=caller.priority,
+            target_s=caller.target_s,
+            workspace=caller.workspace,
+            weight=caller.weight,
+            workspace_priority=caller.workspace_priority,
+        )
+        now = self.pool.now
+        self.served[caller.name].asked += 1
+        self._send(_Sent(caller, asked, output, now, now, caller.retries))
+
+    def _send(self, sent: _Sent) -> None:
+        self._number += 1
+        name = f"q{self._number}"
+        sent.request = replace(sent.request, id=name)
+        sent.asked_at = self.pool.now
+        self._sent[name] = sent
+        self.pool.scheduler.ask(sent.request, self.pool.engine, self.pool.now, False)
+        self.pool.collect()
+        self._handle_answers()
+
+    def _send_again(self) -> None:
+        due = [sent for at, sent in self._again if at <= self.pool.now]
+        self._again = [item for item in self._again if item[0] > self.pool.now]
+        for sent in due:
+            sent.retries -= 1
+            self._send(sent)
+
+    def _handle_answers(self) -> None:
+        answers, self.pool.answers = self.pool.answers, []
+        for answer in answers:
+            if isinstance(answer, PlacementGrant):
+                self._begin(self._sent.pop(answer.id), answer)
+            elif isinstance(answer, PlacementRefusal):
+                self._refuse(self._sent.pop(answer.id), answer)
+
+    def _begin(self, sent: _Sent, grant: PlacementGrant) -> None:
+        served = self.served[sent.caller.name]
+        prefill_s = sent.request.prompt_tokens / PREFILL_TOKENS_PER_S
+        first_s = self.pool.now - sent.first_at + prefill_s + EVENT_OVERHEAD_S
+        if first_s <= sent.caller.target_s:
+            served.on_time += 1
+        else:
+            served.late += 1
+        served.tokens += sent.request.prompt_tokens + sent.output
+        end_at = self.pool.now + prefill_s + sent.output * DECODE_S_PER_TOKEN
+        self._running[grant.id] = end_at, sent, grant
+
+    def _refuse(self, sent: _Sent, refusal: PlacementRefusal) -> None:
+        now = self.pool.now
+        served = self.served[sent.caller.name]
+        served.waits_s.append(now - sent.asked_at)
+        if not sent.retries:
+            served.refused += 1
+            return
+        wait_s = refusal.retry_after_s if sent.caller.patient else 0.05
+        self._again.append((now + wait_s, sent))
+
+    def _end_generations(self) -> None:
+        now = self.pool.now
+        for name, (end_at, sent, grant) in list(self._running.items()):
+            if end_at <= now:
+                del self._running[name]
+                self.pool.end(sent.request, grant, produced=sent.output)
+                self._handle_answers()
+
+    def _renew(self) -> None:
+        if self.pool.now < self._renew_at:
+            return
+        self._renew_at = self.pool.now + 1.0
+        for end_at, sent, grant in self._running.values():
+            left = round((end_at - self.pool.now) / DECODE_S_PER_TOKEN)
+            produced = max(0, min(sent.output, sent.output - left))
+            usage = self.pool.usage(sent.request, grant, produced)
+            renewal = LeaseRenewal(SERVICE, 0, (usage,))
+            self.pool.scheduler.renew(renewal, self.pool.now)
+
+
+_COUNTS = ("asked", "on_time", "late", "refused", "tokens")
