Pools: forecasts expect more urgent arrivals for half a second only; load tests of shares

A burst of masters of one second made the scheduler refuse a quarter of the previews that it could serve after the burst, since the present rate was taken to go on for the whole wait. Requests that were overtaken are examined again every 0.1 s, so the forecast on arrival need not look far ahead, and a short window shows that a burst has ended.

Run: tests/pools, tests/peers/test_pool_datagrams.py, tests/routes/test_placement.py, tests/routes/test_generations.py

--- a/marjoramstile/pools/forecasts.py
+++ b/marjoramstile/pools/forecasts.py
@@ -1,12 +1,16 @@
 """Pure functions that forecast, from a snapshot, how long a request will wait."""
 
-import math
 from collections.abc import Sequence
 
 from marjoramstile.pools.decisions import Generation, PoolSnapshot, capacity_times
 from marjoramstile.pools.leases import LOCAL_PREFILL_FACTOR
 from marjoramstile.pools.statistics import PoolStatistics
 
+# Time for which more urgent requests are expected to go on arriving at their present
+# rate. Queued requests are examined again while bursts last; with no such limit, a
+# burst of one second made the pool refuse what it could serve after it.
+INFLOW_HORIZON_S = 0.5
+
 
 def memory_wait_s(
     pool: PoolSnapshot,
@@ -31,18 +35,21 @@
         (
             tokens * s_per_token
             for number, tokens in enumerate(times[ahead:])
-            if number >= inflow_per_s * tokens * s_per_token
+            if number >= _arrivals(inflow_per_s, tokens * s_per_token)
         ),
         None,
     )
     if wait_s is None:
         return None
     generations = max(1, sum(len(replica.generations) for replica in pool.decode))
-    left_fraction = 1 - inflow_per_s * statistics.decode_s / generations
-    if left_fraction <= 0:
-        return wait_s
     typical_s = (ahead + 1) * statistics.decode_s / generations
-    return min(wait_s, typical_s / left_fraction)
+    arrivals = _arrivals(inflow_per_s, typical_s)
+    return min(wait_s, typical_s + arrivals * statistics.decode_s / generations)
+
+
+def _arrivals(inflow_per_s: float, wait_s: float) -> float:
+    """Return how many more urgent requests are expected to arrive during a wait."""
+    return inflow_per_s * min(wait_s, INFLOW_HORIZON_S)
 
 
 def prefill_wait_s(
@@ -62,9 +69,8 @@
     if pool.prefill_saturated:
         local_speed = statistics.prefill_tokens_per_s / LOCAL_PREFILL_FACTOR
         speed += len(pool.decode) * local_speed
-    if inflow_tokens_per_s >= speed:
-        return math.inf
-    return pool.prefill_busy_s + prompt_tokens / (speed - inflow_tokens_per_s)
+    wait_s = pool.prefill_busy_s + prompt_tokens / speed
+    return wait_s + _arrivals(inflow_tokens_per_s, wait_s) / speed
 
 
 def late_wait_s(
--- a/marjoramstile/pools/refusals.py
+++ b/marjoramstile/pools/refusals.py
@@ -26,6 +26,9 @@
 # A forecast must exceed the limit by more than these, as it may be wrong.
 FORECAST_MARGIN = 1.25
 FORECAST_SLACK_S = 0.05
+# The same factor for queued requests that others went ahead of. Forecasts are mostly
+# too long: with 1.25, up to 3% fewer requests were served in played bursts.
+OVERTAKEN_MARGIN = 2.0
 # A queued request that has less time left is not refused before its deadline: that
 # would save its caller too little if the forecast is wrong.
 EARLY_REFUSAL_MIN_S = 0.2
@@ -117,6 +120,7 @@
                         item, ahead, prompts, pool, reserve, statistics, times
                     ),
                     left_s,
+                    OVERTAKEN_MARGIN,
                 )
             ):
                 hopeless.append(item)
@@ -255,6 +259,8 @@
     return any(replica.replica_id not in avoid for replica in pool.decode)
 
 
-def _exceeds(wait_s: float | None, limit_s: float) -> bool:
+def _exceeds(
+    wait_s: float | None, limit_s: float, margin: float = FORECAST_MARGIN
+) -> bool:
     """Return whether a forecast clearly exceeds a limit, or could not be made."""
-    return wait_s is None or wait_s > FORECAST_MARGIN * limit_s + FORECAST_SLACK_S
+    return wait_s is None or wait_s > margin * limit_s + FORECAST_SLACK_S
--- a/marjoramstile/pools/reserve.py
+++ b/marjoramstile/pools/reserve.py
@@ -15,8 +15,10 @@
     PoolSnapshot,
 )
 
-# Window over which the arrivals of each class are measured.
+# Windows over which the arrivals of each class are measured; the short one shows that
+# a burst has ended.
 ARRIVALS_WINDOW_S = 4.0
+SHORT_WINDOW_S = 1.0
 # Standard deviations by which arrivals may exceed their expected number.
 ARRIVALS_DEVIATIONS = 1.0
 # Fraction of the ends of generations that make room for another one: some end at
@@ -62,50 +64,83 @@
         self.wait_s += sign * arrival.wait_s
 
 
-class ClassArrivals:
-    """The arrivals of each priority class in the last seconds; a scheduler owns it."""
+class _Window:
+    """The arrivals of the last ``length_s`` seconds, and their sums by class."""
 
-    def __init__(self):
+    def __init__(self, length_s: float):
+        self._length_s = length_s
         self._recent: deque[tuple[float, Arrival]] = deque()
         self._sums: dict[PriorityClass, _Sums] = {}
 
-    def observe(self, arrival: Arrival, now: float) -> None:
-        """Add a new request."""
+    def __len__(self) -> int:
+        """Return the number of classes."""
+        return len(self._sums)
+
+    def add(self, arrival: Arrival, now: float) -> None:
+        """Add an arrival."""
         self._recent.append((now, arrival))
         self._sums.setdefault(arrival.priority_class, _Sums()).add(arrival, 1)
-        self.forget_old(now)
 
     def forget_old(self, now: float) -> None:
         """Forget arrivals before the window."""
-        while self._recent and self._recent[0][0] <= now - ARRIVALS_WINDOW_S:
+        while self._recent and self._recent[0][0] <= now - self._length_s:
             _, arrival = self._recent.popleft()
             sums = self._sums[arrival.priority_class]
             sums.add(arrival, -1)
             if not sums.requests:
                 del self._sums[arrival.priority_class]
 
+    def before(self, priority_class: PriorityClass) -> list[_Sums]:
+        """Return the sums of the more urgent classes."""
+        return [item for key, item in self._sums.items() if key < priority_class]
+
+
+class ClassArrivals:
+    """The arrivals of each priority class in the last seconds; a scheduler owns it."""
+
+    def __init__(self):
+        self._window = _Window(ARRIVALS_WINDOW_S)
+        self._short_window = _Window(SHORT_WINDOW_S)
+
+    def observe(self, arrival: Arrival, now: float) -> None:
+        """Add a new request."""
+        self._window.add(arrival, now)
+        self._short_window.add(arrival, now)
+        self.forget_old(now)
+
+    def forget_old(self, now: float) -> None:
+        """Forget arrivals before the windows."""
+        self._window.forget_old(now)
+        self._short_window.forget_old(now)
+
     @property
     def differ(self) -> bool:
         """Whether requests of more than one class have arrived."""
-        return len(self._sums) > 1
+        return len(self._window) > 1
 
     def before(self, priority_class: PriorityClass) -> ExpectedArrivals | None:
         """Return the arrivals of all more urgent classes; None if there were none.
 
         They may wait as long as the least patient of these classes.
         """
-        sums = [item for key, item in self._sums.items() if key < priority_class]
+        sums = self._window.before(priority_class)
         if not sums:
             return None
         requests = sum(item.requests for item in sums)
         prompt = round(sum(item.prompt_tokens for item in sums) / requests)
         output = round(sum(item.output_tokens for item in sums) / requests)
         return ExpectedArrivals(
-            requests / ARRIVALS_WINDOW_S,
+            min(requests / ARRIVALS_WINDOW_S, self._most_per_s(priority_class)),
             Generation(prompt, output, output),
             min(item.wait_s / item.requests for item in sums),
         )
 
+    def _most_per_s(self, priority_class: PriorityClass) -> float:
+        """Return the rate that the last second allows for, within a deviation."""
+        sums = self._short_window.before(priority_class)
+        requests = sum(item.requests for item in sums)
+        return (requests + 1 + math.sqrt(requests)) / SHORT_WINDOW_S
+
 
 def ends_s(pool: PoolSnapshot, decode_s_per_token: float) -> list[float]:
     """Return the times until the running generations are expected to end, sorted."""
--- a/tests/pools/support.py
+++ b/tests/pools/support.py
@@ -151,6 +151,7 @@
     workspace_priority: int | None = None
     retries: int = 0
     patient: bool = True
+    output_spread: float = 0.7
 
 
 @dataclass
@@ -235,7 +236,7 @@
 
     def _send_new(self, caller: CallerClass) -> None:
         prompt = min(12_000, self._lognormal(3200, 0.5))
-        output = min(4000, self._lognormal(800, 0.7))
+        output = min(4000, self._lognormal(800, caller.output_spread))
         content = f"c-{self._number}"
         asked = request(
             "",
