Pools: operators see the shares of workspaces; shares are cheap for long queues

Shares of a queue of 32 and more requests are computed every 0.1 s, and after a grant only its workspace is ranked again.

--- a/marjoramstile/pools/forecasts.py
+++ b/marjoramstile/pools/forecasts.py
@@ -1,6 +1,4 @@
-"""Pure functions that forecast, from a snapshot, how long a request will wait."""
-
-from collections.abc import Sequence
+"""Forecasts, from a snapshot of a pool, how long a request will wait."""
 
 from marjoramstile.pools.decisions import Generation, PoolSnapshot, capacity_times
 from marjoramstile.pools.leases import LOCAL_PREFILL_FACTOR
@@ -12,39 +10,56 @@
 INFLOW_HORIZON_S = 0.5
 
 
-def memory_wait_s(
-    pool: PoolSnapshot,
-    generation: Generation,
-    ahead: int,
-    statistics: PoolStatistics,
-    inflow_per_s: float = 0.0,
-    times: Sequence[int] | None = None,
-) -> float | None:
-    """Return the time until there is memory for one more request.
-
-    ``ahead`` queued requests go first, and so do more urgent ones that arrive in the
-    meantime, at ``inflow_per_s``. None if the time can't be estimated. It is limited to
-    ``ahead + 1`` times the average interval between ends of generations: the first of
-    many generations ends sooner than any single one is expected to. ``times`` are the
-    pool's capacity times if they are known.
-    """
-    if times is None:
-        times = pool_capacity_times(pool, generation)
-    s_per_token = statistics.decode_s_per_token
-    wait_s = next(
-        (
-            tokens * s_per_token
-            for number, tokens in enumerate(times[ahead:])
-            if number >= _arrivals(inflow_per_s, tokens * s_per_token)
-        ),
-        None,
-    )
-    if wait_s is None:
+class PoolForecast:
+    """Forecasts of one pool snapshot, for requests that need a like generation."""
+
+    def __init__(
+        self, pool: PoolSnapshot, generation: Generation, statistics: PoolStatistics
+    ):
+        self._times = _capacity_times(pool, generation)
+        self._s_per_token = statistics.decode_s_per_token
+        self._decode_s = statistics.decode_s
+        self._generations = max(1, sum(len(item.generations) for item in pool.decode))
+        self._prefill_busy_s = pool.prefill_busy_s
+        self._prefill_speed = len(pool.prefill) * statistics.prefill_tokens_per_s
+        if pool.prefill_saturated:
+            local_speed = statistics.prefill_tokens_per_s / LOCAL_PREFILL_FACTOR
+            self._prefill_speed += len(pool.decode) * local_speed
+
+    def memory_wait_s(self, ahead: int, inflow_per_s: float = 0.0) -> float | None:
+        """Return the time until there is memory for one more request.
+
+        ``ahead`` queued requests go first, and so do more urgent ones that arrive in
+        the meantime, at ``inflow_per_s``. None if the time can't be estimated. It is
+        limited to the average time in which as many generations end: the first of many
+        generations ends sooner than any single one is expected to.
+        """
+        wait_s = self._capacity_wait_s(ahead, inflow_per_s)
+        if wait_s is None:
+            return None
+        typical_s = (ahead + 1) * self._decode_s / self._generations
+        arrivals = _arrivals(inflow_per_s, typical_s)
+        return min(wait_s, typical_s + arrivals * self._decode_s / self._generations)
+
+    def _capacity_wait_s(self, ahead: int, inflow_per_s: float) -> float | None:
+        for index in range(ahead, len(self._times)):
+            wait_s = self._times[index] * self._s_per_token
+            if index - ahead >= _arrivals(inflow_per_s, wait_s):
+                return wait_s
         return None
-    generations = max(1, sum(len(replica.generations) for replica in pool.decode))
-    typical_s = (ahead + 1) * statistics.decode_s / generations
-    arrivals = _arrivals(inflow_per_s, typical_s)
-    return min(wait_s, typical_s + arrivals * statistics.decode_s / generations)
+
+    def prefill_wait_s(
+        self, prompt_tokens: int, inflow_tokens_per_s: float = 0.0
+    ) -> float:
+        """Return the time until ``prompt_tokens`` of requests ahead are prefilled.
+
+        Prompts of more urgent requests arrive at ``inflow_tokens_per_s``. Decode
+        replicas prefill too when the prefill replicas are saturated.
+        """
+        if self._prefill_busy_s is None:
+            return 0.0
+        wait_s = self._prefill_busy_s + prompt_tokens / self._prefill_speed
+        return wait_s + _arrivals(inflow_tokens_per_s, wait_s) / self._prefill_speed
 
 
 def _arrivals(inflow_per_s: float, wait_s: float) -> float:
@@ -52,27 +67,6 @@
     return inflow_per_s * min(wait_s, INFLOW_HORIZON_S)
 
 
-def prefill_wait_s(
-    pool: PoolSnapshot,
-    prompt_tokens: int,
-    statistics: PoolStatistics,
-    inflow_tokens_per_s: float = 0.0,
-) -> float:
-    """Return the time until ``prompt_tokens`` of requests ahead are prefilled.
-
-    Prompts of more urgent requests arrive at ``inflow_tokens_per_s``. Decode replicas
-    prefill too when the prefill replicas are saturated.
-    """
-    if not pool.prefill:
-        return 0.0
-    speed = len(pool.prefill) * statistics.prefill_tokens_per_s
-    if pool.prefill_saturated:
-        local_speed = statistics.prefill_tokens_per_s / LOCAL_PREFILL_FACTOR
-        speed += len(pool.decode) * local_speed
-    wait_s = pool.prefill_busy_s + prompt_tokens / speed
-    return wait_s + _arrivals(inflow_tokens_per_s, wait_s) / speed
-
-
 def late_wait_s(
     pool: PoolSnapshot,
     generation: Generation,
@@ -85,14 +79,14 @@
     ``ahead`` requests go first, and so do those that arrive in the meantime, at
     ``inflow_per_s``. None if the time can't be estimated.
     """
-    for number, tokens in enumerate(pool_capacity_times(pool, generation)):
+    for number, tokens in enumerate(_capacity_times(pool, generation)):
         wait_s = tokens * statistics.decode_s_per_token
         if number >= ahead + inflow_per_s * wait_s:
             return wait_s
     return None
 
 
-def pool_capacity_times(pool: PoolSnapshot, generation: Generation) -> list[int]:
+def _capacity_times(pool: PoolSnapshot, generation: Generation) -> list[int]:
     """Return when the pool fits one request, two, and so on, in tokens added."""
     return sorted(
         tokens
--- a/marjoramstile/pools/host.py
+++ b/marjoramstile/pools/host.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial, singledispatchmethod
 
 from marjoramstile.logs import get_logger
@@ -20,6 +20,7 @@
 from marjoramstile.pools.permits import UNLIMITED, ReplicaPermits
 from marjoramstile.pools.scheduler import PoolScheduler
 from marjoramstile.pools.shards import PoolShards
+from marjoramstile.pools.shares import WorkspaceShare
 from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.routes.balancing import Balancer
 from marjoramstile.routes.replica_types import Replica
@@ -52,11 +53,14 @@
         balancer: Balancer,
         rng: random.Random,
         permits: ReplicaPermits = UNLIMITED,
+        count: Callable[[str, str], None] = lambda name, service: None,
     ):
         """``engine_of`` returns the traits of a service's engines, if it has any.
 
         ``permits`` tells which replicas may be sent requests under their limits.
+        ``count`` adds one to the counter of a name and a service.
         """
+        self._count = count
         self._shards = shards
         self._engine_of = engine_of
         self._balancer = balancer
@@ -76,6 +80,7 @@
                 self._balancer,
                 self._rng,
                 self._permits,
+                partial(self._count, service=service),
             )
             if service in self._profiles:
                 scheduler.statistics.adopt(self._profiles[service], loop_time())
@@ -106,6 +111,12 @@
                 total = total.plus(lease_totals.requests, lease_totals.tokens)
         return total
 
+    def workspace_shares(self) -> Iterator[tuple[str, int, WorkspaceShare]]:
+        """Return the service, the shard and the share of each active workspace."""
+        for (service, shard), scheduler in self._schedulers.items():
+            for share in scheduler.workspace_shares:
+                yield service, shard, share
+
     @singledispatchmethod
     def handle_message(self, message: object, reply: Reply, polls: bool = True) -> None:
         """Handle a message; ``reply`` is called with each answer, now or later.
--- a/marjoramstile/pools/precedence.py
+++ b/marjoramstile/pools/precedence.py
@@ -4,6 +4,7 @@
 without effect while all requests are of one class and name no workspace.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from functools import cached_property
 
@@ -26,6 +27,10 @@
 from marjoramstile.pools.statistics import PoolStatistics
 from marjoramstile.pools.waiting import RequestQueue, WaitingRequest
 
+# Length from which the shares are computed at most once a period, and that period: for
+# 300 queued requests they take about a millisecond.
+LONG_QUEUE = 32
+SHARES_PERIOD_S = 0.1
 # Shortest time between two log lines about the same workspace or class.
 LOG_PERIOD_S = 5.0
 # Names of which the time of the last line is kept.
@@ -85,6 +90,7 @@
         self._shares = WorkspaceShares()
         self._arrivals = ClassArrivals()
         self._served = ServedRatios()
+        self._next_shares = 0.0
         self._logged_at: dict[object, float] = {}
 
     @property
@@ -115,18 +121,28 @@
         return self._shares.standing(workspace)
 
     def update(self, now: float) -> None:
-        """Compute the shares and sort the queue by them."""
+        """Compute the shares and sort the queue by them, a long one once a period."""
         self._arrivals.forget_old(now)
-        if self._shares.in_use:
-            held = self._leases.workspace_tokens
-            self._shares.update(held, self._queue.workspace_tokens)
-            self.rerank(now)
-
-    def rerank(self, now: float) -> None:
-        """Sort the queue after grants, at unchanged shares."""
         if not self._shares.in_use:
             return
-        for name in self._queue.rerank(self._shares.standing):
+        if len(self._queue) < LONG_QUEUE or now >= self._next_shares:
+            self.compute_shares(now)
+
+    def compute_shares(self, now: float) -> None:
+        """Compute the shares and sort the queue by them."""
+        self._next_shares = now + SHARES_PERIOD_S
+        held = self._leases.workspace_tokens
+        self._shares.update(held, self._queue.workspace_tokens)
+        self._log_over(self._queue.rerank(self._shares.standing), now)
+
+    def rerank(self, workspace: str, now: float) -> None:
+        """Sort the queue after a grant to a workspace, at unchanged shares."""
+        if self._shares.in_use:
+            newly_over = self._queue.rerank(self._shares.standing, {workspace})
+            self._log_over(newly_over, now)
+
+    def _log_over(self, workspaces: set[str], now: float) -> None:
+        for name in workspaces:
             if self._may_log(name, now):
                 logger.info(
                     "workspace_over_share",
@@ -177,7 +193,9 @@
             return []
         held = self._leases.workspace_tokens
         self._shares.update(held, self._queue.workspace_tokens)
-        return self._shares.rows()
+        return self._shares.rows(
+            Counter(item.request.workspace for item in self._queue)
+        )
 
     def _may_log(self, name: object, now: float) -> bool:
         if now - self._logged_at.get(name, -LOG_PERIOD_S) < LOG_PERIOD_S:
--- a/marjoramstile/pools/refusals.py
+++ b/marjoramstile/pools/refusals.py
@@ -11,12 +11,7 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.pools.decisions import Generation, PoolSnapshot, late_reserve
 from marjoramstile.pools.expected_retries import ExpectedRetries
-from marjoramstile.pools.forecasts import (
-    late_wait_s,
-    memory_wait_s,
-    pool_capacity_times,
-    prefill_wait_s,
-)
+from marjoramstile.pools.forecasts import PoolForecast, late_wait_s
 from marjoramstile.pools.messages import PlacementRefusal, PlacementRequest, Urgency
 from marjoramstile.pools.precedence import Precedence, Reserve
 from marjoramstile.pools.statistics import PoolStatistics
@@ -89,9 +84,8 @@
         ahead = [item for item in self._queue.ahead_of(waiting) if _can_use(item, pool)]
         prompts = sum(item.request.prompt_tokens for item in ahead)
         reserve = self._precedence.reserve(pool, statistics)
-        wait_s = self._forecast_s(
-            waiting, len(ahead), prompts, pool, reserve, statistics
-        )
+        forecast = PoolForecast(pool, waiting.generation, statistics)
+        wait_s = self._forecast_s(waiting, len(ahead), prompts, pool, reserve, forecast)
         return _exceeds(wait_s, waiting.deadline - now)
 
     def overtaken(
@@ -105,7 +99,8 @@
         if not any(item.overtaken for item in self._queue):
             return []
         prompt, output = statistics.typical
-        times = pool_capacity_times(pool, Generation(prompt, output, output))
+        typical = Generation(prompt, output, output)
+        forecast = PoolForecast(pool, typical, statistics)
         reserve = self._precedence.reserve(pool, statistics)
         hopeless: list[WaitingRequest] = []
         ahead = prompts = 0
@@ -116,9 +111,7 @@
                 and item.urgency == Urgency.ON_TIME
                 and left_s > EARLY_REFUSAL_MIN_S
                 and _exceeds(
-                    self._forecast_s(
-                        item, ahead, prompts, pool, reserve, statistics, times
-                    ),
+                    self._forecast_s(item, ahead, prompts, pool, reserve, forecast),
                     left_s,
                     OVERTAKEN_MARGIN,
                 )
@@ -136,8 +129,7 @@
         prompts: int,
         pool: PoolSnapshot,
         reserve: Reserve,
-        statistics: PoolStatistics,
-        times: list[int] | None = None,
+        forecast: PoolForecast,
     ) -> float | None:
         """Return the expected wait; None if it can't be estimated.
 
@@ -152,14 +144,10 @@
         expected = self._precedence.inflow_before(waiting)
         inflow_per_s = 0.0 if expected is None else expected.per_s
         inflow_tokens = 0.0 if expected is None else expected.typical.tokens
-        memory_s = memory_wait_s(
-            pool, waiting.generation, position, statistics, inflow_per_s, times
-        )
+        memory_s = forecast.memory_wait_s(position, inflow_per_s)
         if memory_s is None:
             return None
-        prefill_s = prefill_wait_s(
-            pool, prompts, statistics, inflow_per_s * inflow_tokens
-        )
+        prefill_s = forecast.prefill_wait_s(prompts, inflow_per_s * inflow_tokens)
         return max(memory_s, prefill_s)
 
     def refuse(
--- a/marjoramstile/pools/reserve.py
+++ b/marjoramstile/pools/reserve.py
@@ -81,14 +81,16 @@
         self._recent.append((now, arrival))
         self._sums.setdefault(arrival.priority_class, _Sums()).add(arrival, 1)
 
-    def forget_old(self, now: float) -> None:
-        """Forget arrivals before the window."""
+    def forget_old(self, now: float) -> int:
+        """Forget arrivals before the window; return their number."""
+        before = len(self._recent)
         while self._recent and self._recent[0][0] <= now - self._length_s:
             _, arrival = self._recent.popleft()
             sums = self._sums[arrival.priority_class]
             sums.add(arrival, -1)
             if not sums.requests:
                 del self._sums[arrival.priority_class]
+        return before - len(self._recent)
 
     def before(self, priority_class: PriorityClass) -> list[_Sums]:
         """Return the sums of the more urgent classes."""
@@ -96,9 +98,13 @@
 
 
 class ClassArrivals:
-    """The arrivals of each priority class in the last seconds; a scheduler owns it."""
+    """The arrivals of each priority class in the last seconds; a scheduler owns it.
+
+    What is expected is kept until arrivals change, as each queued request asks for it.
+    """
 
     def __init__(self):
+        self._expected: dict[PriorityClass, ExpectedArrivals | None] = {}
         self._window = _Window(ARRIVALS_WINDOW_S)
         self._short_window = _Window(SHORT_WINDOW_S)
 
@@ -106,12 +112,14 @@
         """Add a new request."""
         self._window.add(arrival, now)
         self._short_window.add(arrival, now)
+        self._expected.clear()
         self.forget_old(now)
 
     def forget_old(self, now: float) -> None:
         """Forget arrivals before the windows."""
-        self._window.forget_old(now)
-        self._short_window.forget_old(now)
+        for window in (self._window, self._short_window):
+            if window.forget_old(now):
+                self._expected.clear()
 
     @property
     def differ(self) -> bool:
@@ -123,6 +131,11 @@
 
         They may wait as long as the least patient of these classes.
         """
+        if priority_class not in self._expected:
+            self._expected[priority_class] = self._expect(priority_class)
+        return self._expected[priority_class]
+
+    def _expect(self, priority_class: PriorityClass) -> ExpectedArrivals | None:
         sums = self._window.before(priority_class)
         if not sums:
             return None
--- a/marjoramstile/pools/scheduler.py
+++ b/marjoramstile/pools/scheduler.py
@@ -354,7 +354,7 @@
             waiting, placement = placed
             self._queue.remove(waiting)
             self._grant(waiting, placement, now)
-            self._precedence.rerank(now)
+            self._precedence.rerank(waiting.request.workspace, now)
             self._refuse_overdue(now)
 
     def _expire(self, now: float) -> None:
--- a/marjoramstile/pools/shares.py
+++ b/marjoramstile/pools/shares.py
@@ -31,14 +31,15 @@
 class WorkspaceShare:
     """A workspace that holds memory or has queued requests; sizes are in tokens.
 
-    ``share_tokens`` is None while there is capacity for all. ``priority`` is None if
-    the workspace has none of its own.
+    ``queued`` is the number of its queued requests. ``share_tokens`` is None while
+    there is capacity for all. ``priority`` is None if the workspace has none.
     """
 
     workspace: str
     priority: int | None
     weight: float
     held_tokens: int
+    queued: int
     queued_tokens: int
     share_tokens: float | None
     standing: Standing
@@ -151,8 +152,11 @@
             return Standing.OVER_SHARE
         return Standing.WITHIN_SHARE
 
-    def rows(self) -> list[WorkspaceShare]:
-        """Return the workspaces that hold memory or had queued requests, by name."""
+    def rows(self, queued: Mapping[str, int]) -> list[WorkspaceShare]:
+        """Return the workspaces that hold memory or had queued requests, by name.
+
+        ``queued`` are the numbers of their queued requests.
+        """
         names = sorted({*self._held, *self._queued})
         return [
             WorkspaceShare(
@@ -160,6 +164,7 @@
                 self._known[name].priority if name in self._known else None,
                 self._weight(name, self._default_weight),
                 self._held.get(name, 0),
+                queued.get(name, 0),
                 self._queued.get(name, 0),
                 self.share_tokens(name),
                 self.standing(name),
--- a/marjoramstile/pools/waiting.py
+++ b/marjoramstile/pools/waiting.py
@@ -3,7 +3,7 @@
 import bisect
 import itertools
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Container, Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -113,16 +113,23 @@
         for item in itertools.islice(self._items, index + 1, None):
             item.overtaken = True
 
-    def rerank(self, standing_of: Callable[[str], Standing]) -> set[str]:
+    def rerank(
+        self,
+        standing_of: Callable[[str], Standing],
+        changed_workspaces: Container[str] | None = None,
+    ) -> set[str]:
         """Sort the requests by the present standings of their workspaces.
 
-        Returns the workspaces that are over their share now and were not before.
+        Only ``changed_workspaces`` are examined if given. Returns the workspaces that
+        are over their share now and were not before.
         """
         standings: dict[str, Standing] = {}
         newly_over: set[str] = set()
         changed = False
         for item in self._items:
             workspace = item.request.workspace
+            if changed_workspaces is not None and workspace not in changed_workspaces:
+                continue
             standing = standings.get(workspace)
             if standing is None:
                 standing = standings[workspace] = standing_of(workspace)
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -382,7 +382,12 @@
         self._sender = DatagramSender(self.settings.listeners.peers.port)
         self._build_limits(shards)
         self.schedulers = SchedulerHost(
-            shards, self._engine_of, self.balancer, self._rng, self.limits
+            shards,
+            self._engine_of,
+            self.balancer,
+            self._rng,
+            self.limits,
+            self.metrics.count,
         )
         self.pool = PoolClient(
             self.view.own,
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -12,6 +12,7 @@
 from marjoramstile.mirrors.mirror import TableMirror
 from marjoramstile.peers.membership_client import JoinedRows, MembershipClient
 from marjoramstile.pools.host import SchedulerHost
+from marjoramstile.pools.shares import Standing
 from marjoramstile.ports.feeds import era_of, number_of
 from marjoramstile.reports.burn import BurnReport, merge_burn_rows
 from marjoramstile.routes.balancing import Balancer
@@ -202,6 +203,31 @@
     return None if wait_s is None else _seconds(wait_s)
 
 
+@SUBJECTS.register("workspaces", on_all_daemons=True)
+def workspace_rows(sources: StatusSources) -> list[Row]:
+    """Return the workspaces with generations on the shards scheduled by this daemon.
+
+    ``share_tokens`` is empty while there is room for all.
+    """
+    return [
+        {
+            "daemon": sources.view.own.vm.name,
+            "service": service,
+            "shard": shard,
+            "workspace": share.workspace,
+            "priority": share.priority,
+            "held_tokens": share.held_tokens,
+            "queued": share.queued,
+            "queued_tokens": share.queued_tokens,
+            "share_tokens": (
+                None if share.share_tokens is None else round(share.share_tokens)
+            ),
+            "over_share": share.standing == Standing.OVER_SHARE,
+        }
+        for service, shard, share in sources.schedulers.workspace_shares()
+    ]
+
+
 @SUBJECTS.register("burn", on_all_daemons=True, join=merge_burn_rows)
 def burn_rows(sources: StatusSources) -> list[Row]:
     """Return this daemon's share of the service-level burn."""
--- a/tests/pools/test_fairness.py
+++ b/tests/pools/test_fairness.py
@@ -40,7 +40,7 @@
     """Let schedulers treat all requests as of one class and no workspace."""
     monkeypatch.setattr(Precedence, "applies", property(lambda precedence: False))
     monkeypatch.setattr(Precedence, "update", lambda precedence, now: None)
-    monkeypatch.setattr(Precedence, "rerank", lambda precedence, now: None)
+    monkeypatch.setattr(Precedence, "rerank", lambda precedence, name, now: None)
     monkeypatch.setattr(Precedence, "expected_before", lambda precedence, key: None)
     monkeypatch.setattr(Precedence, "inflow_before", lambda precedence, waiting: None)
 
--- a/tests/routes/test_placement.py
+++ b/tests/routes/test_placement.py
@@ -1,12 +1,16 @@
 """Retries of reservations that replicas refuse, on the virtual clock."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
+from marjoramstile.pools.messages import PlacementRequest
+from marjoramstile.routes.placement import share_weight
 from marjoramstile.routes.requests import RequestRefusedError
 from marjoramstile.routes.table import RouteKind
 from marjoramstile.utils import loop_time
+from marjoramstile.workspaces.table import Quota, QuotaUnit, Workspace
 from tests.routes.support import RoutingCore, request, route
 
 
@@ -34,6 +38,45 @@
     await core.tasks.close()
 
 
+def workspace(rate_per_s: float, priority: int | None = None) -> Workspace:
+    """Return a workspace with a quota."""
+    return Workspace("acme", priority, Quota(rate_per_s, 9.0, QuotaUnit.TOKENS, 1))
+
+
+@pytest.mark.parametrize(
+    ("named", "weight"),
+    [
+        (None, 1.0),
+        (Workspace("acme"), 1.0),
+        (workspace(0.0), 1.0),
+        (workspace(4500.0), 4500.0),
+    ],
+)
+def test_the_weight_of_a_workspace_is_the_rate_of_its_quota(named, weight):
+    """A rate of 0 means no limit, and must not mean no share."""
+    assert share_weight(named) == weight
+
+
+@pytest.mark.parametrize("named", [None, workspace(4500.0, priority=3)])
+async def test_schedulers_are_told_the_workspace_of_a_request(named, monkeypatch):
+    core = RoutingCore()
+    core.add_engines(1, 2)
+    asked: list[PlacementRequest] = []
+    ask = core.schedulers.handle_message
+
+    def record_and_ask(message, reply, polls=True):
+        if isinstance(message, PlacementRequest):
+            asked.append(message)
+        ask(message, reply, polls)
+
+    monkeypatch.setattr(core.schedulers, "handle_message", record_and_ask)
+    sent = replace(request("q", route(RouteKind.STREAM)), workspace=named)
+    await core.generate(sent)
+    told = asked[0].workspace, asked[0].weight, asked[0].workspace_priority
+    assert told == (("acme", 4500.0, 3) if named else ("", 1.0, None))
+    await core.tasks.close()
+
+
 async def test_a_reservation_succeeds_once_capacity_is_free():
     core = RoutingCore()
     core.add_engines(1, 2)
--- a/tests/routes/test_status.py
+++ b/tests/routes/test_status.py
@@ -20,6 +20,7 @@
 )
 from marjoramstile.routes.table import EntryLimits, RouteKind, RoutingTable
 from marjoramstile.utils import loop_time
+from tests.pools.support import request as placement_request
 from tests.routes.support import RoutingCore, route
 
 
@@ -69,6 +70,37 @@
     )
 
 
+def ask_for_workspace(sources: StatusSources, workspace: str) -> None:
+    """Ask this daemon's scheduler for a lease of a workspace's request."""
+    asked = placement_request("q", workspace=workspace, workspace_priority=2)
+    sources.schedulers.handle_message(asked, lambda answer: None)
+
+
+async def test_rows_of_workspaces_show_what_they_hold():
+    sources = sources_of("a")
+    ask_for_workspace(sources, "acme")
+    lease = sources.schedulers.scheduler("llm", 0).leases.get("q")
+    (row,) = FleetStatus(sources, FakePeerClient()).own_rows("workspaces")
+    assert row == {
+        "daemon": "a",
+        "service": "llm",
+        "shard": 0,
+        "workspace": "acme",
+        "priority": 2,
+        "held_tokens": lease.kv_tokens,
+        "queued": 0,
+        "queued_tokens": 0,
+        "share_tokens": None,
+        "over_share": False,
+    }
+
+
+async def test_without_workspaces_there_are_no_rows_of_any():
+    sources = sources_of("a")
+    ask_for_workspace(sources, "")
+    assert FleetStatus(sources, FakePeerClient()).own_rows("workspaces") == []
+
+
 async def test_every_subject_has_rows_that_can_be_sent():
     sources = sources_of("a", "b")
     entry = BlockEntry("llm", "part/a1", 1, True, 0, 5.0, ("d0", "d1"), "crashes")
@@ -77,6 +109,7 @@
     value = json.dumps(row.to_value()).encode()
     sources.burn.record("llm", "stream", good=False, now=loop_time())
     sources.orders.apply(Changes((StoredRow("llm", 4, value),), 4, complete=True))
+    ask_for_workspace(sources, "acme")
     status = FleetStatus(sources, FakePeerClient())
     for name in SUBJECTS:
         assert json.loads(json.dumps(status.own_rows(name)))
