--- a/marjoramstile/pools/precedence.py
+++ b/marjoramstile/pools/precedence.py
@@ -105,17 +105,28 @@
         key = request.priority_class
         arrival = Arrival(key, request.prompt_tokens, output_tokens, wait_s)
         self._arrivals.observe(arrival, now)
-        self._served.observe_asked(key, now)
-        self._shares.observe_asked(request, now)
+        self._shares.observe_request(request)
 
     def observe_granted(self, waiting: WaitingRequest, now: float) -> None:
-        """Add a grant, after which its workspace may be over its share."""
+        """Add a grant."""
         request = waiting.request
         if request.retried or request.resumed:
             return
+        self._observe_decided(waiting, now)
         self._served.observe_granted(request.priority_class, now)
         self._shares.observe_granted(request.workspace, now)
 
+    def observe_refused(self, waiting: WaitingRequest, now: float) -> None:
+        """Add a refusal."""
+        if not waiting.request.retried:
+            self._observe_decided(waiting, now)
+
+    def _observe_decided(self, waiting: WaitingRequest, now: float) -> None:
+        """Add a decision, unless it is on a request that was refused before."""
+        if waiting.urgency == Urgency.ON_TIME:
+            self._served.observe_asked(waiting.request.priority_class, now)
+            self._shares.observe_decided(waiting.request.workspace, now)
+
     def standing(self, workspace: str) -> Standing:
         """Return how a workspace stands to its share."""
         return self._shares.standing(workspace)
--- a/marjoramstile/pools/scheduler.py
+++ b/marjoramstile/pools/scheduler.py
@@ -460,6 +460,7 @@
 
     def _refuse(self, waiting: WaitingRequest, pool: PoolSnapshot, now: float) -> None:
         self._queue.remove(waiting)
+        self._precedence.observe_refused(waiting, now)
         permit_wait_s = self._state.permit_wait_s
         reason = RefusalReason.NO_MEMORY
         if permit_wait_s is not None:
--- a/marjoramstile/pools/served.py
+++ b/marjoramstile/pools/served.py
@@ -7,7 +7,7 @@
 
 HALF_LIFE_S = 4.0
 # Nobody may be served less than a quarter as often as all. Protection starts above
-# that, since requests that wait count as not served yet.
+# that, as the counts are of few requests.
 STARVED_FRACTION = 0.35
 # Recent requests from which on somebody may count as starved.
 MIN_ASKED = 2.0
@@ -32,7 +32,11 @@
 
 
 class ServedRatios:
-    """Fractions of the recent requests that were granted, by key and over all."""
+    """Fractions of the recent requests that were granted, by key and over all.
+
+    Requests count when they are granted or refused. If those that wait counted as well,
+    a flood would seem to be starved when it begins.
+    """
 
     def __init__(self):
         self._by_key: OrderedDict[Hashable, _Counts] = OrderedDict()
--- a/marjoramstile/pools/shares.py
+++ b/marjoramstile/pools/shares.py
@@ -89,19 +89,23 @@
         """Whether any request has named a workspace."""
         return bool(self._known)
 
-    def observe_asked(self, request: PlacementRequest, now: float) -> None:
-        """Add a new request; keeps its workspace's weight and priority."""
+    def observe_request(self, request: PlacementRequest) -> None:
+        """Keep the weight and the priority of a request's workspace."""
         name = request.workspace
-        if name:
-            weight = request.weight
-            if not (math.isfinite(weight) and weight > 0):
-                weight = 1.0
-            self._known[name] = _Known(weight, request.workspace_priority)
-            self._known.move_to_end(name)
-            if len(self._known) > MAX_WORKSPACES:
-                self._known.popitem(last=False)
+        if not name:
+            return
+        weight = request.weight
+        if not (math.isfinite(weight) and weight > 0):
+            weight = 1.0
+        self._known[name] = _Known(weight, request.workspace_priority)
+        self._known.move_to_end(name)
+        if len(self._known) > MAX_WORKSPACES:
+            self._known.popitem(last=False)
+
+    def observe_decided(self, workspace: str, now: float) -> None:
+        """Add a request that was granted or refused for the first time."""
         if self.in_use:
-            self._served.observe_asked(name, now)
+            self._served.observe_asked(workspace, now)
 
     def observe_granted(self, workspace: str, now: float) -> None:
         """Add a grant."""
--- a/tests/pools/test_fairness.py
+++ b/tests/pools/test_fairness.py
@@ -272,6 +272,18 @@
     assert isinstance(pool.answer_to("more"), PlacementQueued)
 
 
+def test_a_workspace_that_begins_to_flood_does_not_count_as_starved():
+    """Its requests that wait are not refused; it would go before all others."""
+    pool, _ = full_pool(workspace="w")
+    for number in range(3):
+        pool.ask(request(f"flood{number}", workspace="flood", target_s=9.0))
+        pool.ask(request(f"other{number}", workspace="w", target_s=9.0))
+    pool.wait(0.1)
+    rows = {row.workspace: row for row in pool.scheduler.workspace_shares}
+    assert rows["flood"].queued == 3
+    assert rows["flood"].standing == Standing.WITHIN_SHARE
+
+
 def test_a_new_scheduler_learns_from_renewals_what_workspaces_hold():
     """Otherwise the flood of a workspace would begin again at each change."""
     before, granted = full_pool(workspace="flood")
--- a/tests/pools/test_shares.py
+++ b/tests/pools/test_shares.py
@@ -19,7 +19,8 @@
     """Return shares of workspaces with their weights; each has asked once."""
     shares = WorkspaceShares()
     for name, weight in weights.items():
-        shares.observe_asked(request("q", workspace=name, weight=weight), 0.0)
+        shares.observe_request(request("q", workspace=name, weight=weight))
+        shares.observe_decided(name, 0.0)
         shares.observe_granted(name, 0.0)
     return shares
 
@@ -88,8 +89,8 @@
     """Also the one that is over its share, or that others' priority keeps waiting."""
     shares = shares_of(flood=1.0, other=1.0)
     for _ in range(10):
-        shares.observe_asked(request("q", workspace="flood"), 0.0)
-        shares.observe_asked(request("q", workspace="other"), 0.0)
+        shares.observe_decided("flood", 0.0)
+        shares.observe_decided("other", 0.0)
         shares.observe_granted("other", 0.0)
     shares.update({"flood": 60, "other": 40}, {"flood": 60, "other": 90})
     assert shares.standing("flood") == Standing.STARVED
