--- a/marjoramstile/pools/forecasts.py
+++ b/marjoramstile/pools/forecasts.py
@@ -1,4 +1,4 @@
-"""Pure functions that forecast, from a snapshot, how long a request will wait."""
+"""Forecasts, from a snapshot of a pool, how long a request will wait."""
 
 from marjoramstile.pools.decisions import (
     LOCAL_PREFILL_FACTOR,
@@ -8,38 +8,68 @@
 from marjoramstile.pools.memory import Generation
 from marjoramstile.pools.statistics import PoolStatistics
 
+# Time for which more urgent requests are expected to go on arriving at their present
+# rate. Queued requests are examined again while bursts last; with no such limit, a
+# burst of one second made the pool refuse what it could serve after it.
+INFLOW_HORIZON_S = 0.5
 
-def memory_wait_s(
-    pool: PoolSnapshot, generation: Generation, ahead: int, statistics: PoolStatistics
-) -> float | None:
-    """Return the time until there is memory for one more request.
 
-    ``ahead`` queued requests go first. None if the time can't be estimated. It is
-    limited to ``ahead + 1`` times the average interval between ends of generations: the
-    first of many generations ends sooner than any single one is expected to.
-    """
-    times = _capacity_times(pool, generation)
-    if ahead >= len(times):
+class PoolForecast:
+    """Forecasts of one pool snapshot, for requests that need a like generation."""
+
+    def __init__(
+        self, pool: PoolSnapshot, generation: Generation, statistics: PoolStatistics
+    ):
+        self._times = _capacity_times(pool, generation)
+        self._s_per_token = statistics.decode_s_per_token
+        self._decode_s = statistics.decode_s
+        self._generations = max(1, sum(len(item.generations) for item in pool.decode))
+        self._prefill_busy_s = pool.prefill_busy_s
+        speed = statistics.prefill_tokens_per_s
+        self._prefill_speed = sum(item.speed for item in pool.prefill) * speed
+        if pool.prefill_saturated:
+            local_speed = sum(item.prefill_speed for item in pool.decode)
+            self._prefill_speed += local_speed * speed / LOCAL_PREFILL_FACTOR
+
+    def memory_wait_s(self, ahead: int, inflow_per_s: float = 0.0) -> float | None:
+        """Return the time until there is memory for one more request.
+
+        ``ahead`` queued requests go first, and so do more urgent ones that arrive in
+        the meantime, at ``inflow_per_s``. None if the time can't be estimated. It is
+        limited to the average time in which as many generations end: the first of many
+        generations ends sooner than any single one is expected to.
+        """
+        wait_s = self._capacity_wait_s(ahead, inflow_per_s)
+        if wait_s is None:
+            return None
+        typical_s = (ahead + 1) * self._decode_s / self._generations
+        arrivals = _arrivals(inflow_per_s, typical_s)
+        return min(wait_s, typical_s + arrivals * self._decode_s / self._generations)
+
+    def _capacity_wait_s(self, ahead: int, inflow_per_s: float) -> float | None:
+        for index in range(ahead, len(self._times)):
+            wait_s = self._times[index] * self._s_per_token
+            if index - ahead >= _arrivals(inflow_per_s, wait_s):
+                return wait_s
         return None
-    generations = max(1, sum(len(replica.generations) for replica in pool.decode))
-    typical_s = (ahead + 1) * statistics.decode_s / generations
-    return min(times[ahead] * statistics.decode_s_per_token, typical_s)
 
+    def prefill_wait_s(
+        self, prompt_tokens: int, inflow_tokens_per_s: float = 0.0
+    ) -> float:
+        """Return the time until ``prompt_tokens`` of requests ahead are prefilled.
 
-def prefill_wait_s(
-    pool: PoolSnapshot, prompt_tokens: int, statistics: PoolStatistics
-) -> float:
-    """Return the time until ``prompt_tokens`` of requests ahead are prefilled.
+        Prompts of more urgent requests arrive at ``inflow_tokens_per_s``. Decode
+        replicas prefill too when the prefill replicas are saturated.
+        """
+        if self._prefill_busy_s is None:
+            return 0.0
+        wait_s = self._prefill_busy_s + prompt_tokens / self._prefill_speed
+        return wait_s + _arrivals(inflow_tokens_per_s, wait_s) / self._prefill_speed
 
-    Decode replicas prefill too when the prefill replicas are saturated.
-    """
-    if not pool.prefill:
-        return 0.0
-    speed = sum(item.speed for item in pool.prefill) * statistics.prefill_tokens_per_s
-    if pool.prefill_saturated:
-        local_speed = statistics.prefill_tokens_per_s / LOCAL_PREFILL_FACTOR
-        speed += sum(item.prefill_speed for item in pool.decode) * local_speed
-    return pool.prefill_busy_s + prompt_tokens / speed
+
+def _arrivals(inflow_per_s: float, wait_s: float) -> float:
+    """Return how many more urgent requests are expected to arrive during a wait."""
+    return inflow_per_s * min(wait_s, INFLOW_HORIZON_S)
 
 
 def late_wait_s(
--- a/marjoramstile/pools/host.py
+++ b/marjoramstile/pools/host.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial, singledispatchmethod
 
 from marjoramstile.logs import get_logger
@@ -22,6 +22,7 @@
 from marjoramstile.pools.permits import UNLIMITED, ReplicaPermits
 from marjoramstile.pools.scheduler import PoolScheduler
 from marjoramstile.pools.shards import PoolShards
+from marjoramstile.pools.shares import WorkspaceShare
 from marjoramstile.pools.speeds import ReplicaSpeed
 from marjoramstile.pools.statistics import GenerationProfile
 from marjoramstile.routes.balancing import Balancer
@@ -55,11 +56,14 @@
         balancer: Balancer,
         rng: random.Random,
         permits: ReplicaPermits = UNLIMITED,
+        count: Callable[[str, str], None] = lambda name, service: None,
     ):
         """``engine_of`` returns the traits of a service's engines, if it has any.
 
         ``permits`` tells which replicas may be sent requests under their limits.
+        ``count`` adds one to the counter of a name and a service.
         """
+        self._count = count
         self._shards = shards
         self._engine_of = engine_of
         self._balancer = balancer
@@ -79,6 +83,7 @@
                 self._balancer,
                 self._rng,
                 self._permits,
+                partial(self._count, service=service),
             )
             if service in self._profiles:
                 scheduler.statistics.adopt(self._profiles[service], loop_time())
@@ -131,6 +136,12 @@
             changes[service] += scheduler.speeds.pop_changes()
         return changes
 
+    def workspace_shares(self) -> Iterator[tuple[str, int, WorkspaceShare]]:
+        """Return the service, the shard and the share of each active workspace."""
+        for (service, shard), scheduler in self._schedulers.items():
+            for share in scheduler.workspace_shares:
+                yield service, shard, share
+
     @singledispatchmethod
     def handle_message(self, message: object, reply: Reply, polls: bool = True) -> None:
         """Handle a message; ``reply`` is called with each answer, now or later.
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -13,6 +13,7 @@
 from marjoramstile.mirrors.mirror import TableMirror
 from marjoramstile.peers.membership_client import JoinedRows, MembershipClient
 from marjoramstile.pools.host import SchedulerHost
+from marjoramstile.pools.shares import Standing
 from marjoramstile.ports.feeds import era_of, number_of
 from marjoramstile.quotas.client import QuotaClient
 from marjoramstile.quotas.owner import QuotaOwner
@@ -242,6 +243,31 @@
     }
 
 
+@SUBJECTS.register("workspaces", on_all_daemons=True)
+def workspace_rows(sources: StatusSources) -> list[Row]:
+    """Return the workspaces with generations on the shards scheduled by this daemon.
+
+    ``share_tokens`` is empty while there is room for all.
+    """
+    return [
+        {
+            "daemon": sources.view.own.vm.name,
+            "service": service,
+            "shard": shard,
+            "workspace": share.workspace,
+            "priority": share.priority,
+            "held_tokens": share.held_tokens,
+            "queued": share.queued,
+            "queued_tokens": share.queued_tokens,
+            "share_tokens": (
+                None if share.share_tokens is None else round(share.share_tokens)
+            ),
+            "over_share": share.standing == Standing.OVER_SHARE,
+        }
+        for service, shard, share in sources.schedulers.workspace_shares()
+    ]
+
+
 @SUBJECTS.register("burn", on_all_daemons=True, join=merge_burn_rows)
 def burn_rows(sources: StatusSources) -> list[Row]:
     """Return this daemon's share of the service-level burn."""
--- a/tests/pools/test_speeds.py
+++ b/tests/pools/test_speeds.py
@@ -14,7 +14,7 @@
     Requirements,
     choose_placement,
 )
-from marjoramstile.pools.forecasts import memory_wait_s, prefill_wait_s
+from marjoramstile.pools.forecasts import PoolForecast
 from marjoramstile.pools.messages import SpeedUpdate, Urgency
 from marjoramstile.pools.speeds import (
     FACTOR_MAX,
@@ -265,16 +265,16 @@
     slow = decode_replica("d0", *full, speed=0.5)
     usual = decode_replica("d0", *full)
     waits = [
-        memory_wait_s(PoolSnapshot((item,), ()), TYPICAL, 23, statistics)
+        PoolForecast(PoolSnapshot((item,), ()), TYPICAL, statistics).memory_wait_s(23)
         for item in (usual, slow)
     ]
     assert waits[1] == pytest.approx(2 * waits[0])
     waits = [
-        prefill_wait_s(
+        PoolForecast(
             PoolSnapshot((usual,), (PrefillSnapshot("e0", "a", 0.0, speed=speed),)),
-            6_000,
+            TYPICAL,
             statistics,
-        )
+        ).prefill_wait_s(6_000)
         for speed in (1.0, 0.5)
     ]
     assert waits[1] == pytest.approx(2 * waits[0])
