Platform: a busy daemon tells an early end of an answer from a whole one

Cause: a process test with a replica that answers an upload of 2 MB early, and reads on, got a part as a whole answer in 3 of 3 runs: the daemon looked at the connection when the replica's system had taken the rest of the upload.

Change: the kernel gets at most 64 KiB of a request that it can't send yet; the end also compares when data was sent and received last. Stand-in replicas send raw answers.

--- a/marjoramstile/platform/connections.py
+++ b/marjoramstile/platform/connections.py
@@ -9,6 +9,7 @@
 import asyncio
 import fcntl
 import socket
+import struct
 import termios
 from collections.abc import Callable
 from functools import partial
@@ -39,6 +40,13 @@
 
 # State of a TCP connection whose peer has sent FIN, in the first byte of TCP_INFO.
 TCP_CLOSE_WAIT = 8
+# Bytes of TCP_INFO up to the times in ms since data was sent, and was received last.
+TCP_INFO_BYTES = 56
+DATA_SENT_OFFSET = 44
+DATA_RECEIVED_OFFSET = 52
+# Bytes of a request that the kernel takes beyond those that it can send. What it has
+# taken may reach the replica while this process is busy, and is not seen to be unsent.
+UNSENT_MAX_BYTES = 65_536
 
 # Replicas accept connections in milliseconds.
 SLOW_CONNECT_S = 0.15
@@ -59,6 +67,13 @@
         self._request_written = False
         self._failure: UnwholeAnswerError | None = None
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep most of a long request in this process until it can be sent."""
+        super().connection_made(transport)
+        transport.get_extra_info("socket").setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_MAX_BYTES
+        )
+
     def data_received(self, data: bytes) -> None:
         """Receive bytes; abort the connection if there is too much framing.
 
@@ -134,7 +149,9 @@
         One with a length or chunks shows by itself whether it is whole.
         """
         if self._has_open_payload:
-            fault = end_fault(not _ended_by_fin(self.transport), self._request_written)
+            ended_by_fin, sent_later = _read_end(self.transport)
+            written = self._request_written and not sent_later
+            fault = end_fault(not ended_by_fin, written)
             if fault is not None:
                 self._fail(fault)
         super().eof_received()
@@ -166,16 +183,22 @@
     return unsent[0] + transport.get_write_buffer_size()
 
 
-def _ended_by_fin(transport: asyncio.Transport) -> bool:
-    """Return whether the peer has ended the connection, and not reset it.
+def _read_end(transport: asyncio.Transport) -> tuple[bool, bool]:
+    """Return whether the peer has ended the connection by FIN and not by a reset.
 
-    The state tells this also if a failed write has taken the socket's error.
+    The state tells this also if a failed write has taken the socket's error. The second
+    value is whether a part of the request was sent after the last bytes of the response
+    had arrived.
     """
     transport_socket = transport.get_extra_info("socket")
     if transport_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-        return False
-    info = transport_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-    return info[0] == TCP_CLOSE_WAIT
+        return False, False
+    info = transport_socket.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+    )
+    (sent_ago_ms,) = struct.unpack_from("=I", info, DATA_SENT_OFFSET)
+    (received_ago_ms,) = struct.unpack_from("=I", info, DATA_RECEIVED_OFFSET)
+    return info[0] == TCP_CLOSE_WAIT, sent_ago_ms < received_ago_ms
 
 
 class AnswerConnector(TCPConnector):
--- a/standins/published/replica.py
+++ b/standins/published/replica.py
@@ -42,6 +42,8 @@
 PAUSE_GRACE_S = 0.5
 # Exit code of a replica that a request has crashed.
 CRASHED_EXIT = 70
+# Time after a raw answer in which the connection stays half open.
+RAW_END_S = 1.0
 ENDLESS_CHUNK = b"x" * 60_000
 NOT_EXECUTED = {"X-Not-Executed": "1"}
 _ROUTE = Route("r", "", "/", RouteKind.STREAM, 60.0, 1.0, 1, (), 9, True, None)
@@ -144,6 +146,8 @@
         self._arrivals.append(loop_time())
         if self._fake.faults.endless_answers:
             return await self._answer_endlessly(request)
+        if self._fake.faults.raw_answers:
+            return await self._answer_raw(request)
         routed = self._request(request, await request.read())
         left_s = routed.deadline - loop_time()
         replica = self._fake.replica
@@ -178,6 +182,18 @@
                 await response.write(ENDLESS_CHUNK)
         return response
 
+    async def _answer_raw(self, request: web.Request) -> web.StreamResponse:
+        """Send a text in place of an answer, and end the connection by FIN."""
+        faults = self._fake.faults
+        faults.raw_answers -= 1
+        answer = faults.raw_answer.replace("ID", request.headers["X-Request-Id"])
+        request.transport.pause_reading()
+        request.transport.write(answer.encode())
+        request.transport.write_eof()
+        await asyncio.sleep(RAW_END_S)
+        request.transport.abort()
+        return web.Response(status=500)
+
     def _stamp(self, routed: RoutedRequest) -> dict[str, str]:
         return {"X-Request-Id": routed.id, "X-Server-Stamp": self._identity.id}
 
--- a/standins/replica_pool.py
+++ b/standins/replica_pool.py
@@ -61,8 +61,10 @@
     begins to write the answer. Streams of an ``unframed`` replica have neither length
     nor chunks: one that breaks off ends within an event, and not with an error.
     ``endless_answers`` are answers with ``endless_status`` whose bodies have no end;
-    only the replica over the published protocol sends them. Answers to calls have
-    ``answer_bytes`` more than the request's id.
+    only the replica over the published protocol sends them. It also sends
+    ``raw_answers`` answers of the text ``raw_answer``, in which ``ID`` stands for the
+    request's id, as soon as it has read a request's head, and ends the connection.
+    Answers to calls have ``answer_bytes`` more than the request's id.
     """
 
     refuse: bool = False
@@ -81,6 +83,8 @@
     unframed: bool = False
     endless_answers: int = 0
     endless_status: int = 500
+    raw_answers: int = 0
+    raw_answer: str = ""
     answer_bytes: int = 0
 
 
--- a/tests/platform/test_wholeness.py
+++ b/tests/platform/test_wholeness.py
@@ -9,6 +9,8 @@
 import dataclasses
 import socket
 import struct
+import threading
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -53,6 +55,7 @@
 CALL_TIMEOUT_S = 1.0
 # Above the route's timeout; an answer that takes longer is none.
 TEST_TIMEOUT_S = 5.0
+BUSY_S = 0.2
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 INVALID_STATUSES = ("000", "099", "101", "199", "600", "999")
 SERVER_LINES = b"X-Request-Id: q1\r\nX-Server-Stamp: s\r\n"
@@ -496,3 +499,43 @@
     except ReplicaError as error:
         return received, error
     return received, None
+
+
+def answer_in_thread(
+    listener: socket.socket, data: bytes, taken: list[int], read_after_s: float | None
+) -> None:
+    """Answer one request after its head and end by FIN; read the rest later, if so."""
+    connection, _ = listener.accept()
+    with connection:
+        head = connection.recv(HEAD_READ_BYTES)
+        connection.sendall(data)
+        connection.shutdown(socket.SHUT_WR)
+        taken.append(len(head))
+        time.sleep(BUSY_S if read_after_s is None else read_after_s)
+        with contextlib.suppress(ConnectionError):
+            while read_after_s is not None and connection.recv(65536):
+                pass
+
+
+@pytest.mark.parametrize(
+    ("size", "read_after_s"),
+    [(2_000_000, 0.0), (2_000_000, None), (200_000, 0.02), (200_000, None)],
+)
+async def test_a_busy_daemon_takes_an_early_end_for_a_whole_answer(
+    client, size, read_after_s
+):
+    """It looks at the connection when the replica has read the rest of the upload."""
+    listener = socket.create_server((HOST, 0))
+    taken: list[int] = []
+    arguments = (listener, early("none"), taken, read_after_s)
+    thread = threading.Thread(target=answer_in_thread, args=arguments)
+    thread.start()
+    target = replica(listener.getsockname()[1])
+    call = asyncio.create_task(client.call(target, upload(size), CALL_TIMEOUT_S))
+    while not taken:
+        await asyncio.sleep(0)
+    time.sleep(BUSY_S)
+    with pytest.raises(AnswerLostError):
+        await call
+    thread.join()
+    listener.close()
