--- a/marjoramstile/quotas/accounts.py
+++ b/marjoramstile/quotas/accounts.py
@@ -3,6 +3,7 @@
 Pure; ``now`` is the time of the event loop in seconds.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from marjoramstile.quotas.messages import Sender, SpenderState
@@ -86,6 +87,7 @@
         self._window_s = window_s
         self.owned_since = owned_since
         self.acted_at = 0.0
+        self.updated_at = 0.0
         self.acts = False
         self._before: float | None = None
         self._spends = SpendWindow(window_s)
@@ -154,26 +156,30 @@
         holder.spent += holder.held
         self._hold(holder, 0.0, now)
 
-    def update(self, allowance: Allowance, daemons: int, alive, now: float) -> None:
+    def update(
+        self, allowance: Allowance, daemons: int, alive: Collection[str], now: float
+    ) -> None:
         """Lapse leases, and see which daemons are silent; called periodically.
 
-        ``alive`` tells of a VM whether its daemon is alive.
+        ``alive`` are the VMs whose daemons are alive, ``daemons`` how many there are.
         """
+        self.updated_at = now
         silent_units = 0.0
-        equal = allowance.units / max(1, daemons)
+        self._active = 0
+        silence = silence_s(self._window_s)
         for vm, holder in list(self.holders.items()):
             age_s = now - holder.heard_at
+            self._active += holder.recent > 0
             if holder.held > 0 and now >= holder.lapses_at:
                 self._lapse(holder, now)
+            if age_s <= silence and vm in alive:
+                continue
             if age_s >= 2 * self._window_s:
                 del self.holders[vm]
-            elif not alive(vm) or (
-                holder.recent > 0 and age_s > silence_s(self._window_s)
-            ):
+            elif vm not in alive or allowance.is_significant(holder.recent):
                 kept = holder.recent * silent_part(age_s, self._window_s)
-                silent_units += max(equal, kept)
+                silent_units += max(allowance.units / max(1, daemons), kept)
         self._silent_units = silent_units
-        self._active = sum(item.recent > 0 for item in self.holders.values())
         if not self.holders:
             self._held = 0.0
 
@@ -247,10 +253,12 @@
         holder.recent += granted
         self._record_spent(granted, now)
         held_max = HELD_PART * allowance.margin
-        ahead = min(ahead, held_max / max(1, self._active))
+        ahead = min(ahead, max(first, held_max / max(1, self._active)))
         held_room = held_max - self._held
-        extra = max(0.0, min(ahead - holder.held, room - granted, held_room))
-        if extra > 0:
+        extra = min(ahead - holder.held, room - granted, held_room)
+        if extra < first or extra <= 0:
+            extra = 0.0
+        else:
             self._hold(holder, holder.held + extra, now)
         lacking = granted + first - room
         return Grant(granted, extra, self._wait_s(lacking, allowance, now))
--- a/marjoramstile/quotas/client.py
+++ b/marjoramstile/quotas/client.py
@@ -358,7 +358,7 @@
             account.allowance.margin,
             need=need,
             first=min((item.units for item in batch), default=0.0),
-            ahead=0.0 if is_own else need + account.wanted_ahead(now),
+            ahead=0.0 if is_own else account.wanted_ahead(need, now),
         )
 
     def _own_sender(self) -> Sender:
@@ -451,22 +451,28 @@
         now = loop_time()
         by_owner: dict[str, list[SpenderState]] = {}
         for key, account in list(self._accounts.items()):
+            if now < account.due_at and not account.changed:
+                continue
             if key in self._asking:
                 continue
+            account.due_at = now + REPORT_S
             if account.is_idle(now):
                 self._forget(key)
-                continue
-            due = now >= self._reported_at.get(key, 0.0) + REPORT_S
-            due = due and not account.is_reported(now)
-            candidates = self._candidates(account)
-            if candidates and (account.changed or due):
-                self._reported_at[key] = now
-                vm = candidates[0].vm.name
-                by_owner.setdefault(vm, []).append(account.state(now))
+            elif account.changed or self._wants_report(account, now):
+                candidates = self._candidates(account)
+                if candidates:
+                    self._reported_at[key] = now
+                    states = by_owner.setdefault(candidates[0].vm.name, [])
+                    states.append(account.state(now))
         for vm, states in by_owner.items():
             for part in _parts(states):
                 self._report(vm, part)
 
+    def _wants_report(self, account: SpendingAccount, now: float) -> bool:
+        """Return whether the owner has not been told of significant spending lately."""
+        reported_at = self._reported_at.get(account.key, 0.0)
+        return now >= reported_at + REPORT_S / 2 and account.wants_report(now)
+
     def _report(self, vm: str, states: tuple[SpenderState, ...]) -> None:
         report = QuotaReport(self._own_sender(), states)
         if vm == self._ranking.own_vm:
--- a/marjoramstile/quotas/owner.py
+++ b/marjoramstile/quotas/owner.py
@@ -32,8 +32,10 @@
 # which that relies on it.
 BACKUP_S = 0.25
 BACKUP_LIFE_S = 2.5
+# Period in which an account's leases and daemons are looked at.
+UPDATE_S = 0.5
 # Time for which a former owner can tell a new one what was used.
-ADOPT_S = 1.0
+ADOPT_S = 2.5
 # Workspaces in one message, so that it fits into a frame with names of usual length.
 USES_MAX = 16
 
@@ -126,15 +128,12 @@
         """Keep the accounts up to date; called several times a second."""
         now = loop_time()
         self._check_frozen(now)
-        self._ranking.update(now)
+        alive = self._ranking.alive(now)
         daemons = self._daemon_count() or 1
         for key, account in list(self._accounts.items()):
-            account.update(
-                self._allowance(key),
-                daemons,
-                lambda vm: self._ranking.is_alive(vm, now),
-                now,
-            )
+            if now < account.updated_at + UPDATE_S:
+                continue
+            account.update(self._allowance(key), daemons, alive, now)
             if account.is_idle(now):
                 self._forget(key)
         self._back_up(now)
--- a/marjoramstile/quotas/ranking.py
+++ b/marjoramstile/quotas/ranking.py
@@ -54,10 +54,10 @@
         self.update(now)
         return self._majority
 
-    def is_alive(self, vm: str, now: float) -> bool:
-        """Return whether a daemon is alive to this one."""
+    def alive(self, now: float) -> frozenset[str]:
+        """Return the VMs whose daemons are alive to this one."""
         self.update(now)
-        return vm in self._alive
+        return self._alive
 
     def missing(self, now: float) -> int:
         """Return the number of listed daemons that are not alive to this one."""
--- a/marjoramstile/quotas/spending.py
+++ b/marjoramstile/quotas/spending.py
@@ -56,6 +56,8 @@
         self._reported_recent = 0.0
         self._used_at = 0.0
         self.changed = False
+        # When this account is to be looked at next.
+        self.due_at = 0.0
 
     @property
     def key(self) -> tuple[str, QuotaUnit]:
@@ -71,9 +73,10 @@
             self.workspace, self.unit, self._spent, balance, self._reported_recent
         )
 
-    def is_reported(self, now: float) -> bool:
-        """Return whether the owner knows that nothing was spent in the window."""
-        return not self._reported_recent and not self._recent.total(now)
+    def wants_report(self, now: float) -> bool:
+        """Return whether the owner needs to know what was spent in the window."""
+        recent = max(self._reported_recent, self._recent.total(now))
+        return self.allowance.is_significant(recent)
 
     def balance(self, now: float) -> float:
         """Return the units that may be spent without asking; drop lapsed ones."""
@@ -113,6 +116,7 @@
         """Add units that were granted to a request for them."""
         self._balance = self.balance(asked_at) + units
         self._granted_level = self._balance
+        self.due_at = min(self.due_at, asked_at + LEASE_S)
         self._lease_until = max(self._lease_until, asked_at + LEASE_S)
 
     def record_contact(self, used: float, now: float) -> None:
@@ -125,13 +129,17 @@
         free = min(self.allowance.units - used, self.allowance.margin)
         self._contact_free = share * max(0.0, free)
 
-    def wanted_ahead(self, now: float) -> float:
-        """Return the units to hold: what was spent in the last part of a second."""
-        return self._recent.total_since(now - AHEAD_S)
+    def wanted_ahead(self, need: float, now: float) -> float:
+        """Return the units to hold: what was spent in the last part of a second.
+
+        ``need`` is what is about to be spent; a single request asks for no more.
+        """
+        spent = self._recent.total_since(now - AHEAD_S)
+        return spent + need if spent > 0 else 0.0
 
     def wants_refill(self, now: float) -> bool:
         """Return whether to ask for units before a request needs them."""
-        wanted = min(self._granted_level, self.wanted_ahead(now))
+        wanted = min(self._granted_level, self.wanted_ahead(0.0, now))
         return self.balance(now) < REFILL_PART * wanted
 
     def take_alone(self, units: float, daemons: int | None, now: float) -> bool:
@@ -208,6 +216,6 @@
 
     def is_idle(self, now: float) -> bool:
         """Return whether nothing would be lost with this account."""
-        if self.balance(now) or self.changed or not self.is_reported(now):
+        if self.balance(now) or self.changed or self._recent.total(now):
             return False
         return now >= max(self._denied_until, self._used_at + self._keep_s)
--- a/marjoramstile/quotas/windows.py
+++ b/marjoramstile/quotas/windows.py
@@ -18,6 +18,9 @@
 # Part of the overage and of the slack that an owner uses itself. The rest covers
 # daemons that spend without it.
 OWNER_PART = 0.5
+# Part of the allowance from which a daemon's spending matters to the others: it tells
+# the owner each second, and the owner holds units back while it is silent.
+SIGNIFICANT_PART = 0.01
 # Rounding error of a sum of units, relative to the sum.
 EPSILON = 1e-9
 
@@ -52,6 +55,10 @@
         margin = OWNER_PART * (units * bounds.overage + bounds.slack)
         return cls(units, margin)
 
+    def is_significant(self, recent: float) -> bool:
+        """Return whether a daemon that has spent so much in the window matters."""
+        return recent > 0 and recent >= SIGNIFICANT_PART * self.units
+
     @property
     def most(self) -> float:
         """The bound on what all daemons together may use in a window."""
--- a/tests/quotas/test_accounts.py
+++ b/tests/quotas/test_accounts.py
@@ -77,7 +77,7 @@
     spender = Spender(owned)
     spender.ask(0.0, 0.0, 3.0, 100.0)
     now = 100.0 + LEASE_LAPSE_S
-    owned.update(ALLOWANCE, 10, lambda vm: True, now)
+    owned.update(ALLOWANCE, 10, {"vm-1"}, now)
     assert owned.used(ALLOWANCE, now) == pytest.approx(3.0)
     spender.spent = 1.0
     spender.tell(0.0, 1.0, now + 0.1)
@@ -115,10 +115,10 @@
     spender = Spender(owned)
     spender.spent = 80.0
     spender.tell(0.0, 80.0, 100.0)
-    owned.update(ALLOWANCE, 10, lambda vm: False, 100.0 + WINDOW_S)
+    owned.update(ALLOWANCE, 10, set(), 100.0 + WINDOW_S)
     held_back = owned.held_back(ALLOWANCE, 1, 10)
     assert held_back == pytest.approx(80.0 * silent_part(8.0, 8.0) - 10.0)
-    owned.update(ALLOWANCE, 10, lambda vm: False, 100.0 + 2 * WINDOW_S)
+    owned.update(ALLOWANCE, 10, set(), 100.0 + 2 * WINDOW_S)
     assert owned.held_back(ALLOWANCE, 1, 10) == 0.0
 
 
--- a/tests/quotas/test_spending.py
+++ b/tests/quotas/test_spending.py
@@ -34,7 +34,7 @@
     assert not spending.wants_refill(100.0)
     for tenths in range(8):
         spending.take(1.0, 100.0 + tenths / 10)
-    assert 4 <= spending.wanted_ahead(100.7) <= 6
+    assert 4 <= spending.wanted_ahead(0.0, 100.7) <= 6
     assert spending.wants_refill(100.7)
 
 
