Quotas: a refused request is told when units are free, also while a denial is remembered

Cause: for 0.25 s after a denial, a daemon told further callers when it would ask the owner again, which may be seconds before any units leave the window. Change: the time that the owner told is kept with the denial. A daemon that was frozen notices that at its own requests, too.

--- a/marjoramstile/quotas/owner.py
+++ b/marjoramstile/quotas/owner.py
@@ -216,6 +216,8 @@
     def answer(self, request: QuotaRequest) -> QuotaAnswer:
         """Answer a request; one that was repeated gets the same answer."""
         now = loop_time()
+        if now - self._stepped_at > FROZEN_S:
+            self._check_frozen(now)
         sender, state = request.sender, request.state
         key = (state.workspace, state.unit)
         role = self.role(state.workspace, now)
--- a/marjoramstile/quotas/spending.py
+++ b/marjoramstile/quotas/spending.py
@@ -52,6 +52,7 @@
         self._used = 0.0
         self._denied_until = 0.0
         self._denied_units = 0.0
+        self._free_at = 0.0
         self._promised_until = 0.0
         self._reported_recent = 0.0
         self._used_at = 0.0
@@ -178,14 +179,15 @@
         """Record a denial, which holds for requests of this size and larger ones."""
         if now < self._denied_until:
             units = min(units, self._denied_units)
+        self._free_at = now + wait_s
         self._denied_until = now + min(wait_s, DENIAL_MAX_S)
         self._denied_units = units
 
     def denied_s(self, units: float, now: float) -> float:
-        """Return for how long a denial holds for a request; 0 if none does."""
-        if units < self._denied_units:
+        """Return the time until a denied request fits; 0 if no denial holds for it."""
+        if units < self._denied_units or now >= self._denied_until:
             return 0.0
-        return max(0.0, self._denied_until - now)
+        return max(0.0, self._free_at - now)
 
     def refill_s(self, units: float) -> float:
         """Return the time in which as many units become free, about."""
