--- a/marjoramstile/platform/connections.py
+++ b/marjoramstile/platform/connections.py
@@ -71,9 +71,11 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep most of a long request in this process until it can be sent."""
         super().connection_made(transport)
-        transport.get_extra_info("socket").setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_MAX_BYTES
-        )
+        transport_socket = transport.get_extra_info("socket")
+        with suppress(OSError):
+            transport_socket.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_MAX_BYTES
+            )
 
     def data_received(self, data: bytes) -> None:
         """Receive bytes; abort the connection if there is too much framing.
