Fronts: bytes that never make a request are counted, bounded and cut off

Cause: aiohttp's parser bounds single lines only. After an error it was fed on, each time with a new error that quotes what was read. Empty lines, lone CRs and chunk extensions had no count, trailers were stored, a head could take 30 s, a body that could not be parsed held its handler for 30 s, a peer's partial frame length was awaited for good.

Change: received bytes are parsed in parts; heads, framing of bodies and what waits for handlers are counted (fronts/received.py), the last of all connections together. Over a limit: 431, 400, 408 or 413, or the connection is closed; nothing more is read of it. The configuration's maxHeaderBytes, headerTimeoutMs and idleTimeoutMs are decoded (defaults 16,384, 3,000, 15,000) and apply to callers' listeners, with margins; the other listeners have the defaults and keep 120 s of idle time. Frames of peers have 10 s from their first byte, answers 10 s to be taken. The body of a change of the blocklist is read with the bounds of other bodies. Log lines for all of it are a summary a second.

--- a/marjoramstile/fronts/bodies.py
+++ b/marjoramstile/fronts/bodies.py
@@ -20,6 +20,7 @@
 RETRY_AFTER_FULL_S = 0.5
 # Longer than any caller of the routes waits for its response.
 BODY_TIMEOUT_S = 30.0
+BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 TOO_LARGE = 413
 UNAVAILABLE = 503
@@ -78,6 +79,8 @@
         except TimeoutError:
             logger.warning("body_not_whole", limit_s=BODY_TIMEOUT_S)
             raise BodyRefusedError(REQUEST_TIMEOUT, "the body is late") from None
+        except web.RequestPayloadError as error:
+            raise BodyRefusedError(BAD_REQUEST, str(error)) from None
         except BodyTooLongError as error:
             raise BodyRefusedError(TOO_LARGE, str(error)) from None
         except BufferBudgetExceededError as error:
@@ -88,6 +91,7 @@
 
 
 async def _read_all(request: web.BaseRequest, buffered: BufferedBody) -> bytes:
+    buffered.check_length(request.content_length or 0)
     if request.headers.get("Expect", "").lower() == "100-continue":
         request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     async for chunk in request.content.iter_any():
--- a/marjoramstile/fronts/buffers.py
+++ b/marjoramstile/fronts/buffers.py
@@ -43,10 +43,14 @@
         """Bytes buffered so far."""
         return self._size
 
+    def check_length(self, length: int) -> None:
+        """Raise BodyTooLongError if a body of this length is longer than its limit."""
+        if length > self._max_bytes:
+            raise BodyTooLongError(f"more than {self._max_bytes} bytes")
+
     def add(self, chunk: bytes) -> None:
         """Append a chunk; raises BodyTooLongError or BufferBudgetExceededError."""
-        if self._size + len(chunk) > self._max_bytes:
-            raise BodyTooLongError(f"more than {self._max_bytes} bytes")
+        self.check_length(self._size + len(chunk))
         self._budget.reserve(self._size, len(chunk))
         self._chunks.append(chunk)
         self._size += len(chunk)
--- a/marjoramstile/fronts/closing.py
+++ b/marjoramstile/fronts/closing.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from marjoramstile.log_summaries import EventSummary
 from marjoramstile.logs import get_logger
 from marjoramstile.reports.metrics import Metrics
 
@@ -16,6 +17,9 @@
     ANSWERED = "answered"
     KEEP_ALIVE_ENDED = "keep_alive_ended"
     HEAD_TIMEOUT = "head_timeout"
+    HEAD_TOO_LONG = "head_too_long"
+    BODY_FRAMING = "body_framing"
+    MEMORY_NEEDED = "memory_needed"
     BODY_REFUSED = "body_refused"
     BAD_REQUEST = "bad_request"
     HANDLER_FAILED = "handler_failed"
@@ -33,6 +37,17 @@
 _FAILURES = frozenset(
     {CloseReason.HANDLER_FAILED, CloseReason.STREAM_BROKEN, CloseReason.STOP_FORCED}
 )
+# Anybody can cause any number of these: they are logged as a summary.
+_UNUSABLE = frozenset(
+    {
+        CloseReason.HEAD_TIMEOUT,
+        CloseReason.HEAD_TOO_LONG,
+        CloseReason.BAD_REQUEST,
+        CloseReason.BODY_FRAMING,
+        CloseReason.MEMORY_NEEDED,
+    }
+)
+_ORDINARY = frozenset({CloseReason.CALLER_GONE, CloseReason.ANSWERED})
 
 
 @dataclass(frozen=True)
@@ -57,12 +72,16 @@
 
     def __init__(self, metrics: Metrics):
         self._metrics = metrics
+        self._unusable = EventSummary(logger, "unusable_input")
 
     def record(self, closed: ClosedConnection) -> None:
         """Record an end; one that left a request unanswered is a warning."""
         self._metrics.count("caller_connections_closed", closed.reason)
         if closed.unanswered:
             self._metrics.count("caller_requests_unanswered", closed.reason)
+        if closed.reason in _UNUSABLE:
+            kind = {"listener": closed.listener, "reason": str(closed.reason)}
+            self._unusable.count(kind)
         _log_method(closed)(
             "caller_connection_closed",
             listener=closed.listener,
@@ -77,6 +96,6 @@
 def _log_method(closed: ClosedConnection):
     if closed.unanswered or closed.reason in _FAILURES:
         return logger.warning
-    if closed.reason in (CloseReason.CALLER_GONE, CloseReason.ANSWERED):
+    if closed.reason in _ORDINARY or closed.reason in _UNUSABLE:
         return logger.debug
     return logger.info
--- a/marjoramstile/fronts/listeners.py
+++ b/marjoramstile/fronts/listeners.py
@@ -10,14 +10,16 @@
 from marjoramstile.fronts.closing import ClosingReport
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.draining import drain
-from marjoramstile.fronts.listening import CallerServer, refuse_connection
+from marjoramstile.fronts.listening import (
+    CallerServer,
+    default_limits,
+    refuse_connection,
+)
+from marjoramstile.fronts.received import HeldBytes, ReadLimits
 from marjoramstile.listeners import acquire_listener, acquire_optional_listener
 from marjoramstile.routes.settings import Address
 
-# Longer than any idle time that the configuration allows callers.
-KEEPALIVE_TIMEOUT_S = 120.0
 LINGERING_TIME_S = 1.0
-LINE_MAX_BYTES = 16_384
 # Timeout for closing a server's connections when a start is abandoned.
 SERVER_SHUTDOWN_S = 0.2
 
@@ -27,6 +29,7 @@
     """An address, and what handles the requests that arrive there.
 
     ``refuse`` returns the response to requests on connections that exceed ``limit``.
+    ``read_limits`` returns the limits in force on what connections send.
     """
 
     name: str
@@ -34,15 +37,19 @@
     handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
     limit: ConnectionLimit
     refuse: Callable[[], web.Response] = refuse_connection
+    read_limits: Callable[[], ReadLimits] = default_limits
 
 
 class ListenerGroup:
     """The listeners of one daemon that are served now, in the order of their start."""
 
-    def __init__(self, backlog: int, closings: ClosingReport):
-        """``closings`` gets the ends of all connections."""
+    def __init__(
+        self, backlog: int, closings: ClosingReport, held: HeldBytes | None = None
+    ):
+        """``closings`` gets the ends of all connections; ``held`` their bytes."""
         self._backlog = backlog
         self._closings = closings
+        self._held = held
         self._served: list[tuple[CallerServer, asyncio.Server]] = []
 
     @property
@@ -77,13 +84,12 @@
             closings=self._closings,
             limit=listener.limit,
             refuse=listener.refuse,
+            read_limits=listener.read_limits,
+            held=self._held,
             handler_cancellation=True,
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             lingering_time=LINGERING_TIME_S,
             access_log=None,
             auto_decompress=False,
-            max_line_size=LINE_MAX_BYTES,
-            max_field_size=LINE_MAX_BYTES,
         )
         loop = asyncio.get_running_loop()
         served = await loop.create_server(server, sock=listening, backlog=self._backlog)
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -1,17 +1,22 @@
-"""Server connections with a timeout for receiving the head of a request.
+"""Server connections with limits on what is read besides the bodies of requests.
 
-aiohttp limits the size of a head and the idle time between requests, but not the time
-that a head takes from its first bytes on. It doesn't tell why a connection ended.
+aiohttp limits the lines of a head and the idle time between requests, but neither the
+size of a head nor the time that it takes from its first bytes on. It reads on after an
+error, and doesn't tell why a connection ended.
 """
 
 import asyncio
 import select
+from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from aiohttp import web
-from aiohttp.streams import EMPTY_PAYLOAD
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.http_exceptions import BadHttpMessage
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
+from marjoramstile.fronts.buffers import BufferBudgetExceededError
 from marjoramstile.fronts.closing import (
     CUT_SHORT,
     ClosedConnection,
@@ -19,13 +24,30 @@
     ClosingReport,
 )
 from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.fronts.received import (
+    DEFAULT_READ_LIMITS,
+    FramingCounter,
+    HeadCounter,
+    HeldBytes,
+    ReadLimits,
+)
 from marjoramstile.logs import get_logger
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.requests import SendRecord
 
-# Longer than any caller of the routes waits for its response.
-HEAD_TIMEOUT_S = 30.0
-HEAD_END = b"\r\n\r\n"
+# Of servers whose limits are not given.
+HEAD_TIMEOUT_S = DEFAULT_READ_LIMITS.head_timeout_s
+# Received bytes that are parsed at a time while a body is read.
+BODY_SLICE_BYTES = 32_768
+# Bytes of a body that are buffered for a handler before reading pauses.
+BODY_BUFFER_BYTES = 65_536
+# Pipelined requests that wait for their handler before reading pauses.
+QUEUED_MAX = 4
+# Bytes of a refused body that are discarded, so that its client reads the refusal.
+DISCARDED_MAX_BYTES = 4_194_304
+# Part of an error's text that is sent; it may quote as many bytes as were received.
+ERROR_TEXT_MAX = 200
+HEAD_TOO_LONG = 431
 SERVER_ERROR = 500
 # Time for the first request on a connection that was opened as its listener closed.
 FIRST_REQUEST_WAIT_S = 0.1
@@ -48,12 +70,28 @@
         server: "CallerServer",
         *,
         limit: ConnectionLimit | None = None,
+        held: HeldBytes | None = None,
         **options,
     ):
-        super().__init__(server, **options)
+        super().__init__(server, read_bufsize=BODY_BUFFER_BYTES, **options)
         self._server = server
         self._limit = limit
-        self._body = None
+        self._held = held
+        self._messages = MessageQueue()
+        self._max_msg_queue_size = QUEUED_MAX
+        self._msg_queue_resume_size = QUEUED_MAX // 2
+        # Received bytes that are not parsed yet, as reading is paused.
+        self._unparsed = b""
+        self._head = HeadCounter()
+        self._framing = FramingCounter()
+        self._queued_bytes = 0
+        self._body_timer: asyncio.TimerHandle | None = None
+        self._received_at = 0.0
+        # The body of the last answered request; what is left of it is discarded.
+        self._answered_body: StreamReader | None = None
+        self._discarded_bytes = 0
+        self._is_refusing = False
+        self._input_ended = False
         self._head_timer: asyncio.TimerHandle | None = None
         self._reason: CloseReason | None = None
         # The request whose answer is not whole yet, its id, and what was sent of it.
@@ -67,7 +105,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress, or bytes of an answer are not sent yet."""
-        if self._current_request is not None or self._messages:
+        if self._current_request is not None or self._messages or self._unparsed:
             return True
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
 
@@ -83,12 +121,17 @@
             return False
         if self._waiter is None or self._waiter.done():
             return False
-        return not has_unread_bytes(self.transport)
+        return self._input_ended or not has_unread_bytes(self.transport)
 
     @property
     def _is_just_opened(self) -> bool:
         age_s = self._loop.time() - self._opened_at
-        return self._request_count == 0 and age_s < FIRST_REQUEST_WAIT_S
+        is_new = self._request_count == 0 and age_s < FIRST_REQUEST_WAIT_S
+        return is_new and not self._input_ended
+
+    @property
+    def _limits(self) -> ReadLimits:
+        return self._server.limits
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to serve a new connection; abort it if there is no room for it."""
@@ -132,31 +175,186 @@
             self._check_idle_later(IDLE_CHECK_S)
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser and start or stop the head timer.
+        """Parse received bytes in parts, and count those that are no body.
 
-        Bytes that neither belong to a body nor complete a head are part of an
-        incomplete head; the first of them start the timer.
+        The rest is kept while reading is paused. aiohttp calls this without data to
+        resume.
         """
-        if self._limit is not None:
+        if self._input_ended or self._close or self._force_close:
+            return
+        if self._limit is not None and data:
             self._limit.record_received(self)
+        if self._unparsed:
+            data = self._unparsed + data
+            self._unparsed = b""
+        self._parse(data)
+        self._update_head_timer()
+        self._update_body_timer()
+        self._update_held()
+
+    def _parse(self, data: bytes) -> None:
+        """Parse as much as the limits allow; at least what the parser has kept."""
+        position = 0
+        while not self._input_ended:
+            if self._is_reading_paused and (data or self._reading_paused):
+                self._unparsed = data[position:]
+                return
+            part = data[position : position + self._next_part_size]
+            self._parse_part(part)
+            position += len(part)
+            if position >= len(data):
+                return
+
+    @property
+    def _is_reading_paused(self) -> bool:
+        return self._reading_paused or len(self._messages) >= QUEUED_MAX
+
+    @property
+    def _has_waiting_requests(self) -> bool:
+        return len(self._messages) > (0 if self._current_request is not None else 1)
+
+    @property
+    def _reads_body(self) -> bool:
+        body = self._messages.last_body
+        return body is not None and not body.is_eof()
+
+    @property
+    def _next_part_size(self) -> int:
+        if self._upgraded or self._reads_body:
+            return BODY_SLICE_BYTES
+        return max(1, self._limits.head_max_bytes + 1 - self._head.size)
+
+    def _parse_part(self, part: bytes) -> None:
         requests_before = self._request_count
-        is_body = self._body is not None and not self._body.is_eof()
-        super().data_received(data)
-        if self._request_count > requests_before:
-            self._body = self._messages[-1][1]
-        is_new = self._request_count > requests_before
-        if is_new and self._body is EMPTY_PAYLOAD and not data.endswith(HEAD_END):
-            self._restart_head_timer()
-        elif is_body or is_new:
+        body = self._messages.last_body if self._reads_body else None
+        body_bytes = body.total_bytes if body is not None else 0
+        super().data_received(part)
+        if self._messages and isinstance(self._messages[-1][0], _ErrInfo):
+            self._refuse_unreadable(body)
+        elif self._upgraded:
+            self._head.reset()
+        elif self._request_count > requests_before:
             self._cancel_head_timer()
-        elif data and self._head_timer is None:
+            self._framing = FramingCounter()
+            self._queued_bytes += len(part) + self._head.size
+            if self._messages.last_body is not EMPTY_PAYLOAD:
+                # What follows a body in the same part is left out.
+                self._head.reset()
+            elif part:
+                self._head.add(part, ended_heads=True)
+        elif body is not None:
+            self._count_body(body, len(part), body.total_bytes - body_bytes)
+        else:
+            self._head.add(part, ended_heads=False)
+            if self._head.size > self._limits.head_max_bytes:
+                self._refuse_head()
+
+    def _count_body(self, body: StreamReader, received: int, body_bytes: int) -> None:
+        if self._messages:
+            self._queued_bytes += received
+        if body is self._answered_body:
+            self._discarded_bytes += received
+        if body.is_eof():
+            self._head.reset()
+            return
+        self._framing.add(received, body_bytes)
+        # While reading is paused the parser has bytes that it has not told apart yet.
+        exceeds = not self._reading_paused and self._framing.exceeds(
+            self._limits.head_max_bytes
+        )
+        if exceeds or self._discarded_bytes > DISCARDED_MAX_BYTES:
+            self.note_closing(CloseReason.BODY_FRAMING)
+            self._refuse_body(body, web.RequestPayloadError("too much framing"))
+
+    def _refuse_head(self) -> None:
+        """Answer 431 after the requests before, and read no more."""
+        error = BadHttpMessage("the head is too long")
+        refusal = _ErrInfo(HEAD_TOO_LONG, error, error.message)
+        self._messages.append((refusal, EMPTY_PAYLOAD))
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+        self._end_input()
+
+    def _refuse_unreadable(self, body: StreamReader | None) -> None:
+        """Answer 400, and read no more; the error's text may be as long as the data."""
+        refused, _ = self._messages.pop()
+        text = refused.message[:ERROR_TEXT_MAX]
+        if body is None:
+            refusal = _ErrInfo(refused.status, BadHttpMessage(text), text)
+            self._messages.append((refusal, EMPTY_PAYLOAD))
+            self._end_input()
+        else:
+            self.note_closing(CloseReason.BODY_FRAMING)
+            self._refuse_body(body, web.RequestPayloadError(text))
+
+    def _refuse_body(self, body: StreamReader, error: Exception) -> None:
+        """End a body with an error for its handler, and read no more.
+
+        Only the body of an answered request may end without: it is being discarded.
+        """
+        if body is not self._answered_body:
+            body.set_exception(error)
+        body.feed_eof()
+        self._end_input()
+
+    def _end_input(self) -> None:
+        """Read no more, and close when all requests that were read are answered."""
+        self._input_ended = True
+        self._unparsed = b""
+        self._head.reset()
+        self._cancel_head_timer()
+        self._pause_transport_reading()
+        self.close_when_idle()
+
+    def drop_input(self) -> None:
+        """Drop what no handler has taken, as there is no memory for it."""
+        self.note_closing(CloseReason.MEMORY_NEEDED)
+        if not self.is_busy:
+            self._input_ended = True
+            self.transport.abort()
+            return
+        if self._reads_body:
+            error = BufferBudgetExceededError("too many bytes wait for handlers")
+            self._refuse_body(self._messages.last_body, error)
+        else:
+            self._end_input()
+        # Otherwise the next request is just being taken from the queue.
+        if self._current_request is not None:
+            self._messages.clear()
+
+    def _resume_transport_reading(self) -> None:
+        if not self._input_ended:
+            super()._resume_transport_reading()
+
+    def _update_held(self) -> None:
+        if not self._messages:
+            self._queued_bytes = 0
+        if self._held is None or self.transport is None:
+            return
+        count = self._head.size + len(self._message_tail)
+        if self._has_waiting_requests:
+            # Otherwise a handler takes the rest, or is about to.
+            count += self._queued_bytes + len(self._unparsed)
+        self._held.update(self, count)
+
+    def _update_head_timer(self) -> None:
+        """Time a head from its first byte on, and framing that no body follows."""
+        reads_body = self._reads_body
+        is_timed = self._framing.is_timed if reads_body else self._head.size > 0
+        if not is_timed or self._input_ended:
+            self._cancel_head_timer()
+        elif self._head_timer is None:
             self._restart_head_timer()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report the end, and cancel the head timer."""
         self._cancel_head_timer()
+        if self._body_timer is not None:
+            self._body_timer.cancel()
         if self._limit is not None:
             self._limit.remove(self)
+        if self._held is not None:
+            self._held.update(self, 0)
         if self._idle_check is not None:
             self._idle_check.cancel()
         self._server.report_closed(self._describe_end(exc))
@@ -176,20 +374,25 @@
         if reason is None:
             is_last = not self._keepalive or self._close
             reason = CloseReason.ANSWERED if is_last else CloseReason.CALLER_GONE
-        queued = [payload for _, payload in self._messages]
+        queued = [
+            payload
+            for message, payload in self._messages
+            if not isinstance(message, _ErrInfo)
+        ]
         current = self._unanswered
         bodies = queued if current is None else [current.content, *queued]
         return ClosedConnection(
             self._server.name,
             reason,
-            sum(body.is_eof() for body in bodies),
+            sum(body.is_eof() and body.exception() is None for body in bodies),
             self._request_id if current is not None else "",
             current is not None and self._sends.may_have_run,
             repr(exc) if exc is not None else "",
         )
 
     async def _handle_request(self, request, start_time, request_handler):
-        self._unanswered = request
+        self._update_held()
+        self._unanswered = None if self._is_refusing else request
         self._request_id = ""
         self._sends = SendRecord()
         if self._server.closes_when_idle:
@@ -199,6 +402,7 @@
                 request, start_time, _announcing(request_handler)
             )
         finally:
+            self._answered_body = request.content
             if self._closes_when_idle:
                 self._check_idle_later(IDLE_CHECK_S)
         if not reset and self._reason not in CUT_SHORT:
@@ -206,7 +410,10 @@
         return response, reset
 
     def _make_error_handler(self, err_info):
-        self.note_closing(CloseReason.BAD_REQUEST)
+        self._is_refusing = True
+        is_long = err_info.status == HEAD_TOO_LONG
+        reason = CloseReason.HEAD_TOO_LONG if is_long else CloseReason.BAD_REQUEST
+        self.note_closing(reason)
         return super()._make_error_handler(err_info)
 
     def handle_error(self, request, status=500, exc=None, message=None):
@@ -215,7 +422,10 @@
         After a failure, what else was sent on the connection is answered as well.
         """
         if status < SERVER_ERROR:
-            return super().handle_error(request, status, exc, message)
+            # aiohttp's own answer would also log the error with its traceback.
+            refusal = web.Response(status=status, text=message)
+            refusal.force_close()
+            return refusal
         self.note_closing(CloseReason.HANDLER_FAILED)
         logger.error("handler_failed", request=self._request_id, error=repr(exc))
         response = super().handle_error(request, status, exc, message)
@@ -227,6 +437,14 @@
     def _process_keepalive(self) -> None:
         if self._head_timer is not None:
             return
+        # The configuration may have changed since the connection was opened.
+        idle_since = self._next_keepalive_close_time - self._keepalive_timeout
+        close_time = idle_since + self._limits.idle_timeout_s
+        if self._loop.time() < close_time:
+            self._keepalive_handle = self._loop.call_at(
+                close_time, self._process_keepalive
+            )
+            return
         was_open = self.transport is not None
         super()._process_keepalive()
         if was_open and self.transport is None:
@@ -235,7 +453,7 @@
     def _restart_head_timer(self) -> None:
         self._cancel_head_timer()
         self._head_timer = self._loop.call_later(
-            HEAD_TIMEOUT_S, self._handle_head_timeout
+            self._limits.head_timeout_s, self._handle_head_timeout
         )
 
     def _cancel_head_timer(self) -> None:
@@ -244,15 +462,66 @@
             self._head_timer = None
 
     def _handle_head_timeout(self) -> None:
-        """Close the connection, unless an earlier request on it is in progress."""
+        """Close the connection, unless an earlier request on it is in progress.
+
+        A request whose body has not gone on in time is refused.
+        """
         self._head_timer = None
-        if self.is_busy:
+        if self._reads_body:
+            self.note_closing(CloseReason.BODY_FRAMING)
+            self._refuse_body(self._messages.last_body, TimeoutError())
+        elif self.is_busy:
             self._restart_head_timer()
         else:
-            logger.warning("head_not_whole", limit_s=HEAD_TIMEOUT_S)
             self.note_closing(CloseReason.HEAD_TIMEOUT)
             self.force_close()
 
+    def _update_body_timer(self) -> None:
+        """Time a body that a handler reads from its last bytes on."""
+        self._received_at = self._loop.time()
+        if self._body_timer is None and self._reads_body and not self._input_ended:
+            self._body_timer = self._loop.call_later(
+                self._limits.idle_timeout_s, self._check_body
+            )
+
+    def _check_body(self) -> None:
+        """Refuse a body of which nothing has arrived for the idle time."""
+        self._body_timer = None
+        if not self._reads_body or self._input_ended or self.transport is None:
+            return
+        now = self._loop.time()
+        if self._has_waiting_requests or self._is_reading_paused:
+            self._received_at = now
+        due_at = self._received_at + self._limits.idle_timeout_s
+        if now < due_at:
+            self._body_timer = self._loop.call_at(due_at, self._check_body)
+        else:
+            self.note_closing(CloseReason.BODY_REFUSED)
+            self._refuse_body(self._messages.last_body, TimeoutError())
+
+
+class MessageQueue(deque):
+    """Requests that were read; keeps the body of the one that was added last."""
+
+    def __init__(self):
+        super().__init__()
+        self.last_body: StreamReader | None = None
+
+    def append(self, message: tuple[Any, StreamReader]) -> None:
+        """Add a request with its body; an error has none."""
+        super().append(message)
+        if not isinstance(message[0], _ErrInfo):
+            self.last_body = message[1]
+
+
+def default_limits() -> ReadLimits:
+    """Return the limits of a server to which none are given."""
+    return ReadLimits(
+        DEFAULT_READ_LIMITS.head_max_bytes,
+        HEAD_TIMEOUT_S,
+        DEFAULT_READ_LIMITS.idle_timeout_s,
+    )
+
 
 def refuse_connection() -> web.Response:
     """Return the response to a request for whose connection there is no room."""
@@ -261,10 +530,12 @@
 
 
 class CallerServer(web.Server):
-    """aiohttp's server with the head timeout and a limit on its connections.
+    """aiohttp's server with limits on its connections and on what they send.
 
     ``name`` is that of its listener; ``closings`` gets the ends of its connections.
-    ``refuse`` returns the response to requests that exceed ``limit``.
+    ``refuse`` returns the response to requests that exceed ``limit``. ``read_limits``
+    returns the limits in force. ``held`` counts what no handler has taken, together
+    with that of other servers.
     """
 
     def __init__(
@@ -275,9 +546,13 @@
         closings: ClosingReport | None = None,
         limit: ConnectionLimit | None = None,
         refuse: Callable[[], web.Response] = refuse_connection,
+        read_limits: Callable[[], ReadLimits] | None = None,
+        held: HeldBytes | None = None,
         **options,
     ):
         super().__init__(self._handle, **options)
+        self._read_limits = read_limits or default_limits
+        self._held = held
         self.name = name
         self._handler = handler
         self._closings = closings or ClosingReport(Metrics())
@@ -290,6 +565,11 @@
         """Whether a request is in progress, or bytes of an answer are not sent yet."""
         return any(connection.is_busy for connection in self.connections)
 
+    @property
+    def limits(self) -> ReadLimits:
+        """Limits on what is read of a connection, as they are now."""
+        return self._read_limits()
+
     def report_closed(self, closed: ClosedConnection) -> None:
         """Record the end of one of its connections."""
         self._closings.record(closed)
@@ -320,8 +600,15 @@
 
     def __call__(self) -> RequestHandler:
         """Return the protocol of a new connection."""
+        limits = self.limits
+        options = {
+            "keepalive_timeout": limits.idle_timeout_s,
+            "max_line_size": limits.head_max_bytes,
+            "max_field_size": limits.head_max_bytes,
+            **self._kwargs,
+        }
         return CallerConnection(
-            self, limit=self._limit, loop=self._loop, **self._kwargs
+            self, limit=self._limit, held=self._held, loop=self._loop, **options
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/marjoramstile/peers/pool_datagrams.py
+++ b/marjoramstile/peers/pool_datagrams.py
@@ -7,6 +7,7 @@
 import asyncio
 import types
 import typing
+from collections.abc import Callable
 from dataclasses import fields, is_dataclass
 from enum import Enum
 
@@ -32,6 +33,7 @@
     PermitRequest,
     PermitUse,
 )
+from marjoramstile.log_summaries import EventSummary
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import Peer
 from marjoramstile.pools.client import PoolClient
@@ -161,7 +163,11 @@
         permits: PermitClient,
         crashes: CrashCoordinator,
         streams: StreamKeeper,
+        on_unreadable: Callable[[str, str], None] = lambda name, kind: None,
     ):
+        """``on_unreadable`` gets a counter's name, and the kind of the error."""
+        self._on_unreadable = on_unreadable
+        self._unreadable = EventSummary(logger, "datagram_unreadable")
         self._host = host
         self._client = client
         self._crashes = crashes
@@ -179,7 +185,9 @@
         try:
             message = decode_message(data)
         except _MALFORMED as error:
-            logger.warning("datagram_unreadable", peer=address, reason=repr(error))
+            kind = type(error).__name__
+            self._on_unreadable("datagrams_unreadable", kind)
+            self._unreadable.count({"error": kind}, peer=address, detail=str(error))
             return
         try:
             self._handle(message, address)
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -8,6 +8,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any
 
 from thriftpy2.thrift import TException, TProcessor
@@ -18,6 +19,7 @@
     BufferFullError,
 )
 from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.log_summaries import EventSummary
 from marjoramstile.logs import get_logger
 from marjoramstile.loops import LISTEN_BACKLOG, connect, listening_socket
 from marjoramstile.peers.frames import (
@@ -71,15 +73,19 @@
         """Return the next frame's message; EOFError at the stream's end."""
         self._awaits_frame = True
         try:
-            header = await self._reader.readexactly(_FRAME_HEADER.size)
+            first = await self._reader.readexactly(1)
         finally:
             self._awaits_frame = False
+        async with asyncio.timeout(FRAME_TIMEOUT_S):
+            return await self._read_frame(first)
+
+    async def _read_frame(self, first: bytes) -> bytes:
+        header = first + await self._reader.readexactly(_FRAME_HEADER.size - 1)
         (length,) = _FRAME_HEADER.unpack(header)
         if not 0 < length <= self._max_bytes:
             raise FrameError(f"frame length {length} is not in 1 to {self._max_bytes}")
         with self._buffers.body(length) as frame:
-            async with asyncio.timeout(FRAME_TIMEOUT_S):
-                await self._read_into(frame, length)
+            await self._read_into(frame, length)
             return frame.to_bytes()
 
     async def _read_into(self, frame: BufferedBody, length: int) -> None:
@@ -93,9 +99,10 @@
                 raise FrameError(str(error)) from error
 
     async def write(self, message: bytes) -> None:
-        """Write a message as one frame."""
+        """Write a message as one frame; TimeoutError if it is not taken in time."""
         self._writer.write(_FRAME_HEADER.pack(len(message)) + message)
-        await self._writer.drain()
+        async with asyncio.timeout(FRAME_TIMEOUT_S):
+            await self._writer.drain()
 
     def close(self) -> None:
         """Close the stream."""
@@ -144,8 +151,14 @@
         max_bytes: int,
         buffers: BufferBudget,
         limit: ConnectionLimit | None = None,
+        on_refused: Callable[[str, str], None] = lambda name, kind: None,
     ):
-        """Calls are read into ``buffers``; ``limit`` bounds the open connections."""
+        """Calls are read into ``buffers``; ``limit`` bounds the open connections.
+
+        ``on_refused`` gets a counter's name, and why a connection was closed.
+        """
+        self._on_refused = on_refused
+        self._refused = EventSummary(logger, "peer_connection_refused")
         self._limit = limit
         self._processor = TProcessor(PeerService, handler)
         self._max_bytes = max_bytes
@@ -178,7 +191,9 @@
                 return
             while not self._closing:
                 await self._answer(stream)
-        except (TException, OSError, EOFError, TimeoutError):
+        except (TException, TimeoutError) as error:
+            self._record_refused(writer, error)
+        except (OSError, EOFError):
             pass
         except asyncio.CancelledError:
             pass
@@ -190,6 +205,12 @@
                 self._limit.remove(stream)
             stream.close()
 
+    def _record_refused(self, writer: asyncio.StreamWriter, error: Exception) -> None:
+        kind = type(error).__name__
+        self._on_refused("peer_connections_refused", kind)
+        peer = writer.get_extra_info("peername")
+        self._refused.count({"error": kind}, peer=peer, detail=str(error))
+
     async def _answer(self, stream: FrameStream) -> None:
         message = await stream.read()
         if self._limit is not None:
--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -16,6 +16,11 @@
 from marjoramstile.fronts.closing import ClosingReport
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.listeners import Listener, ListenerGroup
+from marjoramstile.fronts.received import (
+    DEFAULT_READ_LIMITS,
+    HeldBytes,
+    ReadLimits,
+)
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
 from marjoramstile.loops import create_loop
@@ -59,6 +64,9 @@
 
 # Share of a VM's memory for bodies that are being read.
 BUFFER_MEMORY_SHARE = 0.2
+# Share for heads that are not whole and requests that wait behind others on their
+# connection. Whole heads of other callers are taken at once, and need none of it.
+HELD_MEMORY_SHARE = 0.04
 STOP_POLL_S = 0.05
 # Callers may use a resolved address list for up to this many of its TTLs.
 ADDRESS_CACHE_TTLS = 3
@@ -109,7 +117,9 @@
         self._node.replicas_mirror.subscribe(self._apply_replica)
         self._shares = DescriptorShares.of(settings.descriptors)
         self._listeners = ListenerGroup(
-            self._shares.backlog, ClosingReport(self._node.metrics)
+            self._shares.backlog,
+            ClosingReport(self._node.metrics),
+            HeldBytes(int(settings.memory_bytes * HELD_MEMORY_SHARE)),
         )
         self.settings_checker = SettingsChecker(
             lambda: load_platform_settings(settings_path()),
@@ -193,6 +203,11 @@
     def _limit(self, name: str, max_open: int) -> ConnectionLimit:
         return ConnectionLimit(name, max_open, self._node.metrics.count)
 
+    def _callers_read_limits(self) -> ReadLimits:
+        """Return limits for callers that keep within those of the configuration."""
+        limits = self._node.entry.limits
+        return DEFAULT_READ_LIMITS if limits is None else ReadLimits.of(limits)
+
     def _build_front(self) -> Listener:
         handler = FrontHandler(self._node.entry, self._bodies)
         return Listener(
@@ -201,12 +216,13 @@
             handler.handle,
             self._callers_limit,
             handler.refuse,
+            self._callers_read_limits,
         )
 
     def _operators(self) -> Listener:
         node = self._node
         endpoints = OperatorEndpoints(
-            node.metrics_text, node.status, node.block_sharing
+            node.metrics_text, node.status, node.block_sharing, self._bodies
         )
         limit = self._limit("metrics", self._shares.metrics)
         address = self._settings.listeners.metrics
@@ -223,6 +239,7 @@
             handler.handle,
             self._callers_limit,
             handler.refuse,
+            self._callers_read_limits,
         )
 
     def _listen_when_free(self, listener: Listener) -> None:
--- a/marjoramstile/platform/documents.py
+++ b/marjoramstile/platform/documents.py
@@ -13,6 +13,9 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.replica_types import Replica, ReplicaState, Stage
 from marjoramstile.routes.table import (
+    HEAD_MAX_BYTES,
+    HEAD_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
     EngineTraits,
     EntryLimits,
     Route,
@@ -143,6 +146,9 @@
 def _limits(item: JSONObject) -> EntryLimits:
     return EntryLimits(
         body_max_bytes=item.integer("maxBodyBytes"),
+        head_max_bytes=item.integer("maxHeaderBytes", default=HEAD_MAX_BYTES),
+        head_timeout_s=_seconds_or(item, "headerTimeoutMs", HEAD_TIMEOUT_S),
+        idle_timeout_s=_seconds_or(item, "idleTimeoutMs", IDLE_TIMEOUT_S),
     )
 
 
--- a/marjoramstile/platform/operators.py
+++ b/marjoramstile/platform/operators.py
@@ -1,5 +1,6 @@
 """Operators' endpoints of a routing daemon: metrics, status rows, and the blocklist."""
 
+import json
 from collections.abc import Callable
 from dataclasses import asdict
 
@@ -7,6 +8,8 @@
 
 from marjoramstile.crashes.keys import is_key
 from marjoramstile.crashes.sharing import BlocklistSharing
+from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
+from marjoramstile.fronts.listening import close_when_idle
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.status import SUBJECTS, FleetStatus
 
@@ -14,6 +17,7 @@
 BLOCKLIST_PATH = "/v1/blocklist"
 BAD_REQUEST = 400
 NOT_FOUND = 404
+BLOCK_MAX_BYTES = 65_536
 
 logger = get_logger(__name__)
 
@@ -26,10 +30,12 @@
         metrics_text: Callable[[], str],
         status: FleetStatus,
         sharing: BlocklistSharing,
+        bodies: BodyReader,
     ):
         self._metrics_text = metrics_text
         self._status = status
         self._sharing = sharing
+        self._bodies = bodies
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer GET /v1/rows/SUBJECT with rows, any other GET with the metrics.
@@ -49,9 +55,13 @@
 
     async def _set_block(self, request: web.BaseRequest) -> web.Response:
         try:
-            body = await request.json()
+            async with self._bodies.read_body(request, BLOCK_MAX_BYTES) as data:
+                body = json.loads(data)
             service, key, blocked = body["service"], body["key"], body["blocked"]
-        except (ValueError, KeyError, TypeError):
+        except BodyRefusedError as error:
+            close_when_idle(request)
+            return _error_response(error.status, str(error))
+        except (ValueError, KeyError, TypeError, RecursionError):
             return _bad_request("the body needs service, key and blocked")
         if not isinstance(service, str) or not is_key(key) or blocked not in (0, 1):
             return _bad_request("a key is part/ID or content/FINGERPRINT")
@@ -63,5 +73,9 @@
 
 
 def _bad_request(message: str) -> web.Response:
-    body = {"error": {"code": BAD_REQUEST, "message": message}}
-    return web.json_response(body, status=BAD_REQUEST)
+    return _error_response(BAD_REQUEST, message)
+
+
+def _error_response(status: int, message: str) -> web.Response:
+    body = {"error": {"code": status, "message": message}}
+    return web.json_response(body, status=status)
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -543,6 +543,7 @@
             FRAME_MAX_BYTES,
             self._ports.buffers,
             ConnectionLimit("peers", self._shares.peers, self.metrics.count),
+            self.metrics.count,
         )
 
     async def acquire_sockets(self) -> PeerSockets:
@@ -595,6 +596,7 @@
                 self._permits,
                 self._crash_coordinator,
                 self.streams,
+                self.metrics.count,
             ),
             sock=bound,
         )
--- a/marjoramstile/routes/table.py
+++ b/marjoramstile/routes/table.py
@@ -84,11 +84,24 @@
     engine: EngineTraits | None
 
 
+# Limits of callers' requests if the configuration states none.
+HEAD_MAX_BYTES = 16_384
+HEAD_TIMEOUT_S = 3.0
+IDLE_TIMEOUT_S = 15.0
+
+
 @dataclass(frozen=True)
 class EntryLimits:
-    """Limits on callers' requests."""
+    """Limits that callers keep within.
+
+    A head may have ``head_max_bytes`` and take ``head_timeout_s``. A connection may be
+    idle for four fifths of ``idle_timeout_s`` before it is used again.
+    """
 
     body_max_bytes: int
+    head_max_bytes: int = HEAD_MAX_BYTES
+    head_timeout_s: float = HEAD_TIMEOUT_S
+    idle_timeout_s: float = IDLE_TIMEOUT_S
 
 
 @dataclass(frozen=True)
--- a/tests/fronts/conftest.py
+++ b/tests/fronts/conftest.py
@@ -2,7 +2,12 @@
 
 from marjoramstile.loops import create_loop
 
-REAL_SOCKETS = ("test_closing.py", "test_draining.py", "test_listeners.py")
+REAL_SOCKETS = (
+    "test_closing.py",
+    "test_draining.py",
+    "test_hostile_input.py",
+    "test_listeners.py",
+)
 
 
 def pytest_asyncio_loop_factories(config, item):
