--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -16,6 +16,11 @@
 from marjoramstile.fronts.closing import ClosingReport
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.listeners import Listener, ListenerGroup
+from marjoramstile.fronts.received import (
+    DEFAULT_READ_LIMITS,
+    HeldBytes,
+    ReadLimits,
+)
 from marjoramstile.fronts.unsent import UnsentLimit
 from marjoramstile.log_volume import NonBlockingStream, VolumeLimit
 from marjoramstile.logs import get_logger, start_logging
@@ -64,6 +69,9 @@
 # Share of a VM's memory for answers that slow callers have not taken yet.
 UNSENT_MEMORY_SHARE = 0.1
 UNSENT_CHECK_S = 0.25
+# Share for heads that are not whole and requests that wait behind others on their
+# connection. Whole heads of other callers are taken at once, and need none of it.
+HELD_MEMORY_SHARE = 0.04
 STOP_POLL_S = 0.05
 # Callers may use a resolved address list for up to this many of its TTLs.
 ADDRESS_CACHE_TTLS = 3
@@ -120,7 +128,9 @@
         self._node.replicas_mirror.subscribe(self._apply_replica)
         self._shares = DescriptorShares.of(settings.descriptors)
         self._listeners = ListenerGroup(
-            self._shares.backlog, ClosingReport(self._node.metrics)
+            self._shares.backlog,
+            ClosingReport(self._node.metrics),
+            HeldBytes(int(settings.memory_bytes * HELD_MEMORY_SHARE)),
         )
         self.settings_checker = SettingsChecker(
             lambda: load_platform_settings(settings_path()),
@@ -213,6 +223,11 @@
     async def _check_unsent(self) -> None:
         self._unsent.check(self._listeners.connections)
 
+    def _callers_read_limits(self) -> ReadLimits:
+        """Return limits for callers that keep within those of the configuration."""
+        limits = self._node.entry.limits
+        return DEFAULT_READ_LIMITS if limits is None else ReadLimits.of(limits)
+
     def _build_front(self) -> Listener:
         handler = FrontHandler(self._node.entry, self._bodies)
         return Listener(
@@ -221,12 +236,13 @@
             handler.handle,
             self._callers_limit,
             handler.refuse,
+            self._callers_read_limits,
         )
 
     def _operators(self) -> Listener:
         node = self._node
         endpoints = OperatorEndpoints(
-            node.metrics_text, node.status, node.block_sharing
+            node.metrics_text, node.status, node.block_sharing, self._bodies
         )
         limit = self._limit("metrics", self._shares.metrics)
         address = self._settings.listeners.metrics
@@ -243,6 +259,7 @@
             handler.handle,
             self._callers_limit,
             handler.refuse,
+            self._callers_read_limits,
         )
 
     def _listen_when_free(self, listener: Listener) -> None:
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -582,6 +582,7 @@
             FRAME_MAX_BYTES,
             self._ports.buffers,
             ConnectionLimit("peers", self._shares.peers, self.metrics.count),
+            self.metrics.count,
         )
 
     async def acquire_sockets(self) -> PeerSockets:
@@ -637,6 +638,7 @@
                 self.streams,
                 self.quotas,
                 self.quota_owner,
+                self.metrics.count,
             ),
             sock=bound,
         )
