--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -124,8 +124,8 @@
             random.Random(),
         )
         faults.count_with(self._node.metrics.count)
-        self._node.configuration_mirror.subscribe(self._apply_configuration)
-        self._node.replicas_mirror.subscribe(self._apply_replica)
+        self._node.mirrors.configuration.subscribe(self._apply_configuration)
+        self._node.mirrors.replicas.subscribe(self._apply_replica)
         self._shares = DescriptorShares.of(settings.descriptors)
         self._listeners = ListenerGroup(
             self._shares.backlog,
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -21,15 +21,11 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.loops import datagram_socket
 from marjoramstile.membership.leaving import LeavingHosts
-from marjoramstile.membership.nodes import NODES_TABLE, MirrorVMList
+from marjoramstile.membership.nodes import MirrorVMList
 from marjoramstile.membership.prober import Prober
 from marjoramstile.membership.view import View
-from marjoramstile.mirrors.follower import MirrorFollower
-from marjoramstile.mirrors.lag import LagDetector
 from marjoramstile.mirrors.mirror import (
     DocumentMirror,
-    RestorePolicy,
-    TableMirror,
 )
 from marjoramstile.mirrors.peers import PeerChangeSource
 from marjoramstile.peers.connections import IDLE_ADDRESSES_MAX, PeerConnections
@@ -63,9 +59,10 @@
 from marjoramstile.routes.generations import GenerationRunner
 from marjoramstile.routes.links import LinkMonitor, ReplicaLinks
 from marjoramstile.routes.loads import PrefillLoads
+from marjoramstile.routes.node_mirrors import NodeMirrors
 from marjoramstile.routes.notices import ReplicaNotices
 from marjoramstile.routes.order_ports import OrderStore, StageClient
-from marjoramstile.routes.order_rows import ORDERS_TABLE, orders_of
+from marjoramstile.routes.order_rows import orders_of
 from marjoramstile.routes.orders import StageRebalancer
 from marjoramstile.routes.placement import DecodePlacer
 from marjoramstile.routes.ports import ReplicaClient
@@ -84,18 +81,6 @@
 from marjoramstile.utils import BackgroundTasks, loop_time, new_token, run_every
 
 FRAME_MAX_BYTES = 4_194_304
-# Wait of a feed call. A silent connection to the store is detected within this plus a
-# call's timeout, which is sooner than the bounds on configuration and leaving.
-FEED_WAIT_S = 1.2
-# For tables that change rarely and whose changes may arrive late.
-QUIET_FEED_WAIT_S = 8.0
-QUIET_RELAY_PAUSE_S = 1.0
-# Pause between two requests to a reader for tables that must be current.
-RELAY_PAUSE_S = 0.35
-# Replicas write often, and daemons all at once when a fleet starts: their changes are
-# batched for this long.
-REPLICAS_PAUSE_S = 0.6
-NODES_PAUSE_S = 0.8
 PROBE_PERIOD_S = 0.4
 PROBE_TIMEOUT_S = 0.3
 SUSPICION_S = 2.0
@@ -106,12 +91,6 @@
 # Streams that began within this time before a kill of all daemons can't be taken up.
 STREAMS_PERIOD_S = 0.25
 ADDRESS_TTL_S = 1.5
-# Heartbeats that a replica misses until its row expires, and the time until daemons see
-# that it has.
-HEARTBEATS_MISSED = 3
-EXPIRY_MARGIN_S = 1.0
-# Time after a restore of the store in which all daemons write their rows again.
-NODES_REWRITE_S = 5.0
 # Longest time for which a starting daemon asks others for the configuration.
 START_WAIT_S = 0.2
 START_POLL_S = 0.01
@@ -163,14 +142,10 @@
         self._ports = ports
         self._rng = rng
         self._table: RoutingTable | None = None
-        self.configuration_mirror = configuration_mirror
-        expiry_s = HEARTBEATS_MISSED * settings.bounds.heartbeat_s + EXPIRY_MARGIN_S
-        self.replicas_mirror = TableMirror(
-            replicas_table, RestorePolicy(hold_returned_s=expiry_s)
-        )
-        self.nodes_mirror = TableMirror(NODES_TABLE, RestorePolicy(NODES_REWRITE_S))
-        self._orders_mirror = TableMirror(ORDERS_TABLE)
-        self._orders_mirror.subscribe(self._apply_orders)
+        self.mirrors = NodeMirrors(
+            configuration_mirror, replicas_table, settings.bounds.heartbeat_s
+        )
+        self.mirrors.orders.subscribe(self._apply_orders)
         self._build_membership()
         self._build_requests()
         self._build_status()
@@ -196,7 +171,7 @@
 
     def remove_replica(self, replica_id: str) -> None:
         """Drop a replica whose row was deleted, or expired during a store outage."""
-        follower = self._followers[self.replicas_mirror.table]
+        follower = self._followers[self.mirrors.replicas.table]
         keep_until = follower.store_recovered_at + MISSING_GRACE_S
         self.directory.remove(replica_id, keep_until, loop_time())
 
@@ -244,7 +219,7 @@
         self.peer_client = MembershipClient(
             self._connections, settings.listeners.peers.port, PROBE_TIMEOUT_S
         )
-        self._vm_list = MirrorVMList(self.nodes_mirror)
+        self._vm_list = MirrorVMList(self.mirrors.nodes)
         self.prober = Prober(
             self.view,
             self.peer_client,
@@ -256,45 +231,13 @@
         self._build_followers()
 
     def _build_followers(self) -> None:
-        """Build a follower of each table, with its own wait and pauses."""
+        """Build what keeps the mirrors current."""
         peers = PeerChangeSource(self.view, self.peer_client, self.tasks, self._rng)
-        self._followers = {
-            mirror.table: MirrorFollower(
-                self._ports.feed,
-                mirror,
-                peers,
-                wait_s,
-                pause_s,
-                relay_pause_s,
-                self._rng,
-                deferrable=relay_pause_s > RELAY_PAUSE_S,
-            )
-            for mirror, wait_s, pause_s, relay_pause_s in (
-                (self.configuration_mirror, FEED_WAIT_S, 0.0, RELAY_PAUSE_S),
-                (self.replicas_mirror, FEED_WAIT_S, REPLICAS_PAUSE_S, RELAY_PAUSE_S),
-                (
-                    self.nodes_mirror,
-                    QUIET_FEED_WAIT_S,
-                    NODES_PAUSE_S,
-                    QUIET_RELAY_PAUSE_S,
-                ),
-                (self._orders_mirror, QUIET_FEED_WAIT_S, 0.0, QUIET_RELAY_PAUSE_S),
-            )
-        }
+        self._followers = self.mirrors.follow(self._ports.feed, peers, self._rng)
         self._reads_store = peers.reads_store
-        self._lag = LagDetector(
-            {
-                mirror.table: mirror
-                for mirror in (self.configuration_mirror, self.replicas_mirror)
-            },
-            self.view,
-            self.peer_client,
-            self.tasks,
-        )
+        self._lag = self.mirrors.detect_lag(self.view, self.peer_client, self.tasks)
         self.prober.carry_positions(self._lag.positions, self._lag.handle_positions)
-        mirrors = {
-            table: follower.mirror for table, follower in self._followers.items()
-        }
+        mirrors = self.mirrors.by_table
         for mirror in mirrors.values():
             mirror.on_failed_row(partial(self.metrics.count, "rows_not_applied"))
         self.registration = Registration(
@@ -309,9 +252,9 @@
 
     def _daemon_count(self) -> int | None:
         """Return how many daemons there are; None before their rows were read."""
-        if not self.nodes_mirror.loaded:
+        if not self.mirrors.nodes.loaded:
             return None
-        return max(len(self.view.peers), len(self.nodes_mirror.rows))
+        return max(len(self.view.peers), len(self.mirrors.nodes.rows))
 
     def _build_requests(self) -> None:
         settings = self.settings
@@ -348,7 +291,7 @@
         generations = self._build_generations(client, crashes)
         self.entry = RequestDispatcher(
             lambda: self._table,
-            lambda: self.replicas_mirror.loaded,
+            lambda: self.mirrors.replicas.loaded,
             calls,
             generations,
             crashes,
@@ -522,7 +465,7 @@
         store = StreamStore(
             self._ports.feed, self._ports.orders, registry, self._versions
         )
-        replicas = self._followers[self.replicas_mirror.table]
+        replicas = self._followers[self.mirrors.replicas.table]
         self.streams = StreamKeeper(
             self.view,
             SchedulerSelector(self.view),
@@ -546,7 +489,7 @@
 
     async def _store_streams(self) -> None:
         """Store changes of versions, and streams while there are several."""
-        if self._table is None or not self.replicas_mirror.loaded:
+        if self._table is None or not self.mirrors.replicas.loaded:
             return
         self._versions.begin(loop_time())
         self.streams.expire()
@@ -559,7 +502,7 @@
             table=lambda: self._table,
             followers=self._followers,
             reads_store=self._reads_store,
-            orders=self._orders_mirror,
+            orders=self.mirrors.orders,
             directory=self.directory,
             balancer=self.balancer,
             schedulers=self.schedulers,
@@ -598,7 +541,7 @@
         await self._peer_server.serve(sockets.calls, self._shares.backlog)
         await self._start_datagrams(sockets.datagrams)
         for table, follower in self._followers.items():
-            if follower.mirror is not self.configuration_mirror:
+            if follower.mirror is not self.mirrors.configuration:
                 self.tasks.start_retried(follower.run, f"follow {table}")
         self.tasks.start_retried(self._follow_configuration, "follow the configuration")
         self.tasks.start_retried(self.block_sharing.load, "load the blocklist")
@@ -616,10 +559,10 @@
 
         The store may just have come back from a copy with an older configuration.
         """
-        table = self.configuration_mirror.table
+        table = self.mirrors.configuration.table
         with suppress(TimeoutError):
             async with asyncio.timeout(START_WAIT_S):
-                while not self.nodes_mirror.loaded:
+                while not self.mirrors.nodes.loaded:
                     await asyncio.sleep(START_POLL_S)
                 listed = (await self._vm_list.list_vms()).unwrap()
                 self.view.merge_list(listed, loop_time())
--- a/tests/mirrors/test_fleet_events.py
+++ b/tests/mirrors/test_fleet_events.py
@@ -31,7 +31,7 @@
 )
 from marjoramstile.ports.tables import StoreError
 from marjoramstile.ports.vms import ListedState, ListedVM
-from marjoramstile.routes import node
+from marjoramstile.routes import node_mirrors
 from marjoramstile.utils import BackgroundTasks, loop_time
 
 DAEMONS = 195
@@ -42,10 +42,18 @@
 UNREACHABLE_DELAY_S = 0.3
 CONFIGURATION = "configuration"
 TABLES = {
-    CONFIGURATION: (node.FEED_WAIT_S, 0.0, node.RELAY_PAUSE_S),
-    "replicas": (node.FEED_WAIT_S, node.REPLICAS_PAUSE_S, node.RELAY_PAUSE_S),
-    "nodes": (node.QUIET_FEED_WAIT_S, node.NODES_PAUSE_S, node.QUIET_RELAY_PAUSE_S),
-    "orders": (node.QUIET_FEED_WAIT_S, 0.0, node.QUIET_RELAY_PAUSE_S),
+    CONFIGURATION: (node_mirrors.FEED_WAIT_S, 0.0, node_mirrors.RELAY_PAUSE_S),
+    "replicas": (
+        node_mirrors.FEED_WAIT_S,
+        node_mirrors.REPLICAS_PAUSE_S,
+        node_mirrors.RELAY_PAUSE_S,
+    ),
+    "nodes": (
+        node_mirrors.QUIET_FEED_WAIT_S,
+        node_mirrors.NODES_PAUSE_S,
+        node_mirrors.QUIET_RELAY_PAUSE_S,
+    ),
+    "orders": (node_mirrors.QUIET_FEED_WAIT_S, 0.0, node_mirrors.QUIET_RELAY_PAUSE_S),
 }
 UNAVAILABLE = Err(StoreError("unavailable"))
 
@@ -144,7 +152,7 @@
                 pause_s,
                 relay_pause_s,
                 rng,
-                deferrable=relay_pause_s > node.RELAY_PAUSE_S,
+                deferrable=relay_pause_s > node_mirrors.RELAY_PAUSE_S,
             )
             for table, (wait_s, pause_s, relay_pause_s) in TABLES.items()
         }
