Fronts: garbage after a whole body no longer refuses its request

Cause: an error of the parser in the part that ended a body was taken for one of that body.

Change: only a body that is not whole gets the parser's error. Framing is not timed while reading is paused. A test for long bodies that a handler leaves unread (it passed before).

--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -279,7 +279,7 @@
         """Answer 400, and read no more; the error's text may be as long as the data."""
         refused, _ = self._messages.pop()
         text = refused.message[:ERROR_TEXT_MAX]
-        if body is None:
+        if body is None or body.is_eof():
             refusal = _ErrInfo(refused.status, BadHttpMessage(text), text)
             self._messages.append((refusal, EMPTY_PAYLOAD))
             self._end_input()
@@ -341,7 +341,7 @@
         """Time a head from its first byte on, and framing that no body follows."""
         reads_body = self._reads_body
         is_timed = self._framing.is_timed if reads_body else self._head.size > 0
-        if not is_timed or self._input_ended:
+        if not is_timed or self._reading_paused or self._input_ended:
             self._cancel_head_timer()
         elif self._head_timer is None:
             self._restart_head_timer()
--- a/tests/fronts/test_hostile_input.py
+++ b/tests/fronts/test_hostile_input.py
@@ -290,6 +290,24 @@
     assert front.run == []
 
 
+async def test_garbage_after_a_whole_body_refuses_its_request(front):
+    head = GET[:-2] + b"Content-Length: 4\r\n\r\n"
+    answer = await front.exchange(head + b"ab", b"cd" + b"\0" * 100, pause_s=0.02)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert answer.count(b" 400 ") == 1
+    assert front.run == [b"abcd"]
+
+
+async def test_long_body_that_is_not_read_stops_its_connection(front):
+    """Reading is paused while it is buffered."""
+    body = b"x" * 200_000
+    head = GET.replace(b"/x", b"/unread")[:-2]
+    length = b"Content-Length: %d\r\n\r\n" % len(body)
+    answer = await front.exchange(head + length + body + GET)
+    assert answer.count(b"HTTP/1.1 200") == 2
+    assert front.run == [b""]
+
+
 async def test_body_that_stops_keeps_its_connection(front):
     """It was kept until the timeout of the whole body."""
     answer = await front.exchange(CHUNKED + b"1\r\nx\r\n")
