--- a/marjoramstile/pools/client.py
+++ b/marjoramstile/pools/client.py
@@ -35,8 +35,10 @@
 # Timeouts of the first answer, one for each time that the request is sent: datagrams
 # may be lost.
 FIRST_ANSWER_TIMEOUTS_S = (0.06, 0.08)
-# Period at which a queued request is repeated.
+# Period at which a queued request is repeated, unless the scheduler names another.
 POLL_S = 0.12
+# Longest such period.
+POLL_MAX_S = 1.0
 # Polls in a row without an answer after which a scheduler counts as silent.
 MAX_UNANSWERED_POLLS = 3
 RENEW_PERIOD_S = 1.0
@@ -208,10 +210,13 @@
         try:
             answer = await self._first_answer(peer, request, answers)
             unanswered = 0
+            poll_s = POLL_S
             while isinstance(answer, PlacementQueued) or (
                 answer is None and 0 < unanswered < MAX_UNANSWERED_POLLS
             ):
-                answer = await self._next_answer(answers, POLL_S)
+                if isinstance(answer, PlacementQueued):
+                    poll_s = max(POLL_S, min(answer.poll_after_s, POLL_MAX_S))
+                answer = await self._next_answer(answers, poll_s)
                 if answer is None:
                     unanswered += 1
                     self._sender.send(peer, request)
--- a/marjoramstile/pools/estimator.py
+++ b/marjoramstile/pools/estimator.py
@@ -92,7 +92,9 @@
         count, as the replica prefills other prompts meanwhile.
         """
         if lease.prefill_started_at_once:
-            self._prefill_latency.observe(lease.prompt_tokens, seconds, now)
+            self._prefill_latency.observe(
+                lease.prompt_tokens / lease.prefill_speed, seconds, now
+            )
         seconds -= min(self._prefill_latency.latency_s, LATENCY_SHARE_MAX * seconds)
         expected_s = lease.prefill_unit_s
         if expected_s > 0 and self.statistics.has_enough_data:
--- a/marjoramstile/pools/forecasts.py
+++ b/marjoramstile/pools/forecasts.py
@@ -20,7 +20,9 @@
     def __init__(
         self, pool: PoolSnapshot, generation: Generation, statistics: PoolStatistics
     ):
-        self._times = _capacity_times(pool, generation)
+        self._pool = pool
+        self._generation = generation
+        self._found_times: list[float] | None = None
         self._s_per_token = statistics.decode_s_per_token
         self._decode_s = statistics.decode_s
         self._generations = max(1, sum(len(item.generations) for item in pool.decode))
@@ -31,20 +33,31 @@
             local_speed = sum(item.prefill_speed for item in pool.decode)
             self._prefill_speed += local_speed * speed / LOCAL_PREFILL_FACTOR
 
-    def memory_wait_s(self, ahead: int, inflow_per_s: float = 0.0) -> float | None:
+    @property
+    def _times(self) -> list[float]:
+        """When the pool fits one request, two, and so on; found when first used."""
+        if self._found_times is None:
+            self._found_times = _capacity_times(self._pool, self._generation)
+        return self._found_times
+
+    def memory_wait_s(
+        self, ahead: int, inflow_per_s: float = 0.0, enough_s: float = 0.0
+    ) -> float | None:
         """Return the time until there is memory for one more request.
 
         ``ahead`` queued requests go first, and so do more urgent ones that arrive in
         the meantime, at ``inflow_per_s``. None if the time can't be estimated. It is
         limited to the average time in which as many generations end: the first of many
-        generations ends sooner than any single one is expected to.
+        generations ends sooner than any single one is expected to. If that is at most
+        ``enough_s``, it is returned without looking at each replica.
         """
+        end_s = self._decode_s / self._generations
+        typical_s = (ahead + 1) * end_s
+        typical_s += _arrivals(inflow_per_s, typical_s) * end_s
+        if typical_s <= enough_s and ahead < self._generations:
+            return typical_s
         wait_s = self._capacity_wait_s(ahead, inflow_per_s)
-        if wait_s is None:
-            return None
-        typical_s = (ahead + 1) * self._decode_s / self._generations
-        arrivals = _arrivals(inflow_per_s, typical_s)
-        return min(wait_s, typical_s + arrivals * self._decode_s / self._generations)
+        return None if wait_s is None else min(wait_s, typical_s)
 
     def _capacity_wait_s(self, ahead: int, inflow_per_s: float) -> float | None:
         for index in range(ahead, len(self._times)):
--- a/marjoramstile/pools/messages.py
+++ b/marjoramstile/pools/messages.py
@@ -105,9 +105,13 @@
 
 @dataclass(frozen=True)
 class PlacementQueued:
-    """The request is queued; a daemon on another VM must repeat it to keep it there."""
+    """The request is queued; a daemon on another VM must repeat it to keep it there.
+
+    It is repeated after ``poll_after_s``; 0 stands for the usual period.
+    """
 
     id: str
+    poll_after_s: float = optional_field(0.0)
 
 
 @dataclass(frozen=True)
--- a/marjoramstile/pools/prefill_latency.py
+++ b/marjoramstile/pools/prefill_latency.py
@@ -20,6 +20,9 @@
 # be told from a low speed.
 PROMPT_SPREAD_MIN = 0.15
 
+# Ratio to the mean speed beyond which a prefill tells of its replica's trouble only.
+OUTLIER_RATIO = 2.0
+
 _SUMS = ("_weight", "_tokens", "_seconds", "_squares", "_products")
 
 
@@ -40,8 +43,14 @@
         """Time of a prefill that doesn't depend on its prompt; 0 if hardly any."""
         return self._latency_s
 
-    def observe(self, tokens: int, seconds: float, now: float) -> None:
-        """Add the duration of a prefill that no other one has delayed."""
+    def observe(self, tokens: float, seconds: float, now: float) -> None:
+        """Add the duration of a prefill that no other one has delayed.
+
+        ``tokens`` are those of its prompt, over the speed of its replica relative to
+        the pool: fast ones get longer prompts, which would look like a latency.
+        """
+        if self._weight >= MIN_PREFILLS and self._is_outlier(tokens, seconds):
+            return
         factor = math.exp2(-max(0.0, now - self._at) / HALF_LIFE_S)
         self._at = max(self._at, now)
         for name in _SUMS:
@@ -53,6 +62,11 @@
         self._products += tokens * seconds
         self._latency_s = self._intercept()
 
+    def _is_outlier(self, tokens: float, seconds: float) -> bool:
+        """Return whether a prefill took far longer or shorter than the mean one."""
+        mean_speed = self._tokens / self._seconds
+        return not 1 / OUTLIER_RATIO < tokens / seconds / mean_speed < OUTLIER_RATIO
+
     def _intercept(self) -> float:
         if self._weight < MIN_PREFILLS:
             return 0.0
--- a/marjoramstile/pools/refusals.py
+++ b/marjoramstile/pools/refusals.py
@@ -85,8 +85,11 @@
         prompts = sum(item.request.prompt_tokens for item in ahead)
         reserve = self._precedence.reserve(pool, statistics)
         forecast = PoolForecast(pool, waiting.generation, statistics)
-        wait_s = self._forecast_s(waiting, len(ahead), prompts, pool, reserve, forecast)
-        return _exceeds(wait_s, waiting.deadline - now)
+        left_s = waiting.deadline - now
+        wait_s = self._forecast_s(
+            waiting, len(ahead), prompts, pool, reserve, forecast, left_s
+        )
+        return _exceeds(wait_s, left_s)
 
     def overtaken(
         self, pool: PoolSnapshot, statistics: PoolStatistics, now: float
@@ -111,7 +114,9 @@
                 and item.urgency == Urgency.ON_TIME
                 and left_s > EARLY_REFUSAL_MIN_S
                 and _exceeds(
-                    self._forecast_s(item, ahead, prompts, pool, reserve, forecast),
+                    self._forecast_s(
+                        item, ahead, prompts, pool, reserve, forecast, left_s
+                    ),
                     left_s,
                     OVERTAKEN_MARGIN,
                 )
@@ -130,11 +135,13 @@
         pool: PoolSnapshot,
         reserve: Reserve,
         forecast: PoolForecast,
+        enough_s: float,
     ) -> float | None:
         """Return the expected wait; None if it can't be estimated.
 
         ``ahead`` queued requests with prompts of ``prompts`` tokens go first, and so do
-        more urgent ones that arrive in the meantime or for which room is reserved.
+        more urgent ones that arrive in the meantime or for which room is reserved. A
+        wait for memory of at most ``enough_s`` is estimated roughly.
         """
         if not pool.decode:
             return None
@@ -144,7 +151,7 @@
         expected = self._precedence.inflow_before(waiting)
         inflow_per_s = 0.0 if expected is None else expected.per_s
         inflow_tokens = 0.0 if expected is None else expected.typical.tokens
-        memory_s = forecast.memory_wait_s(position, inflow_per_s)
+        memory_s = forecast.memory_wait_s(position, inflow_per_s, enough_s)
         if memory_s is None:
             return None
         prefill_s = forecast.prefill_wait_s(prompts, inflow_per_s * inflow_tokens)
@@ -188,8 +195,8 @@
 
         Queued requests and expected retries go first.
         """
-        others = sum(item is not waiting for item in self._queue)
-        ahead = others + late_reserve(pool) + self._expected_retries.pending_count(now)
+        ahead = len(self._queue) - (waiting in self._queue)
+        ahead += late_reserve(pool) + self._expected_retries.pending_count(now)
         ahead += self._precedence.reserve(pool, statistics).places(waiting.request)
         return late_wait_s(
             pool, waiting.generation, ahead, self._inflow_per_s(now), statistics
--- a/marjoramstile/pools/scheduler.py
+++ b/marjoramstile/pools/scheduler.py
@@ -80,6 +80,13 @@
 # Length from which a queue is processed at most once a period, and that period.
 LONG_QUEUE = 4
 LONG_QUEUE_PERIOD_S = 0.02
+# Time that each queued request adds to that period.
+QUEUED_PERIOD_S = 0.0002
+# Period after which a queued request polls, for each request in the queue; below the
+# least one requests poll at the usual period.
+POLL_AFTER_PER_QUEUED_S = 0.005
+POLL_AFTER_MIN_S = 0.15
+POLL_AFTER_MAX_S = 0.4
 # Period at which queued requests that others went ahead of are examined again.
 OVERTAKEN_PERIOD_S = 0.1
 # Ends of leases whose requests were not sent to any replica.
@@ -184,7 +191,7 @@
         if self._is_hopeless(waiting, pool, now):
             self._refuse(waiting, pool, now)
         else:
-            self._answers.append(PlacementQueued(request.id))
+            self._answers.append(self._queued_answer(waiting))
 
     def _is_hopeless(
         self, waiting: WaitingRequest, pool: PoolSnapshot, now: float
@@ -198,6 +205,18 @@
             return not self._state.can_decode
         return self._refusals.would_time_out(waiting, pool, self.statistics, now)
 
+    def _queued_answer(self, waiting: WaitingRequest) -> PlacementQueued:
+        """Return the answer to a request that waits; in a long queue it polls less.
+
+        The load it answers: bursts, in which the polls of waiting requests take as much
+        of the scheduler's processor as the placing.
+        """
+        if waiting.polled_at is not None:
+            poll_after_s = min(POLL_AFTER_MAX_S, POLL_AFTER_PER_QUEUED_S * self.queued)
+            is_usual = poll_after_s < POLL_AFTER_MIN_S
+            waiting.poll_after_s = 0.0 if is_usual else round(poll_after_s, 2)
+        return PlacementQueued(waiting.request.id, waiting.poll_after_s)
+
     def _answer_repeated(self, request: PlacementRequest, now: float) -> bool:
         """Answer a request that is already known; return whether it is."""
         lease = self._leases.get(request.id)
@@ -209,7 +228,7 @@
             self._answers.append(refusal)
         elif waiting is not None:
             waiting.polled_at = now
-            self._answers.append(PlacementQueued(request.id))
+            self._answers.append(self._queued_answer(waiting))
         else:
             return False
         return True
@@ -345,7 +364,8 @@
 
     def process_queue(self, now: float) -> None:
         """Grant what can be granted now and refuse requests that would be late."""
-        self._next_processing = now + LONG_QUEUE_PERIOD_S
+        period_s = LONG_QUEUE_PERIOD_S + QUEUED_PERIOD_S * len(self._queue)
+        self._next_processing = now + period_s
         self._expire(now)
         if not self._queue:
             return
--- a/marjoramstile/pools/waiting.py
+++ b/marjoramstile/pools/waiting.py
@@ -11,7 +11,8 @@
 from marjoramstile.pools.messages import PlacementRequest, Urgency
 from marjoramstile.pools.shares import Standing
 
-# A request is dropped when its daemon has not polled for this long.
+# A request is dropped when its daemon has not polled for this long, and for two more of
+# the periods that it was told.
 POLL_TIMEOUT_S = 0.45
 
 
@@ -48,9 +49,16 @@
     queued_at: float = field(compare=False)
     deadline: float = field(compare=False)
     polled_at: float | None = field(compare=False)
+    poll_after_s: float = field(default=0.0, compare=False)
     overtaken: bool = field(default=False, compare=False)
     held_back: bool = field(default=False, compare=False)
 
+    def is_abandoned(self, now: float) -> bool:
+        """Return whether its daemon has stopped polling."""
+        if self.polled_at is None:
+            return False
+        return now - self.polled_at > POLL_TIMEOUT_S + 2 * self.poll_after_s
+
     @property
     def tokens(self) -> int:
         """Expected memory of the generation, averaged over its duration."""
@@ -69,6 +77,7 @@
 
     def __init__(self):
         self._items: list[WaitingRequest] = []
+        self._by_id: dict[str, WaitingRequest] = {}
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
@@ -78,7 +87,7 @@
         return iter(self._items)
 
     def __contains__(self, waiting: WaitingRequest) -> bool:
-        return waiting in self._items
+        return self._by_id.get(waiting.request.id) is waiting
 
     @property
     def prompt_tokens(self) -> int:
@@ -110,6 +119,7 @@
         """Insert a request by its rank."""
         index = bisect.bisect(self._items, waiting.rank, key=_rank_of)
         self._items.insert(index, waiting)
+        self._by_id[waiting.request.id] = waiting
         for item in itertools.islice(self._items, index + 1, None):
             item.overtaken = True
 
@@ -146,12 +156,11 @@
     def remove(self, waiting: WaitingRequest) -> None:
         """Remove a request."""
         self._items.remove(waiting)
+        del self._by_id[waiting.request.id]
 
     def find(self, request_id: str) -> WaitingRequest | None:
         """Return a request by its placement id."""
-        return next(
-            (item for item in self._items if item.request.id == request_id), None
-        )
+        return self._by_id.get(request_id)
 
     def first_by_avoided(self, count: int, sets: int) -> list[WaitingRequest]:
         """Return the first ``count`` requests of each set of replicas to avoid.
@@ -175,15 +184,14 @@
 
     def cancel(self, request_id: str) -> None:
         """Remove a request by its placement id, if it is queued."""
-        self._items = [item for item in self._items if item.request.id != request_id]
+        waiting = self.find(request_id)
+        if waiting is not None:
+            self.remove(waiting)
 
     def drop_abandoned(self, now: float) -> None:
         """Remove requests whose daemon has stopped polling."""
-        self._items = [
-            item
-            for item in self._items
-            if item.polled_at is None or now - item.polled_at <= POLL_TIMEOUT_S
-        ]
+        for item in [item for item in self._items if item.is_abandoned(now)]:
+            self.remove(item)
 
     def overdue(self, now: float) -> list[WaitingRequest]:
         """Return the requests whose deadline is not after ``now``."""
--- a/tests/pools/test_prefill_latency.py
+++ b/tests/pools/test_prefill_latency.py
@@ -69,3 +69,22 @@
     assert grant.prefill is not None
     busy_s = pool.scheduler.pool_snapshot(pool.now).prefill[0].busy_s
     assert busy_s == pytest.approx(6600 / TOKENS_PER_S, rel=0.1)
+
+
+def test_long_prompts_at_fast_replicas_are_no_latency():
+    """Their durations grow less with the prompts than those of one replica."""
+    latency = PrefillLatency()
+    for number, tokens in enumerate(sorted(mixed_prompts(200))):
+        speed = 1.2 if number > 100 else 0.55
+        seconds = 0.01 + tokens / (TOKENS_PER_S * speed)
+        latency.observe(tokens / speed, seconds, number / 50)
+    assert latency.latency_s == 0.0
+
+
+def test_prefills_of_replicas_in_trouble_are_no_latency():
+    latency = PrefillLatency()
+    rng = random.Random(3)
+    for number, tokens in enumerate(mixed_prompts(200)):
+        factor = 5.0 if number > 40 and rng.random() < 0.15 else 1.0
+        latency.observe(tokens, factor * (0.01 + tokens / TOKENS_PER_S), number / 50)
+    assert latency.latency_s == 0.0
