--- a/tests/fronts/test_hostile_input.py
+++ b/tests/fronts/test_hostile_input.py
@@ -299,11 +299,7 @@
 
 
 async def test_long_body_that_is_not_read_stops_its_connection(front):
-<<<<<<< HEAD
-    """Reading was never resumed."""
-=======
     """Reading is paused while it is buffered."""
->>>>>>> hostile
     body = b"x" * 200_000
     head = GET.replace(b"/x", b"/unread")[:-2]
     length = b"Content-Length: %d\r\n\r\n" % len(body)
