--- a/marjoramstile/completions/errors.py
+++ b/marjoramstile/completions/errors.py
@@ -16,6 +16,7 @@
 REQUEST_ID = "x-request-id"
 BAD_REQUEST = 400
 NOT_FOUND = 404
+TOO_MANY_REQUESTS = 429
 SERVER_ERROR = 500
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
@@ -90,8 +91,9 @@
 
     One that crashes replicas is of no use before operators have looked at it.
     """
+    is_quota = error.reason == RefusalReason.QUOTA
     return CompletionError(
-        UNAVAILABLE,
+        TOO_MANY_REQUESTS if is_quota else UNAVAILABLE,
         str(error.reason),
         "the request has not run; it may be sent again",
         retry_after_s=error.retry_after_s,
--- a/marjoramstile/fronts/answers.py
+++ b/marjoramstile/fronts/answers.py
@@ -75,9 +75,14 @@
             raise CallerDisconnectedError from error
 
     async def finish(self) -> None:
-        """End the response as complete."""
+        """End the response as complete; abort if the caller doesn't take the rest."""
         try:
-            await self._response.write_eof()
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                await self._response.write_eof()
+        except TimeoutError as error:
+            logger.warning("answer_not_taken", limit_s=ANSWER_TIMEOUT_S)
+            self.abort(CloseReason.ANSWER_NOT_TAKEN)
+            raise CallerDisconnectedError from error
         except (ClientConnectionResetError, OSError) as error:
             raise CallerDisconnectedError from error
 
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -26,6 +26,7 @@
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.received import (
     DEFAULT_READ_LIMITS,
+    HEAD_END,
     FramingCounter,
     HeadCounter,
     HeldBytes,
@@ -48,6 +49,9 @@
 # Part of an error's text that is sent; it may quote as many bytes as were received.
 ERROR_TEXT_MAX = 200
 HEAD_TOO_LONG = 431
+# Fields of a head, and of trailers. Each takes some hundred bytes of memory, however
+# short it is.
+FIELDS_MAX = 256
 SERVER_ERROR = 500
 # Time for the first request on a connection that was opened as its listener closed.
 FIRST_REQUEST_WAIT_S = 0.1
@@ -249,24 +253,43 @@
             self._framing = FramingCounter()
             self._queued_bytes += len(part) + self._head.size
             if self._messages.last_body is not EMPTY_PAYLOAD:
-                # What follows a body in the same part is left out.
+                is_first = self._head.size == 0
                 self._head.reset()
+                if is_first and self._request_count == requests_before + 1:
+                    self._count_after_body(part)
             elif part:
                 self._head.add(part, ended_heads=True)
         elif body is not None:
-            self._count_body(body, len(part), body.total_bytes - body_bytes)
+            self._count_body(body, part, body.total_bytes - body_bytes)
         else:
             self._head.add(part, ended_heads=False)
             if self._head.size > self._limits.head_max_bytes:
                 self._refuse_head()
 
-    def _count_body(self, body: StreamReader, received: int, body_bytes: int) -> None:
+    def _count_after_body(self, part: bytes) -> None:
+        """Count what follows the one request of a part, if its body is whole."""
+        body = self._messages.last_body
+        head_end = part.find(HEAD_END) + len(HEAD_END)
+        if body.is_eof() and head_end >= len(HEAD_END):
+            self._count_rest(part, len(part) - head_end - body.total_bytes)
+
+    def _count_rest(self, part: bytes, size: int) -> None:
+        """Count the last bytes of a part, which follow a body with a stated length.
+
+        They begin the next head. What follows the last chunk isn't told apart.
+        """
+        if size > 0 and not self._messages.last_is_chunked:
+            self._head.add(part[-size:], ended_heads=False)
+
+    def _count_body(self, body: StreamReader, part: bytes, body_bytes: int) -> None:
+        received = len(part)
         if self._messages:
             self._queued_bytes += received
         if body is self._answered_body:
             self._discarded_bytes += received
         if body.is_eof():
             self._head.reset()
+            self._count_rest(part, len(part) - body_bytes)
             return
         self._framing.add(received, body_bytes)
         # While reading is paused the parser has bytes that it has not told apart yet.
@@ -322,7 +345,8 @@
         self.note_closing(CloseReason.MEMORY_NEEDED)
         if not self.is_busy:
             self._input_ended = True
-            self.transport.abort()
+            if self.transport is not None:
+                self.transport.abort()
             return
         if self._reads_body:
             error = BufferBudgetExceededError("too many bytes wait for handlers")
@@ -414,6 +438,7 @@
             )
         finally:
             self._answered_body = request.content
+            self._discarded_bytes = 0
             if self._reading_paused and request.content.is_eof():
                 # Its handler has left a long body unread.
                 self.resume_reading()
@@ -450,6 +475,8 @@
 
     def _process_keepalive(self) -> None:
         if self._head_timer is not None:
+            # The next idle time schedules it again.
+            self._keepalive_handle = None
             return
         # The configuration may have changed since the connection was opened.
         idle_since = self._next_keepalive_close_time - self._keepalive_timeout
@@ -520,12 +547,14 @@
     def __init__(self):
         super().__init__()
         self.last_body: StreamReader | None = None
+        self.last_is_chunked = False
 
     def append(self, message: tuple[Any, StreamReader]) -> None:
         """Add a request with its body; an error has none."""
         super().append(message)
         if not isinstance(message[0], _ErrInfo):
             self.last_body = message[1]
+            self.last_is_chunked = message[0].chunked
 
 
 def default_limits() -> ReadLimits:
@@ -619,6 +648,7 @@
             "keepalive_timeout": limits.idle_timeout_s,
             "max_line_size": limits.head_max_bytes,
             "max_field_size": limits.head_max_bytes,
+            "max_headers": FIELDS_MAX,
             **self._kwargs,
         }
         return CallerConnection(
--- a/marjoramstile/peers/pool_datagrams.py
+++ b/marjoramstile/peers/pool_datagrams.py
@@ -48,6 +48,7 @@
     PlacementQueued,
     PlacementRefusal,
     PlacementRequest,
+    PollLater,
     PoolMessage,
     ProfileUpdate,
     SpeedUpdate,
@@ -83,6 +84,7 @@
     "speeds": SpeedUpdate,
     "grant": PlacementGrant,
     "queued": PlacementQueued,
+    "poll-later": PollLater,
     "refusal": PlacementRefusal,
     "permit": PermitRequest,
     "permitted": PermitAnswer,
@@ -101,7 +103,7 @@
     "used": QuotaBackup,
 }
 _KIND_NAMES = {kind: name for name, kind in _KINDS.items()}
-_ANSWERS = (PlacementGrant, PlacementQueued, PlacementRefusal)
+_ANSWERS = (PlacementGrant, PlacementQueued, PollLater, PlacementRefusal)
 _LIMIT_MESSAGES = (PermitRequest, PermitUse, LimitReport)
 _CRASH_MESSAGES = (CrashReport, BeginQuery, BeginAnswer, BlockUpdate)
 _STREAM_MESSAGES = (StreamBegun, VersionQuery, VersionAnswer)
--- a/marjoramstile/platform/wholeness.py
+++ b/marjoramstile/platform/wholeness.py
@@ -58,6 +58,10 @@
         self.fault = fault
 
 
+# A length that interim answers may state.
+NO_BODY = "0"
+
+
 class BrokenAnswerError(AnswerLostError):
     """The request was sent, and what came back is no whole answer: it may have run."""
 
@@ -74,7 +78,9 @@
     if status == SWITCHING_PROTOCOLS:
         return AnswerFault.UPGRADE
     if status in INTERIM_STATUSES:
-        has_body = any(name in headers for name in _BODY_HEADERS)
+        has_body = any(
+            headers.get(name, NO_BODY).strip() != NO_BODY for name in _BODY_HEADERS
+        )
         return AnswerFault.MALFORMED if has_body else None
     if FINAL_STATUS_MIN <= status <= FINAL_STATUS_MAX:
         return None
--- a/marjoramstile/pools/client.py
+++ b/marjoramstile/pools/client.py
@@ -23,6 +23,7 @@
     PlacementQueued,
     PlacementRefusal,
     PlacementRequest,
+    PollLater,
     PoolMessage,
     ProfileUpdate,
     SpeedUpdate,
@@ -211,17 +212,17 @@
             answer = await self._first_answer(peer, request, answers)
             unanswered = 0
             poll_s = POLL_S
-            while isinstance(answer, PlacementQueued) or (
+            while isinstance(answer, (PlacementQueued, PollLater)) or (
                 answer is None and 0 < unanswered < MAX_UNANSWERED_POLLS
             ):
-                if isinstance(answer, PlacementQueued):
-                    poll_s = max(POLL_S, min(answer.poll_after_s, POLL_MAX_S))
                 answer = await self._next_answer(answers, poll_s)
                 if answer is None:
                     unanswered += 1
                     self._sender.send(peer, request)
-                elif isinstance(answer, PlacementQueued):
-                    unanswered = 0
+                    continue
+                unanswered = 0
+                if isinstance(answer, PollLater):
+                    poll_s = max(POLL_S, min(answer.poll_after_s, POLL_MAX_S))
             return answer
         except asyncio.CancelledError:
             self._sender.send(peer, self._cancel(request))
--- a/marjoramstile/pools/host.py
+++ b/marjoramstile/pools/host.py
@@ -16,6 +16,7 @@
     PlacementQueued,
     PlacementRefusal,
     PlacementRequest,
+    PollLater,
     ProfileUpdate,
     SpeedUpdate,
 )
@@ -204,7 +205,7 @@
 
     def _deliver(self, scheduler: PoolScheduler) -> None:
         for answer in scheduler.pop_answers():
-            is_queued = isinstance(answer, PlacementQueued)
+            is_queued = isinstance(answer, (PlacementQueued, PollLater))
             reply = (
                 self._replies.get(answer.id)
                 if is_queued
--- a/marjoramstile/pools/leases.py
+++ b/marjoramstile/pools/leases.py
@@ -1,6 +1,7 @@
 """Leases that a scheduler counts, and their totals by replica and by workspace."""
 
-from collections import Counter, defaultdict
+import itertools
+from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -122,7 +123,8 @@
         self._leases: dict[str, Lease] = {}
         self._totals: dict[str, LeaseTotals] = defaultdict(LeaseTotals)
         self._by_replica: dict[str, dict[str, Lease]] = defaultdict(dict)
-        self._changes: Counter[str] = Counter()
+        self._changes: dict[str, int] = {}
+        self._change_numbers = itertools.count(1)
         self.workspace_tokens: dict[str, int] = {}
 
     def __len__(self) -> int:
@@ -140,8 +142,11 @@
         return self._totals.get(replica_id, NO_LEASES)
 
     def changes(self, replica_id: str) -> int:
-        """Return a number that grows with each change of a replica's leases."""
-        return self._changes[replica_id]
+        """Return a number that is new after each change of a replica's leases.
+
+        It is 0 for a replica without leases.
+        """
+        return self._changes.get(replica_id, 0)
 
     def add(self, lease: Lease) -> None:
         """Add a lease."""
@@ -195,10 +200,11 @@
         return {lease.decode for lease in self if lease.local_prefill_until > now}
 
     def _count(self, lease: Lease, requests: int, tokens: int) -> None:
-        self._changes[lease.decode] += 1
+        self._changes[lease.decode] = next(self._change_numbers)
         total = self._totals[lease.decode].plus(requests, tokens)
         if total == NO_LEASES:
             del self._totals[lease.decode]
+            del self._changes[lease.decode]
         else:
             self._totals[lease.decode] = total
         held = self.workspace_tokens.get(lease.workspace, 0) + tokens
--- a/marjoramstile/pools/messages.py
+++ b/marjoramstile/pools/messages.py
@@ -105,13 +105,20 @@
 
 @dataclass(frozen=True)
 class PlacementQueued:
-    """The request is queued; a daemon on another VM must repeat it to keep it there.
+    """The request is queued; a daemon on another VM must repeat it to keep it there."""
 
-    It is repeated after ``poll_after_s``; 0 stands for the usual period.
+    id: str
+
+
+@dataclass(frozen=True)
+class PollLater:
+    """A queued request is to be repeated after so many seconds from now on.
+
+    Builds that don't know it ignore it, and repeat at the usual period.
     """
 
     id: str
-    poll_after_s: float = optional_field(0.0)
+    poll_after_s: float
 
 
 @dataclass(frozen=True)
@@ -123,7 +130,7 @@
     retry_after_s: float
 
 
-PlacementAnswer = PlacementGrant | PlacementQueued | PlacementRefusal
+PlacementAnswer = PlacementGrant | PlacementQueued | PollLater | PlacementRefusal
 
 
 @dataclass(frozen=True)
--- a/marjoramstile/pools/pool_state.py
+++ b/marjoramstile/pools/pool_state.py
@@ -190,6 +190,13 @@
             for replica in self._permitted(Stage.PREFILL)
         )
 
+    def forget_missing(self) -> None:
+        """Drop what is kept of replicas that are not usable any more."""
+        usable = {item.id for stage in Stage for item in self._replicas(stage)}
+        for kept in (self._kept, self._prefill_free_at):
+            for replica_id in kept.keys() - usable:
+                del kept[replica_id]
+
     def prefill_delay_s(self, now: float) -> float:
         """Return by how much a prompt is prefilled later than now at the pool's speed.
 
@@ -253,7 +260,8 @@
         """
         prefill = lease.grant.prefill
         if prefill is not None and lease.prefill_pending:
-            self._prefill_free_at[prefill] -= lease.prefill_s
+            free_at = self._prefill_free_at.get(prefill, 0.0)
+            self._prefill_free_at[prefill] = free_at - lease.prefill_s
 
     def record_decode_failure(self, replica_id: str, now: float) -> None:
         """Record a failure of a decode replica."""
--- a/marjoramstile/pools/prefill_latency.py
+++ b/marjoramstile/pools/prefill_latency.py
@@ -49,6 +49,8 @@
         ``tokens`` are those of its prompt, over the speed of its replica relative to
         the pool: fast ones get longer prompts, which would look like a latency.
         """
+        if tokens <= 0 or seconds <= 0:
+            return
         if self._weight >= MIN_PREFILLS and self._is_outlier(tokens, seconds):
             return
         factor = math.exp2(-max(0.0, now - self._at) / HALF_LIFE_S)
@@ -73,7 +75,7 @@
         mean = self._tokens / self._weight
         mean_s = self._seconds / self._weight
         variance = self._squares / self._weight - mean * mean
-        if variance < (PROMPT_SPREAD_MIN * mean) ** 2:
+        if variance <= (PROMPT_SPREAD_MIN * mean) ** 2:
             return 0.0
         slope = (self._products / self._weight - mean * mean_s) / variance
         latency_s = min(mean_s - slope * mean, LATENCY_SHARE_MAX * mean_s)
--- a/marjoramstile/pools/refusals.py
+++ b/marjoramstile/pools/refusals.py
@@ -69,6 +69,7 @@
     def observe_arrival(self, now: float) -> None:
         """Add an on-time request to the rate of arrivals."""
         self._arrivals.append(now)
+        self._drop_old_arrivals(now)
 
     def would_time_out(
         self,
@@ -202,9 +203,12 @@
             pool, waiting.generation, ahead, self._inflow_per_s(now), statistics
         )
 
-    def _inflow_per_s(self, now: float) -> float:
+    def _drop_old_arrivals(self, now: float) -> None:
         while self._arrivals and self._arrivals[0] <= now - INFLOW_WINDOW_S:
             self._arrivals.popleft()
+
+    def _inflow_per_s(self, now: float) -> float:
+        self._drop_old_arrivals(now)
         return len(self._arrivals) / INFLOW_WINDOW_S
 
     def _retry_after_s(
--- a/marjoramstile/pools/scheduler.py
+++ b/marjoramstile/pools/scheduler.py
@@ -41,6 +41,7 @@
     PlacementGrant,
     PlacementQueued,
     PlacementRequest,
+    PollLater,
     Urgency,
     daemon_of,
 )
@@ -82,11 +83,11 @@
 LONG_QUEUE_PERIOD_S = 0.02
 # Time that each queued request adds to that period.
 QUEUED_PERIOD_S = 0.0002
-# Period after which a queued request polls, for each request in the queue; below the
-# least one requests poll at the usual period.
+# Period after which a queued request polls, for each request in the queue, and the
+# longest one. A request is told again if it has grown by the step.
 POLL_AFTER_PER_QUEUED_S = 0.005
-POLL_AFTER_MIN_S = 0.15
 POLL_AFTER_MAX_S = 0.4
+POLL_AFTER_STEP_S = 0.14
 # Period at which queued requests that others went ahead of are examined again.
 OVERTAKEN_PERIOD_S = 0.1
 # Ends of leases whose requests were not sent to any replica.
@@ -191,7 +192,7 @@
         if self._is_hopeless(waiting, pool, now):
             self._refuse(waiting, pool, now)
         else:
-            self._answers.append(self._queued_answer(waiting))
+            self._answer_queued(waiting)
 
     def _is_hopeless(
         self, waiting: WaitingRequest, pool: PoolSnapshot, now: float
@@ -205,17 +206,18 @@
             return not self._state.can_decode
         return self._refusals.would_time_out(waiting, pool, self.statistics, now)
 
-    def _queued_answer(self, waiting: WaitingRequest) -> PlacementQueued:
-        """Return the answer to a request that waits; in a long queue it polls less.
+    def _answer_queued(self, waiting: WaitingRequest) -> None:
+        """Answer a request that waits; in a long queue it is to poll less.
 
         The load it answers: bursts, in which the polls of waiting requests take as much
         of the scheduler's processor as the placing.
         """
-        if waiting.polled_at is not None:
-            poll_after_s = min(POLL_AFTER_MAX_S, POLL_AFTER_PER_QUEUED_S * self.queued)
-            is_usual = poll_after_s < POLL_AFTER_MIN_S
-            waiting.poll_after_s = 0.0 if is_usual else round(poll_after_s, 2)
-        return PlacementQueued(waiting.request.id, waiting.poll_after_s)
+        self._answers.append(PlacementQueued(waiting.request.id))
+        poll_after_s = min(POLL_AFTER_MAX_S, POLL_AFTER_PER_QUEUED_S * self.queued)
+        is_longer = poll_after_s > waiting.poll_after_s + POLL_AFTER_STEP_S
+        if waiting.polled_at is not None and is_longer:
+            waiting.poll_after_s = round(poll_after_s, 2)
+            self._answers.append(PollLater(waiting.request.id, waiting.poll_after_s))
 
     def _answer_repeated(self, request: PlacementRequest, now: float) -> bool:
         """Answer a request that is already known; return whether it is."""
@@ -228,7 +230,7 @@
             self._answers.append(refusal)
         elif waiting is not None:
             waiting.polled_at = now
-            self._answers.append(self._queued_answer(waiting))
+            self._answer_queued(waiting)
         else:
             return False
         return True
@@ -388,6 +390,7 @@
         if now < self._next_expiry:
             return
         self._next_expiry = now + EXPIRY_PERIOD_S
+        self._state.forget_missing()
         for lease in self._leases.expire(now):
             logger.info("lease_lapsed", lease=lease.id, replica=lease.decode)
 
--- a/marjoramstile/pools/shares.py
+++ b/marjoramstile/pools/shares.py
@@ -61,9 +61,10 @@
     by_level = sorted((demand / weight, weight) for demand, weight in demands)
     weights = sum(weight for _, weight in by_level)
     for level, weight in by_level:
+        weights = max(weight, weights)
         if level * weights > rest * (1 + ROUNDING):
-            return max(0.0, rest) / weights
-        rest -= level * weight
+            return rest / weights
+        rest = max(0.0, rest - level * weight)
         weights -= weight
     return None
 
--- a/marjoramstile/quotas/accounts.py
+++ b/marjoramstile/quotas/accounts.py
@@ -34,11 +34,13 @@
 class Holder:
     """What an owner knows of a daemon: its state in its last message, and grants since.
 
-    ``spent`` and ``recent`` include granted units that are not reported yet.
+    ``spent`` and ``recent`` include granted units that are not reported yet. ``former``
+    is the incarnation before, whose late messages are ignored.
     """
 
     incarnation: str
     spent: float
+    former: str = ""
     number: int = -1
     held: float = 0.0
     lapses_at: float = 0.0
@@ -115,10 +117,14 @@
     def report(self, sender: Sender, state: SpenderState, now: float) -> bool:
         """Take in a daemon's state; return whether the message is a new one."""
         holder = self.holders.get(sender.vm)
+        if holder is not None and sender.incarnation == holder.former:
+            return False
         if holder is None or holder.incarnation != sender.incarnation:
+            former = ""
             if holder is not None:
+                former = holder.incarnation
                 self._lapse(holder, now)
-            holder = Holder(sender.incarnation, self._known_spent(state, now))
+            holder = Holder(sender.incarnation, self._known_spent(state, now), former)
             self.holders[sender.vm] = holder
         if sender.number <= holder.number:
             return False
--- a/marjoramstile/quotas/client.py
+++ b/marjoramstile/quotas/client.py
@@ -172,7 +172,11 @@
         key = (workspace.name, quota.unit)
         account = self._account(key)
         account.allowance = Allowance.of(quota, self._bounds)
-        wait_s = await self._take(key, account, units)
+        if units > account.allowance.most:
+            # It could never be granted, and asking for it would take the others' units.
+            wait_s = self._bounds.window_s
+        else:
+            wait_s = await self._take(key, account, units)
         if not wait_s:
             self._metrics.count("quota_granted", workspace.name)
             return QuotaDecision(True, charge=QuotaCharge(key, units))
@@ -289,6 +293,8 @@
                 self._decide_alone(account, [item])
         if answer.role.grants:
             account.record_contact(max(0.0, answer.used), now)
+        if any(item.result.done() and item.result.result() for item in batch):
+            account.return_surplus(now)
         return pause_s
 
     @staticmethod
@@ -349,7 +355,7 @@
         self, account: SpendingAccount, batch: list[_Waiting], is_own: bool
     ) -> QuotaRequest:
         now = loop_time()
-        need = sum(item.units for item in batch)
+        need = _usable_units(batch, account.allowance)
         self._reported_at[account.key] = now
         return QuotaRequest(
             self._own_sender(),
@@ -405,6 +411,9 @@
         self._heard_at[vm] = loop_time()
 
     def _start_relay(self, request: QuotaRequest, reply: Reply) -> None:
+        """Relay a request unless a repetition of it is being relayed already."""
+        if (request.sender.vm, request.sender.number) in self._answers:
+            return
         self._tasks.start(self._relay(request, reply), "relay to the owner of a quota")
 
     async def _relay(self, request: QuotaRequest, reply: Reply) -> None:
@@ -490,6 +499,16 @@
             items.pop(key, None)
 
 
+def _usable_units(batch: list[_Waiting], allowance: Allowance) -> float:
+    """Return the units of those requests, smallest first, that fit together."""
+    need = 0.0
+    for units in sorted(item.units for item in batch):
+        if need and need + units > allowance.units:
+            break
+        need += units
+    return need
+
+
 def _parts(states: list[SpenderState]) -> Iterator[tuple[SpenderState, ...]]:
     for start in range(0, len(states), STATES_MAX):
         yield tuple(states[start : start + STATES_MAX])
--- a/marjoramstile/quotas/spending.py
+++ b/marjoramstile/quotas/spending.py
@@ -120,6 +120,13 @@
         self.due_at = min(self.due_at, asked_at + LEASE_S)
         self._lease_until = max(self._lease_until, asked_at + LEASE_S)
 
+    def return_surplus(self, now: float) -> None:
+        """Return units that were granted for requests that they don't suffice for."""
+        kept = self.wanted_ahead(0.0, now)
+        if self.balance(now) > kept:
+            self._balance = kept
+            self.changed = True
+
     def record_contact(self, used: float, now: float) -> None:
         """Record an owner's answer; ``used`` are the units that all have used."""
         self._contact_at = now
@@ -202,12 +209,13 @@
         daemon. Beyond a window, times are random in the second half of one.
         """
         pace_s = units * self._window_s / max(EPSILON, self._own_part(now))
+        pace_s = min(pace_s, self._window_s)
         promised_s = max(wait_s, self._promised_until - now)
         if promised_s > self._window_s:
             first_s = max(wait_s, 0.5 * self._window_s)
             promised_s = rng.uniform(first_s, max(first_s, self._window_s))
         else:
-            self._promised_until = now + promised_s + pace_s
+            self._promised_until = now + min(promised_s + pace_s, self._window_s)
         return min(promised_s, RETRY_MAX_S)
 
     def _own_part(self, now: float) -> float:
--- a/marjoramstile/routes/calls.py
+++ b/marjoramstile/routes/calls.py
@@ -271,9 +271,9 @@
                 self._hedger.record_unanswered(request, loop_time() - started)
             raise
         except asyncio.CancelledError:
-            waited_s = loop_time() - started
-            if self._hedger.record_unanswered(request, waited_s):
-                stats.observe_latency(waited_s)
+            now = loop_time()
+            if self._hedger.record_unanswered(request, now - started):
+                stats.observe_latency(now - started, now)
             raise
         finally:
             stats.outstanding -= 1
--- a/marjoramstile/routes/entry.py
+++ b/marjoramstile/routes/entry.py
@@ -38,6 +38,8 @@
 NOT_FOUND = 404
 RETRY_AFTER_START_S = 0.5
 RETRY_AFTER_STOP_S = 0.05
+# Time left before the deadline in which a request without units is refused.
+CHARGE_MARGIN_S = 0.05
 # Share of the grace period of a planned stop in which requests are started that are
 # expected to end before the share after which all are cut off, or of which nothing is
 # known; later, only those are whose deadline is before that.
@@ -332,7 +334,15 @@
         workspace = request.workspace
         if workspace is None or workspace.quota is None:
             return FREE
-        decision = await self._quotas.acquire(workspace, request.size, request.id)
+        try:
+            async with asyncio.timeout_at(request.deadline - CHARGE_MARGIN_S):
+                decision = await self._quotas.acquire(
+                    workspace, request.size, request.id
+                )
+        except TimeoutError:
+            raise RequestRefusedError(
+                RefusalReason.TIMED_OUT, RETRY_AFTER_START_S
+            ) from None
         if not decision.granted:
             raise RequestRefusedError(RefusalReason.QUOTA, decision.wait_s)
         return decision
--- a/tests/fronts/test_hostile_input.py
+++ b/tests/fronts/test_hostile_input.py
@@ -11,7 +11,11 @@
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.closing import CloseReason
-from marjoramstile.fronts.listening import CallerServer, close_when_idle
+from marjoramstile.fronts.listening import (
+    CallerConnection,
+    CallerServer,
+    close_when_idle,
+)
 from marjoramstile.fronts.received import HeldBytes, ReadLimits
 from tests.fronts.support import KeptClosings
 from tests.support import captured_logs
@@ -336,3 +340,31 @@
     assert len(logs.getvalue().splitlines()) == 1
     count = front.closings.metrics.value("caller_connections_closed", "bad_request")
     assert count == 20
+
+
+async def test_a_begun_head_behind_a_body_is_no_idle_connection(front):
+    """A planned stop closed it as idle, and the rest of the request was lost."""
+    post = GET[:-2].replace(b"GET", b"POST") + b"Content-Length: 3\r\n\r\nabc"
+    reader, writer = await asyncio.open_connection(HOST, front.port)
+    writer.write(post + GET[:20])
+    await asyncio.sleep(2 * WORK_S)
+    front.server.close_when_idle()
+    await asyncio.sleep(0.05)
+    writer.write(GET[20:])
+    answers = await reader.read(-1)
+    writer.close()
+    assert answers.count(b"HTTP/1.1 200") == 2
+
+
+async def test_many_short_header_fields_within_the_limit_are_read(front):
+    """The parser's own bound on their number is far below the limit on bytes."""
+    fields = b"".join(b"X-%d: v\r\n" % number for number in range(200))
+    answer = await front.exchange(GET[:-2] + fields + b"\r\n")
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
+async def test_a_closed_connection_drops_its_input_without_an_error(front):
+    """Its bytes count until the loop has reported its end; others must not suffer."""
+    connection = CallerConnection(front.server, loop=asyncio.get_running_loop())
+    connection.drop_input()
+    assert connection.transport is None
