--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -33,9 +33,9 @@
 PLAIN_SERVICE = "pagkos-app"
 STREAM_TIMEOUT_MS = 14_000
 CALL_TIMEOUT_MS = 1_500
-# Exit codes of a script.
+# Exit codes of a case; its run.sh turns them into 0, 1 and 2.
 HELD = 0
-BROKEN = 1
+BROKEN = 10
 COULD_NOT_RUN = 2
 
 
