Fronts: reads of a connection and the kernel's receive buffers have a bound

What callers saw: 250 connections that send bodies of 4 MB, whole or stalled at 1 MB, took the daemon of a VM with 128 MB over its memory (platform's limit; with 150 MB it was close to it).

Cause: uvloop passes up to 256 KB of a connection at a time to its protocol. While a body is paused, or refused and discarded, that is kept for each connection, outside of the buffer budget. The kernel's receive buffers, which count towards a VM's memory as well, grew to megabytes a connection.

Ruled out: the buffer budget (25 MB of 128, kept).

Change: connections are read through asyncio's BufferedProtocol into one shared buffer of 16 KiB, and listeners set SO_RCVBUF to 64 KiB. What arrives meanwhile stays with the sender.

--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -24,6 +24,7 @@
     ClosingReport,
 )
 from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.fronts.reading import READ_MAX_BYTES, BoundedReads
 from marjoramstile.fronts.received import (
     DEFAULT_READ_LIMITS,
     HEAD_END,
@@ -596,6 +597,7 @@
         super().__init__(self._handle, **options)
         self._read_limits = read_limits or default_limits
         self._held = held
+        self._read_buffer = bytearray(READ_MAX_BYTES)
         self.name = name
         self._handler = handler
         self._closings = closings or ClosingReport(Metrics())
@@ -641,7 +643,7 @@
             connection.note_closing(reason)
         await super().shutdown(timeout)
 
-    def __call__(self) -> RequestHandler:
+    def __call__(self) -> BoundedReads:
         """Return the protocol of a new connection."""
         limits = self.limits
         options = {
@@ -651,9 +653,10 @@
             "max_headers": FIELDS_MAX,
             **self._kwargs,
         }
-        return CallerConnection(
+        connection = CallerConnection(
             self, limit=self._limit, held=self._held, loop=self._loop, **options
         )
+        return BoundedReads(connection, self._read_buffer)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle a request unless there is no room for its connection."""
--- a/marjoramstile/loops.py
+++ b/marjoramstile/loops.py
@@ -12,6 +12,9 @@
 from typing import Any
 
 LISTEN_BACKLOG = 512
+# Linux allows as much again for its own bookkeeping, and lets buffers without a size
+# grow to megabytes.
+RECEIVE_BUFFER_BYTES = 65_536
 OWN_DESCRIPTORS = "/proc/self/fd"
 
 
@@ -71,8 +74,12 @@
 def listening_socket(
     host: str, port: int, backlog: int = LISTEN_BACKLOG
 ) -> socket.socket:
-    """Return a non-blocking socket that listens on an IP address."""
+    """Return a non-blocking socket that listens on an IP address.
+
+    What the kernel receives on its connections before it is read has a fixed bound.
+    """
     listener = socket.create_server((host, port), family=_family(host), backlog=backlog)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     listener.setblocking(False)
     return listener
 
