Fronts: bodies in chunks of a few bytes are joined, and decoded by turns

What callers saw: while connections sent bodies in chunks of a few bytes, and long after they had left, nobody else got an answer (40 connections: 8 s, 250: none in time), and with 250 connections the daemon exceeded its memory. A single request in chunks of one or two bytes was refused with 400 from about 8 KB on, though it is within the limits.

Cause: aiohttp's parser calls Python several times for each chunk, and its body reader keeps an object for each; one read of the loop held up to 43,000 chunks, and all connections were parsed one after another. The bound on framing, which was to limit this, refused proper bodies instead.

A bound on framing can't tell a proper body from a hostile one.

Change: ChunkDecoder takes the framing off and passes what a read holds on as one chunk. A connection decodes 256 chunks and then waits for its turn; the loop does one turn in each iteration. While 16 connections wait, bodies that have had 64 turns are refused with 503 (not run): they would not be whole in time.

Evidence: tests/processes/test_crowds.py (250 connections for 5 s, 128 MB, written before the change).

--- a/marjoramstile/fronts/listeners.py
+++ b/marjoramstile/fronts/listeners.py
@@ -17,6 +17,7 @@
     refuse_connection,
 )
 from marjoramstile.fronts.received import HeldBytes, ReadLimits
+from marjoramstile.fronts.turns import Turns
 from marjoramstile.listeners import acquire_listener, acquire_optional_listener
 from marjoramstile.routes.settings import Address
 
@@ -51,6 +52,7 @@
         self._backlog = backlog
         self._closings = closings
         self._held = held
+        self._turns = Turns()
         self._served: list[tuple[CallerServer, asyncio.Server]] = []
 
     @property
@@ -93,6 +95,7 @@
             refuse=listener.refuse,
             read_limits=listener.read_limits,
             held=self._held,
+            turns=self._turns,
             handler_cancellation=True,
             lingering_time=LINGERING_TIME_S,
             access_log=None,
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -17,6 +17,7 @@
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from marjoramstile.fronts.buffers import BufferBudgetExceededError
+from marjoramstile.fronts.chunks import ChunkDecoder, ChunkError
 from marjoramstile.fronts.closing import (
     CUT_SHORT,
     ClosedConnection,
@@ -33,6 +34,7 @@
     HeldBytes,
     ReadLimits,
 )
+from marjoramstile.fronts.turns import Turns
 from marjoramstile.logs import get_logger
 from marjoramstile.reports.metrics import Metrics
 from marjoramstile.routes.requests import SendRecord
@@ -41,6 +43,11 @@
 HEAD_TIMEOUT_S = DEFAULT_READ_LIMITS.head_timeout_s
 # Received bytes that are parsed at a time while a body is read.
 BODY_SLICE_BYTES = 32_768
+# Chunks of a body that are decoded at a time; a connection with more waits for a turn.
+CHUNKS_PER_TURN = 256
+# Connections that may wait for turns before bodies are refused that have had many.
+TURNS_WAITING_MAX = 16
+TURNS_PER_BODY = 64
 # Bytes of a body that are buffered for a handler before reading pauses.
 BODY_BUFFER_BYTES = 65_536
 # Pipelined requests that wait for their handler before reading pauses.
@@ -76,12 +83,17 @@
         *,
         limit: ConnectionLimit | None = None,
         held: HeldBytes | None = None,
+        turns: Turns | None = None,
         **options,
     ):
         super().__init__(server, read_bufsize=BODY_BUFFER_BYTES, **options)
         self._server = server
         self._limit = limit
         self._held = held
+        self._turns = turns or Turns()
+        self._awaits_turn = False
+        # Of the chunked body that is being read.
+        self._turns_taken = 0
         self._messages = MessageQueue()
         self._max_msg_queue_size = QUEUED_MAX
         self._msg_queue_resume_size = QUEUED_MAX // 2
@@ -89,6 +101,8 @@
         self._unparsed = b""
         self._head = HeadCounter()
         self._framing = FramingCounter()
+        # Of the chunked body that is being read.
+        self._chunks: ChunkDecoder | None = None
         self._queued_bytes = 0
         self._body_timer: asyncio.TimerHandle | None = None
         self._received_at = 0.0
@@ -211,19 +225,37 @@
     def _parse(self, data: bytes) -> None:
         """Parse as much as the limits allow; at least what the parser has kept."""
         position = 0
+        if self._chunks is not None:
+            self._parse_part(b"")
         while not self._input_ended:
             if self._is_reading_paused and (data or self._reading_paused):
                 self._unparsed = data[position:]
                 return
-            part = data[position : position + self._next_part_size]
-            self._parse_part(part)
-            position += len(part)
+            position += self._parse_next(data, position)
             if position >= len(data):
                 return
 
+    def _parse_next(self, data: bytes, position: int) -> int:
+        """Parse the next part of received bytes; return its size."""
+        if self._upgraded or self._reads_body:
+            part = data[position : position + BODY_SLICE_BYTES]
+            if self._chunks is not None:
+                return self._parse_chunks(part)
+        else:
+            part_max = max(1, self._limits.head_max_bytes + 1 - self._head.size)
+            part = data[position : position + part_max]
+            part = part[: self._head.find_chunks(part)]
+        self._parse_part(part)
+        return len(part)
+
     @property
     def _is_reading_paused(self) -> bool:
-        return self._reading_paused or len(self._messages) >= QUEUED_MAX
+        if self._reading_paused or self._awaits_turn:
+            return True
+        if self._chunks is not None and self._chunks.is_complete:
+            # The parser has kept the end of the body.
+            return self._reads_body
+        return len(self._messages) >= QUEUED_MAX
 
     @property
     def _has_waiting_requests(self) -> bool:
@@ -234,12 +266,6 @@
         body = self._messages.last_body
         return body is not None and not body.is_eof()
 
-    @property
-    def _next_part_size(self) -> int:
-        if self._upgraded or self._reads_body:
-            return BODY_SLICE_BYTES
-        return max(1, self._limits.head_max_bytes + 1 - self._head.size)
-
     def _parse_part(self, part: bytes) -> None:
         requests_before = self._request_count
         body = self._messages.last_body if self._reads_body else None
@@ -250,16 +276,7 @@
         elif self._upgraded:
             self._head.reset()
         elif self._request_count > requests_before:
-            self._cancel_head_timer()
-            self._framing = FramingCounter()
-            self._queued_bytes += len(part) + self._head.size
-            if self._messages.last_body is not EMPTY_PAYLOAD:
-                is_first = self._head.size == 0
-                self._head.reset()
-                if is_first and self._request_count == requests_before + 1:
-                    self._count_after_body(part)
-            elif part:
-                self._head.add(part, ended_heads=True)
+            self._count_requests(part, self._request_count - requests_before)
         elif body is not None:
             self._count_body(body, part, body.total_bytes - body_bytes)
         else:
@@ -267,6 +284,61 @@
             if self._head.size > self._limits.head_max_bytes:
                 self._refuse_head()
 
+    def _count_requests(self, part: bytes, count: int) -> None:
+        """Begin to count the body of the last request whose head has ended."""
+        self._cancel_head_timer()
+        self._framing = FramingCounter()
+        self._queued_bytes += len(part) + self._head.size
+        if self._messages.last_body is EMPTY_PAYLOAD:
+            if part:
+                self._head.add(part, ended_heads=True)
+            return
+        is_first = self._head.size == 0
+        ends_head = self._head.is_end(part)
+        self._head.reset()
+        if self._messages.last_is_chunked and ends_head:
+            self._chunks = ChunkDecoder()
+            self._turns_taken = 0
+        elif is_first and count == 1:
+            self._count_after_body(part)
+
+    def _parse_chunks(self, part: bytes) -> int:
+        """Parse a part of a chunked body as one chunk; return how much was parsed."""
+        body = self._messages.last_body
+        try:
+            decoded = self._chunks.decode(part, CHUNKS_PER_TURN)
+        except ChunkError as error:
+            self.note_closing(CloseReason.BODY_FRAMING)
+            self._refuse_body(body, web.RequestPayloadError(str(error)))
+            return len(part)
+        super().data_received(decoded.encode())
+        self._count_body(body, part[: decoded.consumed], len(decoded.payload))
+        if not decoded.is_last and decoded.consumed < len(part):
+            self._wait_for_turn()
+        return decoded.consumed
+
+    def _wait_for_turn(self) -> None:
+        """Wait until more of a body in short chunks may be parsed, or refuse it."""
+        is_long = self._turns_taken >= TURNS_PER_BODY
+        if is_long and self._turns.waiting >= TURNS_WAITING_MAX:
+            self.note_closing(CloseReason.BODY_FRAMING)
+            error = BufferBudgetExceededError("too many bodies in short chunks")
+            self._refuse_body(self._messages.last_body, error)
+            return
+        self._turns_taken += 1
+        self._awaits_turn = True
+        self._pause_transport_reading()
+        self._turns.add(self._take_turn)
+
+    def _take_turn(self) -> None:
+        """Parse some more of a body in short chunks; read on when all is parsed."""
+        self._awaits_turn = False
+        if self.transport is None or self._input_ended:
+            return
+        self.data_received(b"")
+        if not self._is_reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
     def _count_after_body(self, part: bytes) -> None:
         """Count what follows the one request of a part, if its body is whole."""
         body = self._messages.last_body
@@ -289,6 +361,7 @@
         if body is self._answered_body:
             self._discarded_bytes += received
         if body.is_eof():
+            self._chunks = None
             self._head.reset()
             self._count_rest(part, len(part) - body_bytes)
             return
@@ -336,6 +409,7 @@
         """Read no more, and close when all requests that were read are answered."""
         self._input_ended = True
         self._unparsed = b""
+        self._chunks = None
         self._head.reset()
         self._cancel_head_timer()
         self._pause_transport_reading()
@@ -359,7 +433,7 @@
             self._messages.clear()
 
     def _resume_transport_reading(self) -> None:
-        if not self._input_ended:
+        if not self._input_ended and not self._awaits_turn:
             super()._resume_transport_reading()
 
     def _update_held(self) -> None:
@@ -377,7 +451,8 @@
         """Time a head from its first byte on, and framing that no body follows."""
         reads_body = self._reads_body
         is_timed = self._framing.is_timed if reads_body else self._head.size > 0
-        if not is_timed or self._reading_paused or self._input_ended:
+        is_paused = self._reading_paused or self._awaits_turn
+        if not is_timed or is_paused or self._input_ended:
             self._cancel_head_timer()
         elif self._head_timer is None:
             self._restart_head_timer()
@@ -579,7 +654,7 @@
     ``name`` is that of its listener; ``closings`` gets the ends of its connections.
     ``refuse`` returns the response to requests that exceed ``limit``. ``read_limits``
     returns the limits in force. ``held`` counts what no handler has taken, together
-    with that of other servers.
+    with that of other servers, and ``turns`` are those of long work of all of them.
     """
 
     def __init__(
@@ -592,11 +667,13 @@
         refuse: Callable[[], web.Response] = refuse_connection,
         read_limits: Callable[[], ReadLimits] | None = None,
         held: HeldBytes | None = None,
+        turns: Turns | None = None,
         **options,
     ):
         super().__init__(self._handle, **options)
         self._read_limits = read_limits or default_limits
         self._held = held
+        self._turns = turns or Turns()
         self._read_buffer = bytearray(READ_MAX_BYTES)
         self.name = name
         self._handler = handler
@@ -654,7 +731,12 @@
             **self._kwargs,
         }
         connection = CallerConnection(
-            self, limit=self._limit, held=self._held, loop=self._loop, **options
+            self,
+            limit=self._limit,
+            held=self._held,
+            turns=self._turns,
+            loop=self._loop,
+            **options,
         )
         return BoundedReads(connection, self._read_buffer)
 
--- a/marjoramstile/fronts/received.py
+++ b/marjoramstile/fronts/received.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from marjoramstile.fronts.chunks import CHUNKS_START
 from marjoramstile.routes.table import HEAD_MAX_BYTES, HEAD_TIMEOUT_S, EntryLimits
 
 # A request line may have this size besides the header fields: servers should accept
@@ -19,9 +20,9 @@
 # Longer than any idle time of the clients of the other listeners.
 IDLE_TIMEOUT_S = 120.0
 HEAD_END = b"\r\n\r\n"
-# Framing that a body may have for each of its bytes, beside the size of a head. Each
-# chunk costs time: bodies in chunks of one or two bytes may not go on for long.
-FRAMING_PER_BYTE = 2
+# Framing that a body may have for each of its bytes, beside the size of a head. A chunk
+# of one byte without extensions has five bytes of it, more with leading zeros.
+FRAMING_PER_BYTE = 16
 # Framing between two parts of a body that no timeout applies to. It is longer than the
 # line of a chunk without extensions.
 FRAMING_UNTIMED_BYTES = 64
@@ -73,6 +74,18 @@
         self._size = 0
         self._tail = b""
 
+    def find_chunks(self, part: bytes) -> int:
+        """Return the size of a part up to the first chunk that follows a head's end.
+
+        All of it if there is none.
+        """
+        match = CHUNKS_START.search(self._tail + part)
+        return len(part) if match is None else match.end() - len(self._tail)
+
+    def is_end(self, part: bytes) -> bool:
+        """Return whether a part, which is not counted yet, ends a head."""
+        return (self._tail + part).endswith(HEAD_END)
+
     def add(self, part: bytes, ended_heads: bool) -> None:
         """Count bytes; ``ended_heads`` tells that they completed one head or more.
 
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -90,6 +90,25 @@
     )
 
 
+def chunked(size: int) -> Iterator[bytes]:
+    """Yield a request whose body in chunks of ``size`` bytes ends at the limit."""
+    yield head(b"Transfer-Encoding: chunked")
+    chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+    in_block = max(1, BLOCK_BYTES // len(chunk))
+    for _ in range(MAX_BODY_BYTES // size // in_block):
+        yield chunk * in_block
+    yield b"0\r\n\r\n"
+
+
+def mixed_chunks() -> Iterator[bytes]:
+    """Yield a request whose body has chunks of one to four bytes."""
+    yield head(b"Transfer-Encoding: chunked")
+    chunks = b"".join(b"%x\r\n%s\r\n" % (size, b"x" * size) for size in (1, 3, 2, 4))
+    for _ in range(MAX_BODY_BYTES // 10 // 1000):
+        yield chunks * 1000
+    yield b"0\r\n\r\n"
+
+
 def whole(sent_bytes: int = MAX_BODY_BYTES) -> Iterator[bytes]:
     """Yield a request with a body at the limit, of which some bytes are sent."""
     yield head(b"Content-Length: %d" % MAX_BODY_BYTES)
@@ -98,7 +117,19 @@
     yield b"x" * (sent_bytes % BLOCK_BYTES)
 
 
+def pipelined() -> Iterator[bytes]:
+    """Yield small requests with bodies in small chunks, one after another."""
+    for _ in range(1000):
+        yield head(b"Transfer-Encoding: chunked") + b"1\r\nx\r\n" * 500 + b"0\r\n\r\n"
+
+
 REQUESTS: dict[str, Callable[[], Iterator[bytes]]] = {
+    "chunks of one byte": lambda: chunked(1),
+    "chunks of two bytes": lambda: chunked(2),
+    "chunks of three bytes": lambda: chunked(3),
+    "chunks of ten bytes": lambda: chunked(10),
+    "mixed chunks": mixed_chunks,
+    "pipelined chunks": pipelined,
     "whole bodies": whole,
     "stalled bodies": lambda: whole(STALLED_BODY_BYTES),
 }
@@ -153,3 +184,16 @@
         *(send_until_left(fleet, REQUESTS[name]) for _ in range(CROWD))
     )
     await check_daemon(fleet, before)
+
+
+@pytest.mark.parametrize("size", [1, 2])
+async def test_a_request_in_the_smallest_chunks_is_refused(launch, size):
+    """Each chunk of a body within the limits may be as small as its sender likes."""
+    fleet = await launch()
+    reader, writer = await asyncio.open_connection(fleet.vm_host(1), FRONT_PORT)
+    for part in chunked(size):
+        writer.write(part)
+        await writer.drain()
+    async with asyncio.timeout(HANG_S):
+        assert (await reader.readuntil(b"\r\n")).split()[1] == b"200"
+    writer.close()
