Connections that wait for the rest of a request make room first

What callers saw: slow requests (a byte now and then) on more connections than a daemon has room for, which came back when they were closed, took every place: new ordinary callers got 503 or a reset, and connections that ordinary callers kept were closed for room, some with a request just sent. The peers' port was taken likewise.

Cause: only connections without any part of a request counted as closable. One byte of a head or body, or a part of a frame, made a connection as safe as a request in progress until its own time was over.

Change: at the bound, connections that wait for the rest of a request or frame are closed first, longest first: from 0.5 s on, or at once if they and silent ones hold more than half of all. A body that was begun is refused with 503 (not run). While they hold more than half, idle connections in use aren't closed for them.

--- a/marjoramstile/fronts/connection_limit.py
+++ b/marjoramstile/fronts/connection_limit.py
@@ -1,18 +1,26 @@
 """A bound on open connections, so that descriptors stay free for everything else.
 
-When it is reached, idle connections are closed to make room: they cost their callers a
-new connection at most. If none is idle, new connections are refused.
+When it is reached, connections are closed to make room: those on which the rest of a
+request has been awaited for long, and idle ones, which cost their callers a new
+connection at most. If there is none, new connections are refused.
 """
 
 import asyncio
 from collections.abc import Callable
-from itertools import islice
+from heapq import nsmallest
+from itertools import chain, islice
+from operator import itemgetter
 from typing import Protocol
 
 from marjoramstile.logs import get_logger
 
 # Share of the bound that connections may hold on which no byte was received.
 SILENT_SHARE = 0.5
+# Share of these and of those that have sent a part of a request. If they hold more,
+# connections in use are not closed for them.
+INCOMPLETE_SHARE = 0.5
+# Time for the rest of a request before its connection is closed in place of idle ones.
+STALLED_MIN_S = 0.5
 # Share of the bound by which refused connections may exceed it: requests on them are
 # read and answered. Further ones are closed unread.
 REFUSED_SHARE = 1 / 16
@@ -32,9 +40,16 @@
     def is_idle(self) -> bool:
         """Whether no request is in progress or has been received in part."""
 
+    @property
+    def stalled_since(self) -> float | None:
+        """Loop time since which only the rest of a request is awaited, if it is."""
+
     def close_idle(self) -> None:
         """Close the connection."""
 
+    def close_stalled(self) -> None:
+        """Refuse the request that has been received in part, and close."""
+
 
 class ConnectionLimit:
     """The open connections of the listeners that share it, and their bound.
@@ -100,24 +115,47 @@
         return True
 
     def _make_room(self) -> None:
-        """Close those that were idle for longest."""
+        """Close those that wait for the rest of a request or are idle for longest."""
         now = asyncio.get_running_loop().time()
         if now < self._search_at:
             return
         count = max(1, int(self._max_open * CLOSED_AT_ONCE_SHARE))
-        found = self._find_idle(count)
-        if not found:
+        stalled = self._stalled()
+        holds_share = self._holds_share(stalled)
+        if not holds_share:
+            stalled = [item for item in stalled if item[0] <= now - STALLED_MIN_S]
+        if stalled:
+            for _, connection in nsmallest(count, stalled, key=itemgetter(0)):
+                self._close(connection, connection.close_stalled)
+        elif idle := self._find_idle(count, holds_share):
+            for connection in idle:
+                self._close(connection, connection.close_idle)
+        else:
             self._search_at = now + SEARCH_PAUSE_S
-        for connection in found:
-            self.remove(connection)
-            connection.close_idle()
-            self._on_closed("connections_closed", self._name)
-        self._closed_unlogged += len(found)
         self._log()
 
-    def _find_idle(self, count: int) -> list[LimitedConnection]:
+    def _close(self, connection: LimitedConnection, close: Callable[[], None]) -> None:
+        self.remove(connection)
+        close()
+        self._on_closed("connections_closed", self._name)
+        self._closed_unlogged += 1
+
+    def _stalled(self) -> list[tuple[float, LimitedConnection]]:
+        """Return those that wait for the rest of a request, and since when."""
+        return [
+            (since, connection)
+            for connection in chain(self._used, self._silent)
+            if (since := connection.stalled_since) is not None
+        ]
+
+    def _holds_share(self, stalled: list[tuple[float, LimitedConnection]]) -> bool:
+        """Return whether those without a whole request hold more than their share."""
+        incomplete = self._silent.keys() | {connection for _, connection in stalled}
+        return len(incomplete) > self._max_open * INCOMPLETE_SHARE
+
+    def _find_idle(self, count: int, only_silent: bool) -> list[LimitedConnection]:
         """Return the longest idle ones; silent ones first if they hold their share."""
-        kinds = [self._used, self._silent]
+        kinds = [self._silent] if only_silent else [self._used, self._silent]
         if len(self._silent) >= self._max_open * SILENT_SHARE:
             kinds.reverse()
         for kind in kinds:
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -118,6 +118,8 @@
         self._request_id = ""
         self._sends = SendRecord()
         self._opened_at = 0.0
+        # Since when the rest of the request is awaited that was received last.
+        self._part_began_at: float | None = None
         self._closes_when_idle = False
         self._idle_check: asyncio.Handle | None = None
 
@@ -147,6 +149,14 @@
             return False
         return self._input_ended or not has_unread_bytes(self.transport)
 
+    @property
+    def stalled_since(self) -> float | None:
+        """Loop time since which only the rest of a request is awaited, if it is."""
+        if self._input_ended or self.transport is None:
+            return None
+        is_behind = self._has_waiting_requests if self._reads_body else self.is_busy
+        return None if is_behind else self._part_began_at
+
     @property
     def _is_just_opened(self) -> bool:
         age_s = self._loop.time() - self._opened_at
@@ -172,6 +182,15 @@
         self.note_closing(CloseReason.ROOM_NEEDED)
         self.force_close()
 
+    def close_stalled(self) -> None:
+        """Close the connection to make room; a request that was begun is refused."""
+        if not self._reads_body:
+            self.close_idle()
+            return
+        self.note_closing(CloseReason.ROOM_NEEDED)
+        error = BufferBudgetExceededError("the connection is needed for others")
+        self._refuse_body(self._messages.last_body, error)
+
     def close_when_idle(self) -> None:
         """Close the connection when all that was sent on it is answered."""
         self._closes_when_idle = True
@@ -218,6 +237,7 @@
             data = self._unparsed + data
             self._unparsed = b""
         self._parse(data)
+        self._update_part()
         self._update_head_timer()
         self._update_body_timer()
         self._update_held()
@@ -287,6 +307,7 @@
     def _count_requests(self, part: bytes, count: int) -> None:
         """Begin to count the body of the last request whose head has ended."""
         self._cancel_head_timer()
+        self._part_began_at = None
         self._framing = FramingCounter()
         self._queued_bytes += len(part) + self._head.size
         if self._messages.last_body is EMPTY_PAYLOAD:
@@ -361,6 +382,7 @@
         if body is self._answered_body:
             self._discarded_bytes += received
         if body.is_eof():
+            self._part_began_at = None
             self._chunks = None
             self._head.reset()
             self._count_rest(part, len(part) - body_bytes)
@@ -436,6 +458,12 @@
         if not self._input_ended and not self._awaits_turn:
             super()._resume_transport_reading()
 
+    def _update_part(self) -> None:
+        if not self._head.size and not self._reads_body:
+            self._part_began_at = None
+        elif self._part_began_at is None:
+            self._part_began_at = self._loop.time()
+
     def _update_held(self) -> None:
         if not self._messages:
             self._queued_bytes = 0
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -29,6 +29,7 @@
     encode_call,
 )
 from marjoramstile.peers.peer_types import PeerService
+from marjoramstile.utils import loop_time
 
 FRAME_TIMEOUT_S = 10.0
 # Time in which calls that were read are still answered at the end.
@@ -57,7 +58,8 @@
         self._writer = writer
         self._max_bytes = max_bytes
         self._buffers = buffers
-        self._awaits_frame = False
+        self._awaits_frame = True
+        self._frame_began_at: float | None = None
 
     @property
     def usable(self) -> bool:
@@ -69,6 +71,11 @@
         """Whether the next frame is awaited."""
         return self._awaits_frame
 
+    @property
+    def stalled_since(self) -> float | None:
+        """Loop time since which the rest of a frame is awaited, if it is."""
+        return self._frame_began_at
+
     async def read(self) -> bytes:
         """Return the next frame's message; EOFError at the stream's end."""
         self._awaits_frame = True
@@ -76,8 +83,12 @@
             first = await self._reader.readexactly(1)
         finally:
             self._awaits_frame = False
-        async with asyncio.timeout(FRAME_TIMEOUT_S):
-            return await self._read_frame(first)
+        self._frame_began_at = loop_time()
+        try:
+            async with asyncio.timeout(FRAME_TIMEOUT_S):
+                return await self._read_frame(first)
+        finally:
+            self._frame_began_at = None
 
     async def _read_frame(self, first: bytes) -> bytes:
         header = first + await self._reader.readexactly(_FRAME_HEADER.size - 1)
@@ -112,6 +123,10 @@
         """Close the stream to make room for another one."""
         self.close()
 
+    def close_stalled(self) -> None:
+        """Drop the part of a frame, and close the stream to make room."""
+        self._writer.transport.abort()
+
 
 class PeerConnection:
     """A connection to another daemon; one call at a time."""
--- a/tests/fronts/test_connection_limit.py
+++ b/tests/fronts/test_connection_limit.py
@@ -20,14 +20,20 @@
 class FakeConnection:
     """A connection that is idle or not, as the test says."""
 
-    def __init__(self, is_idle: bool = True):
+    def __init__(self, is_idle: bool = True, stalled_since: float | None = None):
         self.is_idle = is_idle
+        self.stalled_since = stalled_since
         self.closed = False
 
     def close_idle(self) -> None:
         """Record that the connection was closed."""
         self.closed = True
 
+    def close_stalled(self) -> None:
+        """Record that the connection was closed."""
+        assert self.stalled_since is not None
+        self.closed = True
+
 
 class Counted:
     """A limit and what it counted."""
@@ -92,6 +98,47 @@
     assert [connection.closed for connection in used].count(True) == 4
 
 
+async def test_incomplete_requests_push_out_idle_connections():
+    """Those that have waited for longest are closed first, however they go on."""
+    counted = Counted()
+    idle = counted.add_used(MAX_OPEN - 3)
+    await asyncio.sleep(10.0)
+    stalled = counted.add_used(3, is_idle=False)
+    for connection, since in zip(stalled, (2.0, 1.0, 3.0), strict=True):
+        connection.stalled_since = since
+    counted.limit.record_received(stalled[1])
+    counted.limit.add(FakeConnection())
+    assert [connection.closed for connection in stalled] == [False, True, False]
+    counted.limit.add(FakeConnection())
+    assert [connection.closed for connection in stalled] == [True, True, False]
+    assert not any(connection.closed for connection in idle)
+
+
+async def test_a_request_in_several_packets_is_cut_off_for_room():
+    counted = Counted()
+    idle = counted.add_used(MAX_OPEN - 1)
+    (begun,) = counted.add_used(1, is_idle=False)
+    begun.stalled_since = asyncio.get_running_loop().time()
+    counted.limit.add(FakeConnection())
+    assert not begun.closed
+    assert [connection.closed for connection in idle].count(True) == 1
+
+
+async def test_many_incomplete_requests_leave_no_room_for_new_connections():
+    """However short they wait: they would come back faster than they grow old."""
+    counted = Counted()
+    now = asyncio.get_running_loop().time()
+    busy = counted.add_used(MAX_OPEN // 4, is_idle=False)
+    stalled = counted.add_used(MAX_OPEN * 3 // 4, is_idle=False)
+    for connection in stalled:
+        connection.stalled_since = now
+    new = FakeConnection()
+    assert counted.limit.add(new)
+    assert not counted.limit.refuses(new)
+    assert [connection.closed for connection in stalled].count(True) == 1
+    assert not any(connection.closed for connection in busy)
+
+
 async def test_connections_are_refused_and_then_closed_unread_if_none_is_idle():
     counted = Counted()
     counted.add_used(MAX_OPEN, is_idle=False)
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -15,7 +15,13 @@
 import pytest_asyncio
 
 from demo.fleet import own_network
-from demo.published_fleet import FRONT_PORT, HOST_NAME, PublishedFleet, configuration
+from demo.published_fleet import (
+    FRONT_PORT,
+    HOST_NAME,
+    PEERS_PORT,
+    PublishedFleet,
+    configuration,
+)
 from tests.processes.test_hostile_clients import (
     DESCRIPTORS_KEPT_MAX,
     HANG_S,
@@ -23,6 +29,7 @@
     descriptors,
     look,
     memory_mb,
+    probe_peers_port,
 )
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
@@ -36,6 +43,16 @@
 MAX_BODY_BYTES = 4_194_304
 BLOCK_BYTES = 64_000
 STALLED_BODY_BYTES = 1_000_000
+# Few descriptors: the daemon has room for 128 callers' connections.
+FEW_FDS = 400
+SLOW_CROWD = 200
+SLOW_PERIOD_S = 0.25
+# Time for which a slow crowd is there before ordinary callers come.
+SLOW_S = 1.5
+# Connections that a slow crowd has then at least.
+SLOW_CONNECTIONS_MIN = 40
+# Connections of an ordinary caller before it gives up.
+ATTEMPTS = 3
 _ids = itertools.count()
 
 
@@ -186,6 +203,87 @@
     await check_daemon(fleet, before)
 
 
+async def send_slowly(fleet, port: int, first: Callable[[], bytes]) -> None:
+    """Send a byte now and then; come back when the connection is closed."""
+    while True:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(fleet.vm_host(1), port)
+            try:
+                writer.write(first())
+                while not reader.at_eof():
+                    writer.write(b"G")
+                    with contextlib.suppress(TimeoutError):
+                        async with asyncio.timeout(SLOW_PERIOD_S):
+                            await reader.read()
+            finally:
+                writer.transport.abort()
+        await asyncio.sleep(POLL_S)
+
+
+@contextlib.asynccontextmanager
+async def slow_crowd(fleet, port: int, first: Callable[[], bytes]):
+    """Run a crowd of slow clients that takes all connections it can get."""
+    before = descriptors(fleet)
+    crowd = [
+        asyncio.create_task(send_slowly(fleet, port, first)) for _ in range(SLOW_CROWD)
+    ]
+    async with asyncio.timeout(HANG_S):
+        while descriptors(fleet) < before + SLOW_CONNECTIONS_MIN:
+            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(SLOW_S)
+        yield
+    for client in crowd:
+        client.cancel()
+
+
+async def call_on(reader, writer) -> int:
+    """Send one request on an open connection; return its status."""
+    writer.write(head(b"Content-Length: 0"))
+    answer = await reader.readuntil(b"\r\n\r\n")
+    length = answer.lower().split(b"content-length: ")[1].split(b"\r\n")[0]
+    await reader.readexactly(int(length))
+    return int(answer.split()[1])
+
+
+SLOW_REQUESTS: dict[str, Callable[[], bytes]] = {
+    "heads": lambda: b"",
+    "bodies": lambda: head(b"Content-Length: 1000"),
+    "chunked bodies": lambda: head(b"Transfer-Encoding: chunked") + b"3e8\r\n",
+}
+
+
+@pytest.mark.parametrize("name", SLOW_REQUESTS)
+async def test_slow_requests_that_come_back_take_all_connections(launch, name):
+    """Ordinary callers were refused, and their kept connections closed for room."""
+    fleet = await launch(FEW_FDS)
+    before = descriptors(fleet)
+    host = fleet.vm_host(1)
+    kept = [await asyncio.open_connection(host, FRONT_PORT) for _ in range(10)]
+    for connection in kept:
+        assert await call_on(*connection) == 200
+    async with slow_crowd(fleet, FRONT_PORT, SLOW_REQUESTS[name]):
+        statuses = [(await look(fleet)).status for _ in range(ATTEMPTS)]
+        assert 200 in statuses
+        for connection in kept:
+            assert await call_on(*connection) == 200
+    for _, writer in kept:
+        writer.close()
+    await check_daemon(fleet, before)
+
+
+async def test_slow_frames_that_come_back_take_all_connections_of_peers(launch):
+    fleet = await launch(FEW_FDS)
+    before = descriptors(fleet)
+    async with slow_crowd(fleet, PEERS_PORT, lambda: b"\0\0\1\0"):
+        for attempt in range(ATTEMPTS):
+            try:
+                assert await probe_peers_port(fleet) is not None
+                break
+            except (OSError, EOFError):
+                assert attempt + 1 < ATTEMPTS
+    await check_daemon(fleet, before)
+
+
 @pytest.mark.parametrize("size", [1, 2])
 async def test_a_request_in_the_smallest_chunks_is_refused(launch, size):
     """Each chunk of a body within the limits may be as small as its sender likes."""
