Replicas: answers may have lines as long as a request's

What callers saw: a request with an id over 8,190 bytes, which is within maxHeaderBytes, ran and was answered with 502. Cause: replicas repeat the id in their answer, and aiohttp's client accepts no line over 8,190 bytes. Change: the session of replicas and carriers accepts lines up to the bound that connections have for whole heads (32 KiB). Memory is as before: whole heads were bounded already.

--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -33,7 +33,7 @@
     read_reply,
     stream_answer,
 )
-from marjoramstile.platform.connections import ReplicaConnector
+from marjoramstile.platform.connections import HEAD_MAX_BYTES, ReplicaConnector
 from marjoramstile.platform.wholeness import (
     AnswerFault,
     AnswerFaults,
@@ -85,6 +85,9 @@
         connector=ReplicaConnector(links.record_failure, limit=0, force_close=True),
         auto_decompress=False,
         skip_auto_headers=_AUTOMATIC_HEADERS,
+        # Connections bound whole heads. Replicas repeat the ids of requests.
+        max_line_size=HEAD_MAX_BYTES,
+        max_field_size=HEAD_MAX_BYTES,
     )
     # aiohttp resends GET, PUT and DELETE when a response is lost, even if the route
     # does not allow it, and has no public option against that.
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -41,6 +41,7 @@
 MEMORY_MB = 128
 MAX_FDS = 4100
 MAX_BODY_BYTES = 4_194_304
+MAX_HEADER_BYTES = 16_384
 BLOCK_BYTES = 64_000
 STALLED_BODY_BYTES = 1_000_000
 # Few descriptors: the daemon has room for 128 callers' connections.
@@ -295,3 +296,16 @@
     async with asyncio.timeout(HANG_S):
         assert (await reader.readuntil(b"\r\n")).split()[1] == b"200"
     writer.close()
+
+
+async def test_a_request_with_a_long_id_gets_no_answer(launch):
+    """Replicas repeat the id in their answer."""
+    fleet = await launch()
+    long_id = "x" * (MAX_HEADER_BYTES - 400)
+    async with asyncio.timeout(HANG_S):
+        url = f"http://{fleet.front(1)}/first/look/x"
+        headers = {"Host": HOST_NAME, "X-Request-Id": long_id}
+        options = {"headers": headers, "max_field_size": MAX_HEADER_BYTES}
+        async with fleet.session.get(url, **options) as response:
+            assert response.status == 200
+            assert await response.text() == long_id
