Fronts: the number of header fields is bounded by their memory

What callers saw: 400 for a request of more than 256 fields within maxHeaderBytes. Cause: the bound stood for the memory of fields (some 500 bytes each, however short), which nothing counted. Change: fields beyond 64 count, with the held bytes until a handler has the request, then in the buffer budget (503 if it is used up). A head of more than 256 lines is parsed in a turn, one in each iteration of the loop: otherwise 250 of them would be in memory before the first is refused. Ruled out: only raising the bound, as 250 heads of 3,000 fields take 300 MB.

--- a/marjoramstile/fronts/bodies.py
+++ b/marjoramstile/fronts/bodies.py
@@ -14,6 +14,7 @@
 )
 from marjoramstile.fronts.closing import CloseReason
 from marjoramstile.fronts.listening import note_closing
+from marjoramstile.fronts.received import fields_memory_bytes
 from marjoramstile.logs import get_logger
 
 # By then some of the bodies that use up the buffer budget have probably been released.
@@ -59,10 +60,19 @@
     ) -> AsyncIterator[bytes]:
         """Read a whole body; its bytes count against the budget until the block ends.
 
-        Raises BodyRefusedError.
+        So does the memory of a head with many fields. Raises BodyRefusedError.
         """
-        with self._buffers.body(max_bytes) as buffered:
-            yield await self._read(request, buffered)
+        fields_bytes = fields_memory_bytes(len(request.raw_headers))
+        try:
+            self._buffers.reserve(0, fields_bytes)
+        except BufferBudgetExceededError as error:
+            note_closing(request, CloseReason.BODY_REFUSED)
+            raise _no_room(error) from None
+        try:
+            with self._buffers.body(max_bytes) as buffered:
+                yield await self._read(request, buffered)
+        finally:
+            self._buffers.release(fields_bytes)
 
     async def _read(self, request: web.BaseRequest, buffered: BufferedBody) -> bytes:
         try:
@@ -84,10 +94,12 @@
         except BodyTooLongError as error:
             raise BodyRefusedError(TOO_LARGE, str(error)) from None
         except BufferBudgetExceededError as error:
-            logger.warning("no_room_for_body", reason=str(error))
-            raise BodyRefusedError(
-                UNAVAILABLE, str(error), RETRY_AFTER_FULL_S
-            ) from None
+            raise _no_room(error) from None
+
+
+def _no_room(error: BufferBudgetExceededError) -> BodyRefusedError:
+    logger.warning("no_room_for_body", reason=str(error))
+    return BodyRefusedError(UNAVAILABLE, str(error), RETRY_AFTER_FULL_S)
 
 
 async def _read_all(request: web.BaseRequest, buffered: BufferedBody) -> bytes:
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -9,6 +9,7 @@
 import select
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from typing import Any
 
 from aiohttp import web
@@ -28,11 +29,13 @@
 from marjoramstile.fronts.reading import READ_MAX_BYTES, BoundedReads
 from marjoramstile.fronts.received import (
     DEFAULT_READ_LIMITS,
+    FIELD_MIN_BYTES,
     HEAD_END,
     FramingCounter,
     HeadCounter,
     HeldBytes,
     ReadLimits,
+    fields_memory_bytes,
 )
 from marjoramstile.fronts.turns import Turns
 from marjoramstile.logs import get_logger
@@ -57,9 +60,8 @@
 # Part of an error's text that is sent; it may quote as many bytes as were received.
 ERROR_TEXT_MAX = 200
 HEAD_TOO_LONG = 431
-# Fields of a head, and of trailers. Each takes some hundred bytes of memory, however
-# short it is.
-FIELDS_MAX = 256
+# Lines of a head that are parsed at once; a connection with more waits for a turn.
+LINES_AT_ONCE = 256
 SERVER_ERROR = 500
 # Time for the first request on a connection that was opened as its listener closed.
 FIRST_REQUEST_WAIT_S = 0.1
@@ -92,6 +94,7 @@
         self._held = held
         self._turns = turns or Turns()
         self._awaits_turn = False
+        self._has_turn = False
         # Of the chunked body that is being read.
         self._turns_taken = 0
         self._messages = MessageQueue()
@@ -248,6 +251,8 @@
         if self._chunks is not None:
             self._parse_part(b"")
         while not self._input_ended:
+            # A turn is for one part.
+            self._has_turn = self._has_turn and position == 0
             if self._is_reading_paused and (data or self._reading_paused):
                 self._unparsed = data[position:]
                 return
@@ -265,6 +270,10 @@
             part_max = max(1, self._limits.head_max_bytes + 1 - self._head.size)
             part = data[position : position + part_max]
             part = part[: self._head.find_chunks(part)]
+            lines = self._head.lines + part.count(b"\n")
+            if lines > LINES_AT_ONCE and not self._has_turn:
+                self._wait_for_turn()
+                return 0
         self._parse_part(part)
         return len(part)
 
@@ -310,6 +319,10 @@
         self._part_began_at = None
         self._framing = FramingCounter()
         self._queued_bytes += len(part) + self._head.size
+        self._queued_bytes += sum(
+            fields_memory_bytes(len(message.raw_headers))
+            for message, _ in islice(reversed(self._messages), count)
+        )
         if self._messages.last_body is EMPTY_PAYLOAD:
             if part:
                 self._head.add(part, ended_heads=True)
@@ -335,28 +348,33 @@
         super().data_received(decoded.encode())
         self._count_body(body, part[: decoded.consumed], len(decoded.payload))
         if not decoded.is_last and decoded.consumed < len(part):
-            self._wait_for_turn()
+            self._continue_later(body)
         return decoded.consumed
 
-    def _wait_for_turn(self) -> None:
+    def _continue_later(self, body: StreamReader) -> None:
         """Wait until more of a body in short chunks may be parsed, or refuse it."""
         is_long = self._turns_taken >= TURNS_PER_BODY
         if is_long and self._turns.waiting >= TURNS_WAITING_MAX:
             self.note_closing(CloseReason.BODY_FRAMING)
             error = BufferBudgetExceededError("too many bodies in short chunks")
-            self._refuse_body(self._messages.last_body, error)
+            self._refuse_body(body, error)
             return
         self._turns_taken += 1
+        self._wait_for_turn()
+
+    def _wait_for_turn(self) -> None:
         self._awaits_turn = True
         self._pause_transport_reading()
         self._turns.add(self._take_turn)
 
     def _take_turn(self) -> None:
-        """Parse some more of a body in short chunks; read on when all is parsed."""
+        """Parse some more of what was received; read on when all is parsed."""
         self._awaits_turn = False
         if self.transport is None or self._input_ended:
             return
+        self._has_turn = True
         self.data_received(b"")
+        self._has_turn = False
         if not self._is_reading_paused and not self._buffer_paused:
             self._resume_transport_reading()
 
@@ -469,7 +487,7 @@
             self._queued_bytes = 0
         if self._held is None or self.transport is None:
             return
-        count = self._head.size + len(self._message_tail)
+        count = self._head.memory_bytes + len(self._message_tail)
         if self._has_waiting_requests:
             # Otherwise a handler takes the rest, or is about to.
             count += self._queued_bytes + len(self._unparsed)
@@ -755,7 +773,7 @@
             "keepalive_timeout": limits.idle_timeout_s,
             "max_line_size": limits.head_max_bytes,
             "max_field_size": limits.head_max_bytes,
-            "max_headers": FIELDS_MAX,
+            "max_headers": limits.head_max_bytes // FIELD_MIN_BYTES,
             **self._kwargs,
         }
         connection = CallerConnection(
--- a/marjoramstile/fronts/received.py
+++ b/marjoramstile/fronts/received.py
@@ -20,6 +20,12 @@
 # Longer than any idle time of the clients of the other listeners.
 IDLE_TIMEOUT_S = 120.0
 HEAD_END = b"\r\n\r\n"
+# Fields of a head whose memory is not counted, and memory of each further one, however
+# short it is.
+FIELDS_UNCOUNTED = 64
+FIELD_BYTES = 500
+# Shortest field with its line end.
+FIELD_MIN_BYTES = 4
 # Framing that a body may have for each of its bytes, beside the size of a head. A chunk
 # of one byte without extensions has five bytes of it, more with leading zeros.
 FRAMING_PER_BYTE = 16
@@ -62,6 +68,7 @@
 
     def __init__(self):
         self._size = 0
+        self._lines = 0
         self._tail = b""
 
     @property
@@ -69,9 +76,20 @@
         """Bytes received since the end of the last request."""
         return self._size
 
+    @property
+    def lines(self) -> int:
+        """Lines received since the end of the last request."""
+        return self._lines
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of what was received since the end of the last request."""
+        return self._size + fields_memory_bytes(self._lines)
+
     def reset(self) -> None:
         """Begin anew, after the end of a request."""
         self._size = 0
+        self._lines = 0
         self._tail = b""
 
     def find_chunks(self, part: bytes) -> int:
@@ -95,9 +113,17 @@
         self._tail = joined[1 - len(HEAD_END) :]
         if not ended_heads:
             self._size += len(part)
+            self._lines += part.count(b"\n")
             return
         end = joined.rfind(HEAD_END)
-        self._size = 0 if end < 0 else len(joined) - end - len(HEAD_END)
+        rest = b"" if end < 0 else joined[end + len(HEAD_END) :]
+        self._size = len(rest)
+        self._lines = rest.count(b"\n")
+
+
+def fields_memory_bytes(fields: int) -> int:
+    """Return the memory of a head's fields that is counted."""
+    return max(0, fields - FIELDS_UNCOUNTED) * FIELD_BYTES
 
 
 class FramingCounter:
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -141,7 +141,15 @@
         yield head(b"Transfer-Encoding: chunked") + b"1\r\nx\r\n" * 500 + b"0\r\n\r\n"
 
 
+def many_fields() -> Iterator[bytes]:
+    """Yield requests at the limit of a head, one after another."""
+    for _ in range(1000):
+        fields = (b"%x:" % number for number in range(2000))
+        yield head(*fields, b"Content-Length: 0")
+
+
 REQUESTS: dict[str, Callable[[], Iterator[bytes]]] = {
+    "many fields": many_fields,
     "chunks of one byte": lambda: chunked(1),
     "chunks of two bytes": lambda: chunked(2),
     "chunks of three bytes": lambda: chunked(3),
@@ -298,6 +306,17 @@
     writer.close()
 
 
+async def test_a_request_with_many_short_fields_is_refused(launch):
+    """The limit of a head is one of bytes."""
+    fleet = await launch()
+    reader, writer = await asyncio.open_connection(fleet.vm_host(1), FRONT_PORT)
+    fields = (MAX_HEADER_BYTES - 200) // len(b"a: b\r\n")
+    writer.write(head(*[b"a: b"] * fields, b"Content-Length: 0"))
+    async with asyncio.timeout(HANG_S):
+        assert (await reader.readuntil(b"\r\n")).split()[1] == b"200"
+    writer.close()
+
+
 async def test_a_request_with_a_long_id_gets_no_answer(launch):
     """Replicas repeat the id in their answer."""
     fleet = await launch()
