--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -21,6 +21,8 @@
     stop_listening,
 )
 from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.fronts.reading import READ_MAX_BYTES
+from marjoramstile.fronts.turns import Turns
 from marjoramstile.logs import get_logger
 from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
 from marjoramstile.settings import LimitSettings
@@ -44,6 +46,7 @@
     """Return an application that answers every error with a result code."""
     app = Sanic(name, configure_logging=False)
     app.config.REQUEST_MAX_SIZE = limits.body_max_bytes
+    app.config.REQUEST_BUFFER_SIZE = READ_MAX_BYTES
     app.config.REQUEST_TIMEOUT = limits.body_timeout_s
     app.config.RESPONSE_TIMEOUT = 24 * 3600
     app.config.ACCESS_LOG = False
@@ -129,7 +132,7 @@
         """``limit`` bounds the open connections."""
         app.on_request(refuse_connection)
         self._app = app
-        self._protocol = limited_protocol(limit)
+        self._protocol = limited_protocol(limit, Turns())
         self._server: Any = None
         self._closing = False
         app.on_response(self._announce_close)
--- a/marjoramstile/fronts/listening.py
+++ b/marjoramstile/fronts/listening.py
@@ -48,9 +48,6 @@
 BODY_SLICE_BYTES = 32_768
 # Chunks of a body that are decoded at a time; a connection with more waits for a turn.
 CHUNKS_PER_TURN = 256
-# Connections that may wait for turns before bodies are refused that have had many.
-TURNS_WAITING_MAX = 16
-TURNS_PER_BODY = 64
 # Bytes of a body that are buffered for a handler before reading pauses.
 BODY_BUFFER_BYTES = 65_536
 # Pipelined requests that wait for their handler before reading pauses.
@@ -353,8 +350,7 @@
 
     def _continue_later(self, body: StreamReader) -> None:
         """Wait until more of a body in short chunks may be parsed, or refuse it."""
-        is_long = self._turns_taken >= TURNS_PER_BODY
-        if is_long and self._turns.waiting >= TURNS_WAITING_MAX:
+        if self._turns.refuses(self._turns_taken):
             self.note_closing(CloseReason.BODY_FRAMING)
             error = BufferBudgetExceededError("too many bodies in short chunks")
             self._refuse_body(body, error)
--- a/marjoramstile/fronts/turns.py
+++ b/marjoramstile/fronts/turns.py
@@ -4,6 +4,10 @@
 from collections import deque
 from collections.abc import Callable
 
+# Number of those that may wait before long work is refused, and turns of long work.
+WAITING_MAX = 16
+LONG_WORK_TURNS = 64
+
 
 class Turns:
     """Calls what waits for a turn, one callback in each iteration of the event loop.
@@ -20,6 +24,14 @@
         """Number of callbacks that wait for their turn."""
         return len(self._waiting)
 
+    def refuses(self, taken: int) -> bool:
+        """Return whether work that has had some turns may not have another one.
+
+        Turns of many share the processor evenly, so that long work would not end in
+        time.
+        """
+        return taken >= LONG_WORK_TURNS and len(self._waiting) >= WAITING_MAX
+
     def add(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` once, after all that wait already."""
         self._waiting.append(callback)
--- a/tests/fronts/test_hostile_input.py
+++ b/tests/fronts/test_hostile_input.py
@@ -7,7 +7,7 @@
 import pytest_asyncio
 from aiohttp import web
 
-from marjoramstile.fronts import bodies, listening
+from marjoramstile.fronts import bodies, listening, turns
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
 from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.fronts.closing import CloseReason
@@ -225,8 +225,8 @@
 
 async def test_bodies_in_short_chunks_keep_others_from_their_turns(front, monkeypatch):
     """Long ones are refused while many wait; none of them has run."""
-    monkeypatch.setattr(listening, "TURNS_WAITING_MAX", 4)
-    monkeypatch.setattr(listening, "TURNS_PER_BODY", 8)
+    monkeypatch.setattr(turns, "WAITING_MAX", 4)
+    monkeypatch.setattr(turns, "LONG_WORK_TURNS", 8)
     long_body = CHUNKED + b"1\r\nx\r\n" * 20_000 + b"0\r\n\r\n"
     short_body = CHUNKED + b"1\r\ny\r\n" * 1000 + b"0\r\n\r\n"
     answers = await asyncio.gather(
--- a/tests/processes/test_hostile_clients.py
+++ b/tests/processes/test_hostile_clients.py
@@ -142,20 +142,25 @@
     return await send_request(fleet, fleet.front(1), "/first/look/x")
 
 
-def proc(fleet) -> Path:
-    """Return the directory of the daemon in /proc."""
-    return Path("/proc") / str(fleet.get("router-1").process.pid)
+def process_memory_mb(pid: int, field: str = "VmRSS") -> float:
+    """Return the resident memory of a process; its peak with ``VmHWM``."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(rf"{field}:\s+(\d+) kB", status).group(1)) / 1024
+
+
+def process_descriptors(pid: int) -> int:
+    """Return the number of descriptors that a process has open."""
+    return len(list(Path(f"/proc/{pid}/fd").iterdir()))
 
 
 def memory_mb(fleet, field: str = "VmRSS") -> float:
     """Return the resident memory of the daemon; its peak with ``VmHWM``."""
-    status = (proc(fleet) / "status").read_text()
-    return int(re.search(rf"{field}:\s+(\d+) kB", status).group(1)) / 1024
+    return process_memory_mb(fleet.get("router-1").process.pid, field)
 
 
 def descriptors(fleet) -> int:
     """Return the number of descriptors that the daemon has open."""
-    return len(list((proc(fleet) / "fd").iterdir()))
+    return process_descriptors(fleet.get("router-1").process.pid)
 
 
 class Crowd:
