marjoramstiled: bodies share a budget of memory

What was seen: 250 connections with bodies of 1 MB, whole or stalled just before their end, took 313 to 356 MB (some 70 MB without them), on the callers' and the operators' port. Cause: nothing bounded all bodies together, and operators' bodies had no timeout either. Change: limits.bodies_max_bytes (16 MiB, callers and operators each). At the bound a request is refused as overloaded, not run, with a time to retry. Operators' requests read their bodies as callers' do. Evidence: the four tests of bodies in tests/processes/test_crowds_of_callers.py failed before (bound 128 MB), pass after: peaks of 82 to 89 MB.

--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -14,12 +14,21 @@
     SanicException,
 )
 
-from marjoramstile.entry.connections import limited_protocol, refuse_connection
+from marjoramstile.entry.connections import (
+    limited_protocol,
+    overloaded,
+    refuse_connection,
+)
 from marjoramstile.entry.draining import (
     close_connections,
     has_more_to_answer,
     stop_listening,
 )
+from marjoramstile.fronts.buffers import (
+    BufferBudget,
+    BufferBudgetExceededError,
+    BufferedBody,
+)
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.reading import READ_MAX_BYTES
 from marjoramstile.fronts.turns import Turns
@@ -53,6 +62,7 @@
     app.config.MOTD = False
     app.config.TOUCHUP = False
     app.exception(Exception)(_answer_exception)
+    app.ctx.bodies = BufferBudget(limits.bodies_max_bytes)
     return app
 
 
@@ -87,17 +97,28 @@
 
     async def receive_and_handle(request: Request, *args: Any, **kwargs: Any) -> Any:
         request.stream.request_max_size = limits.body_max_bytes
-        try:
-            async with asyncio.timeout(limits.body_timeout_s):
-                await request.receive_body()
-        except TimeoutError as error:
-            _abandon_body(request)
-            raise RequestTimeout from error
-        return await handler(request, *args, **kwargs)
+        with request.app.ctx.bodies.body(limits.body_max_bytes) as buffered:
+            try:
+                async with asyncio.timeout(limits.body_timeout_s):
+                    await _receive_body(request, buffered)
+            except TimeoutError as error:
+                _abandon_body(request)
+                raise RequestTimeout from error
+            except BufferBudgetExceededError as error:
+                _abandon_body(request)
+                raise overloaded(str(error)) from error
+            return await handler(request, *args, **kwargs)
 
     return receive_and_handle
 
 
+async def _receive_body(request: Request, buffered: BufferedBody) -> None:
+    """Receive the whole body, whose bytes count while ``buffered`` holds them."""
+    async for data in request.stream:
+        buffered.add(data)
+    request.body = buffered.to_bytes()
+
+
 def _abandon_body(request: Request) -> None:
     """Close the connection after the answer without awaiting the rest of the body."""
     request.stream.request_body = None
--- a/marjoramstile/operators/app.py
+++ b/marjoramstile/operators/app.py
@@ -10,6 +10,7 @@
     create_app,
     failure_response,
     json_body,
+    with_body,
 )
 from marjoramstile.logs import get_logger
 from marjoramstile.operators.executor import StatementExecutor
@@ -72,7 +73,10 @@
 def create_operator_app(limits: LimitSettings, handler: OperatorHandler) -> Sanic:
     """Return the application that operators use."""
     app = create_app("operators", limits)
-    app.add_route(handler.run, "/v1/statements", ["POST"], name="statements")
-    app.add_route(handler.apply, "/v1/configuration", ["PUT"], name="apply")
+    for call, path, method, name in (
+        (handler.run, "/v1/statements", "POST", "statements"),
+        (handler.apply, "/v1/configuration", "PUT", "apply"),
+    ):
+        app.add_route(with_body(call, limits), path, [method], name=name, stream=True)
     app.add_route(handler.read, "/v1/configuration", ["GET"], name="read")
     return app
--- a/marjoramstile/settings.py
+++ b/marjoramstile/settings.py
@@ -22,6 +22,7 @@
     "limits": {
         "body_max_bytes": 1_048_576,
         "body_timeout_s": 10.0,
+        "bodies_max_bytes": 16_777_216,
         "frame_max_bytes": 4_194_304,
     },
     "timing": {
@@ -98,6 +99,7 @@
     __pydantic_config__ = _STRICT
     body_max_bytes: Annotated[int, Field(gt=0)]
     body_timeout_s: Seconds
+    bodies_max_bytes: Annotated[int, Field(gt=0)]
     frame_max_bytes: Annotated[int, Field(gt=0)]
 
 
--- a/tests/entry/test_draining.py
+++ b/tests/entry/test_draining.py
@@ -21,7 +21,12 @@
 DRAIN_S = 0.6
 HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
 REQUEST = HEAD + b"abcd"
-LIMITS = LimitSettings(body_max_bytes=1000, body_timeout_s=5.0, frame_max_bytes=1000)
+LIMITS = LimitSettings(
+    body_max_bytes=1000,
+    body_timeout_s=5.0,
+    bodies_max_bytes=10_000,
+    frame_max_bytes=1000,
+)
 NUMBERS = itertools.count()
 
 
--- a/tests/processes/test_crowds_of_callers.py
+++ b/tests/processes/test_crowds_of_callers.py
@@ -33,6 +33,7 @@
 
 CROWD = 250
 MAX_BODY_BYTES = 1_048_576
+STALLED_BODY_BYTES = 1_000_000
 FEW_FDS = 400
 SLOW_CROWD = 200
 SLOW_S = 1.5
@@ -84,9 +85,17 @@
     yield b"0\r\n\r\n"
 
 
+def body(path: str, sent_bytes: int) -> Iterator[bytes]:
+    """Yield a request with a body at the limit, of which some bytes are sent."""
+    yield head(path, b"Content-Length: %d" % MAX_BODY_BYTES)
+    yield b"x" * sent_bytes
+
+
 REQUESTS: dict[str, Callable[[str], Iterator[bytes]]] = {
     "chunks of one byte": lambda path: chunked(path, 1),
     "chunks of three bytes": lambda path: chunked(path, 3),
+    "whole bodies": lambda path: body(path, MAX_BODY_BYTES),
+    "stalled bodies": lambda path: body(path, STALLED_BODY_BYTES),
 }
 
 
