--- a/marjoramstile/platform/answers.py
+++ b/marjoramstile/platform/answers.py
@@ -64,10 +64,10 @@
     return body
 
 
-def stream_answer(response: ClientResponse) -> StreamAnswer:
+def stream_answer(response: ClientResponse, buffers: BufferBudget) -> StreamAnswer:
     """Return the head of a response, and its bytes as they arrive."""
     return StreamAnswer(
-        response.status, response_headers(response), body_chunks(response)
+        response.status, response_headers(response), body_chunks(response), buffers
     )
 
 
--- a/marjoramstile/platform/carriers.py
+++ b/marjoramstile/platform/carriers.py
@@ -77,7 +77,7 @@
                 named = response.headers.get(platform_headers.REQUEST_ID)
                 if named not in (None, request.id):
                     raise BrokenAnswerError(AnswerFault.OTHER_REQUEST)
-                yield stream_answer(response)
+                yield stream_answer(response, self._buffers)
             finally:
                 response.close()
 
--- a/marjoramstile/platform/replicas.py
+++ b/marjoramstile/platform/replicas.py
@@ -123,7 +123,9 @@
         async with self._exchange(
             replica, request, timeout_s, SendOptions()
         ) as response:
-            return await read_reply(stream_answer(response), self._buffers)
+            return await read_reply(
+                stream_answer(response, self._buffers), self._buffers
+            )
 
     @asynccontextmanager
     async def stream(
@@ -135,7 +137,7 @@
     ) -> AsyncIterator[StreamAnswer]:
         """Send a request and open its stream; the connection closes after the block."""
         async with self._exchange(replica, request, timeout_s, options) as response:
-            yield stream_answer(response)
+            yield stream_answer(response, self._buffers)
 
     async def read_reply(self, answer: StreamAnswer) -> Reply:
         """Return a whole answer; raise AnswerLostError if truncated or too long."""
--- a/marjoramstile/routes/carrying.py
+++ b/marjoramstile/routes/carrying.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator, Callable, Mapping
-from contextlib import AbstractAsyncContextManager
+from contextlib import AbstractAsyncContextManager, closing
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -287,22 +287,22 @@
         stall_s: float | None,
     ) -> None:
         """Relay whole events to the caller; give up after ``stall_s`` without any."""
-        splitter = EventSplitter()
-        chunks = aiter(answer.chunks)
-        while (chunk := await _next_chunk(chunks, stall_s)) is not None:
-            try:
-                events = splitter.feed(chunk)
-            except EventTooLongError as error:
-                raise AnswerLostError(str(error)) from error
-            for event in events:
-                if not progress.started:
-                    progress.started = True
-                    await responder.start(answer.status, answer.headers)
-                await responder.write(event.data)
-                if event.id is not None:
-                    progress.last_event = event.id
-        if splitter.rest or not progress.started:
-            raise AnswerLostError("the stream ended within an event")
+        with closing(EventSplitter(answer.buffers)) as splitter:
+            chunks = aiter(answer.chunks)
+            while (chunk := await _next_chunk(chunks, stall_s)) is not None:
+                try:
+                    events = splitter.feed(chunk)
+                except EventTooLongError as error:
+                    raise AnswerLostError(str(error)) from error
+                for event in events:
+                    if not progress.started:
+                        progress.started = True
+                        await responder.start(answer.status, answer.headers)
+                    await responder.write(event.data)
+                    if event.id is not None:
+                        progress.last_event = event.id
+            if splitter.rest or not progress.started:
+                raise AnswerLostError("the stream ended within an event")
         await responder.finish()
 
     @staticmethod
--- a/marjoramstile/routes/events.py
+++ b/marjoramstile/routes/events.py
@@ -3,6 +3,8 @@
 import re
 from dataclasses import dataclass
 
+from marjoramstile.fronts.buffers import BufferBudget, BufferBudgetExceededError
+
 # Longest event that is buffered.
 EVENT_MAX_BYTES = 1_048_576
 # Longest separator between events.
@@ -23,13 +25,18 @@
 
 
 class EventTooLongError(Exception):
-    """An event has no end within EVENT_MAX_BYTES."""
+    """An event has no end within EVENT_MAX_BYTES, or within the memory that is left."""
 
 
 class EventSplitter:
-    """Splits a stream into whole events; an incomplete event is never returned."""
+    """Splits a stream into whole events; an incomplete event is never returned.
+
+    Its bytes count against a budget until it is complete or the splitter is closed.
+    """
 
-    def __init__(self):
+    def __init__(self, buffers: BufferBudget | None = None):
+        self._buffers = buffers
+        self._reserved = 0
         self._rest = bytearray()
         self._searched = 0
 
@@ -41,7 +48,8 @@
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
 
-        Raises EventTooLongError once an incomplete event exceeds EVENT_MAX_BYTES.
+        Raises EventTooLongError once an incomplete event exceeds EVENT_MAX_BYTES or the
+        budget.
         """
         self._rest += data
         events = []
@@ -53,8 +61,27 @@
         self._searched = max(0, len(self._rest) - END_MAX_BYTES + 1)
         if not events and len(self._rest) > EVENT_MAX_BYTES:
             raise EventTooLongError(f"{len(self._rest)} bytes without end")
+        self._count_rest()
         return events
 
+    def _count_rest(self) -> None:
+        if self._buffers is None:
+            return
+        added = len(self._rest) - self._reserved
+        if added > 0:
+            try:
+                self._buffers.reserve(self._reserved, added)
+            except BufferBudgetExceededError as error:
+                raise EventTooLongError(str(error)) from error
+        else:
+            self._buffers.release(-added)
+        self._reserved = len(self._rest)
+
+    def close(self) -> None:
+        """Drop the incomplete event and release its bytes."""
+        self._rest.clear()
+        self._count_rest()
+
 
 def event_text(raw: bytes) -> str:
     """Return the text of an event: its data lines, joined by line feeds."""
--- a/marjoramstile/routes/generations.py
+++ b/marjoramstile/routes/generations.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, closing
 
 from marjoramstile.crashes.detector import CrashDetector
 from marjoramstile.logs import get_logger
@@ -297,29 +297,31 @@
         on_event: Callable[[], None],
     ) -> None:
         """Relay a replica's whole events to the caller; call ``on_event`` for each."""
-        splitter = EventSplitter()
-        chunks = aiter(answer.chunks)
-        stalled_at = self._stalled_at(request)
-        while True:
-            chunk = await self._next_chunk(chunks, min(request.deadline, stalled_at))
-            if chunk is None:
-                break
-            for event in self._events(splitter, chunk):
-                on_event()
-                if not progress.started:
-                    progress.started = True
-                    self._record_origin(request, progress, replica)
-                    await responder.start(answer.status, answer.headers)
-                await responder.write(event.data)
-                progress.events += 1
-                progress.replica_events += 1
-                if progress.replica_events == BEGUN_EVENTS:
-                    self._crashes.record_begin(request, progress.sent_at)
-                if event.id is not None:
-                    progress.last_event = event.id
-                    stalled_at = self._stalled_at(request)
-        if splitter.rest or not progress.started:
-            raise AnswerLostError("the stream ended within an event")
+        with closing(EventSplitter(answer.buffers)) as splitter:
+            chunks = aiter(answer.chunks)
+            stalled_at = self._stalled_at(request)
+            while True:
+                chunk = await self._next_chunk(
+                    chunks, min(request.deadline, stalled_at)
+                )
+                if chunk is None:
+                    break
+                for event in self._events(splitter, chunk):
+                    on_event()
+                    if not progress.started:
+                        progress.started = True
+                        self._record_origin(request, progress, replica)
+                        await responder.start(answer.status, answer.headers)
+                    await responder.write(event.data)
+                    progress.events += 1
+                    progress.replica_events += 1
+                    if progress.replica_events == BEGUN_EVENTS:
+                        self._crashes.record_begin(request, progress.sent_at)
+                    if event.id is not None:
+                        progress.last_event = event.id
+                        stalled_at = self._stalled_at(request)
+            if splitter.rest or not progress.started:
+                raise AnswerLostError("the stream ended within an event")
         await responder.finish()
 
     def _record_origin(
--- a/marjoramstile/routes/ports.py
+++ b/marjoramstile/routes/ports.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from marjoramstile.fronts.buffers import BufferBudget
 from marjoramstile.routes.replica_types import Replica
 from marjoramstile.routes.requests import (
     Headers,
@@ -21,12 +22,14 @@
     """The head of a replica's stream and its bytes as they arrive.
 
     ``chunks`` raises AnswerLostError where the stream breaks off. It has no bound: what
-    must be buffered in full is read by ``read_reply`` of the client.
+    must be buffered in full is read by ``read_reply`` of the client, and incomplete
+    events count against ``buffers``, if there is a budget.
     """
 
     status: int
     headers: Headers
     chunks: AsyncIterator[bytes]
+    buffers: BufferBudget | None = None
 
 
 class ReplicaClient(Protocol):
--- a/tests/routes/test_events.py
+++ b/tests/routes/test_events.py
@@ -2,7 +2,8 @@
 
 from hypothesis import given, strategies as st
 
-from marjoramstile.routes.events import EventSplitter, event_text
+from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.routes.events import EventSplitter, EventTooLongError, event_text
 
 PIECES = st.sampled_from(
     [b"id: 7", b"data: w", b"data:", b": c", b"\n", b"\r\n", b"\r", b"\r\n\r\n"]
@@ -40,3 +41,33 @@
     assert event_text("data: \u2028é\n\n".encode()) == "\u2028é"
     assert event_text(b"data: \xff\n\n") == "\ufffd"
     assert event_text(b"id: 1\n\n") == ""
+
+
+def test_unfinished_events_of_many_streams_exceed_the_memory():
+    """Each stream kept up to EVENT_MAX_BYTES, outside of the budget."""
+    budget = BufferBudget(1_000_000)
+    splitters = [EventSplitter(budget) for _ in range(100)]
+    refused = set()
+    for _ in range(100):
+        for splitter in set(splitters) - refused:
+            try:
+                assert splitter.feed(b"x" * 1000) == []
+            except EventTooLongError:
+                refused.add(splitter)
+                splitter.close()
+        assert budget.used <= 1_000_000
+    assert 0 < len(refused) < 100
+    for splitter in splitters:
+        splitter.close()
+    assert budget.used == 0
+
+
+def test_whole_events_keep_their_memory():
+    budget = BufferBudget(1_000_000)
+    splitter = EventSplitter(budget)
+    for _ in range(100):
+        splitter.feed(b"data: %s" % (b"x" * 50_000))
+        assert budget.used == len(splitter.rest)
+        assert len(splitter.feed(b"\n\nid: 7")) == 1
+    splitter.close()
+    assert budget.used == 0
