--- a/marjoramstile/platform/daemon.py
+++ b/marjoramstile/platform/daemon.py
@@ -100,7 +100,11 @@
         self._buffers = BufferBudget(int(settings.memory_bytes * BUFFER_MEMORY_SHARE))
         faults = AnswerFaults()
         self._store = PlatformStore(
-            store_session, str(settings.store), self._buffers, faults
+            store_session,
+            str(settings.store),
+            self._buffers,
+            faults,
+            {REPLICAS_TABLE: decode_replica},
         )
         notices = ReplicaNotices()
         replicas = HTTPReplicaClient(
--- a/marjoramstile/platform/store.py
+++ b/marjoramstile/platform/store.py
@@ -11,7 +11,7 @@
 import binascii
 import json
 import secrets
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -28,6 +28,7 @@
 from marjoramstile.logs import get_logger
 from marjoramstile.platform.answers import AnswerTooLongError, body_chunks, read_body
 from marjoramstile.platform.connections import AnswerConnector
+from marjoramstile.platform.documents import MalformedRowError
 from marjoramstile.platform.eras import HEADER, StoreEras
 from marjoramstile.platform.wholeness import AnswerFaults, fault_of
 from marjoramstile.ports.feeds import (
@@ -61,6 +62,11 @@
 MARKS_TABLE = "marjoramstile-marks"
 MARK_FIELD = "mark"
 MARK_BYTES = 8
+# Longest value that is kept without a decoder having accepted it.
+KEPT_VALUE_BYTES = 512
+
+# Decodes the value of a row, given its key; raises MalformedRowError.
+RowDecoder = Callable[[str, bytes], object]
 
 logger = get_logger(__name__)
 
@@ -93,8 +99,14 @@
         address: str,
         buffers: BufferBudget,
         faults: AnswerFaults | None = None,
+        decoders: Mapping[str, RowDecoder] | None = None,
     ):
-        """Answers are read into ``buffers``; ``faults`` records those not whole."""
+        """Answers are read into ``buffers``; ``faults`` records those not whole.
+
+        ``decoders`` are those of tables that others write, by the table's name. Long
+        values that they refuse are not kept.
+        """
+        self._decoders = decoders or {}
         self._session = session
         self._buffers = buffers
         self._faults = faults or AnswerFaults()
@@ -118,7 +130,7 @@
             if answer.is_err():
                 return answer
             page = answer.unwrap()
-            rows += page.rows
+            rows += self._without_unreadable(table, page.rows)
             if first_version is None:
                 first_version = page.version
             if era_of(page.version) != era_of(first_version):
@@ -162,7 +174,20 @@
         if era_of(page.version) != era_of(after):
             return Err(HistoryLostError())
         version = max(after, page.version)
-        return Ok(Changes(page.rows, version, complete=False))
+        rows = self._without_unreadable(table, page.rows)
+        return Ok(Changes(rows, version, complete=False))
+
+    def _without_unreadable(
+        self, table: str, rows: tuple[StoredRow, ...]
+    ) -> tuple[StoredRow, ...]:
+        """Return rows; long values that can't be decoded become empty.
+
+        Their number has no bound, and no decoder accepts an empty value either.
+        """
+        decode = self._decoders.get(table)
+        if decode is None:
+            return rows
+        return tuple(_without_unreadable_value(row, decode) for row in rows)
 
     async def read_row(
         self, table: str, key: str
@@ -300,6 +325,23 @@
         return row
 
 
+def _without_unreadable_value(row: StoredRow, decode: RowDecoder) -> StoredRow:
+    if row.value is None or len(row.value) <= KEPT_VALUE_BYTES:
+        return row
+    try:
+        decode(row.key, row.value)
+    except MalformedRowError as error:
+        logger.warning(
+            "row_value_unreadable",
+            row=row.key,
+            version=row.version,
+            size=len(row.value),
+            reason=str(error),
+        )
+        return replace(row, value=b"")
+    return row
+
+
 def _row_reference(table: str, key: str) -> dict[str, str]:
     return {"table": table, "part": "", "key": key}
 
--- a/tests/platform/support.py
+++ b/tests/platform/support.py
@@ -44,9 +44,10 @@
     )
 
 
-def store_client(session: ClientSession, address: str) -> PlatformStore:
+def store_client(session: ClientSession, address: str, decoders=None) -> PlatformStore:
     """Return a client of a store with a byte budget of its own."""
-    return PlatformStore(session, address, BufferBudget(BUFFER_BYTES))
+    budget = BufferBudget(BUFFER_BYTES)
+    return PlatformStore(session, address, budget, decoders=decoders)
 
 
 def reset_connection(writer: asyncio.StreamWriter) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """The client of the metadata store against malformed responses and failures."""
 
+import base64
 import json
 from contextlib import asynccontextmanager
 
@@ -7,6 +8,7 @@
 from aiohttp import ClientSession
 from hypothesis import given, strategies as st
 
+from marjoramstile.platform.documents import MalformedRowError
 from marjoramstile.platform.store import decode_page
 from marjoramstile.ports.feeds import Changes, HistoryLostError, StoredRow
 from marjoramstile.ports.tables import Condition, Write
@@ -14,7 +16,7 @@
 
 
 @asynccontextmanager
-async def replying_store(status: int, body: bytes):
+async def replying_store(status: int, body: bytes, decoders=None):
     """Run a store that gives the same response to every call; yield its client."""
 
     async def script(head, writer):
@@ -24,7 +26,7 @@
         )
 
     async with raw_replica(script) as address, ClientSession() as session:
-        yield store_client(session, address.address)
+        yield store_client(session, address.address, decoders=decoders)
 
 
 def page(*rows, **fields) -> bytes:
@@ -47,6 +49,25 @@
     assert changes.rows == (StoredRow("a", 3, b""),)
 
 
+async def test_long_values_of_another_writer_are_kept():
+    """Each daemon kept them all, and a start read them all at once."""
+    readable = json.dumps({"version": "1", "padding": "x" * 2000}).encode()
+    values = {"a": b"\xff" * 60_000, "b": readable, "c": b"\xff" * 10, "d": b"{}"}
+    rows = [
+        {"key": key, "rowVersion": 3, "value": base64.b64encode(value).decode()}
+        for key, value in values.items()
+    ]
+
+    def decode(key: str, value: bytes) -> None:
+        if not value.startswith(b"{"):
+            raise MalformedRowError(key)
+
+    async with replying_store(200, page(*rows), {"servers": decode}) as store:
+        servers = (await store.read_table("servers")).unwrap()
+    kept = {row.key: row.value for row in servers.rows}
+    assert kept == {**values, "a": b""}
+
+
 @pytest.mark.parametrize(
     "body",
     [
