Fronts: the connection of a caller has a module of its own

CallerConnection and its message queue move to caller_connection.py, which needs only a small protocol of its server; listening.py keeps the server and what handlers tell a connection. Nothing else changes.

--- a/marjoramstile/entry/connections.py
+++ b/marjoramstile/entry/connections.py
@@ -9,9 +9,9 @@
 from sanic.http.http1 import HTTP_CONTINUE, Http
 from sanic.server.protocols.http_protocol import HttpProtocol
 
+from marjoramstile.fronts.caller_connection import has_unread_bytes
 from marjoramstile.fronts.chunks import CRLF, ChunkDecoder, ChunkError
 from marjoramstile.fronts.connection_limit import ConnectionLimit
-from marjoramstile.fronts.listening import has_unread_bytes
 from marjoramstile.fronts.reading import READ_MAX_BYTES, BoundedReads
 from marjoramstile.fronts.received import FramingCounter
 from marjoramstile.fronts.turns import Turns
--- a/marjoramstile/fronts/answers.py
+++ b/marjoramstile/fronts/answers.py
@@ -6,12 +6,9 @@
 from aiohttp.client_exceptions import ClientConnectionResetError
 from multidict import CIMultiDict
 
+from marjoramstile.fronts.caller_connection import announce_close
 from marjoramstile.fronts.closing import CloseReason
-from marjoramstile.fronts.listening import (
-    announce_close,
-    close_when_idle,
-    note_closing,
-)
+from marjoramstile.fronts.listening import close_when_idle, note_closing
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.requests import CallerDisconnectedError, Headers
 
--- a/marjoramstile/fronts/listeners.py
+++ b/marjoramstile/fronts/listeners.py
@@ -7,11 +7,11 @@
 
 from aiohttp import web
 
+from marjoramstile.fronts.caller_connection import CallerConnection
 from marjoramstile.fronts.closing import ClosingReport
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.draining import drain
 from marjoramstile.fronts.listening import (
-    CallerConnection,
     CallerServer,
     default_limits,
     refuse_connection,
--- a/tests/fronts/test_hostile_input.py
+++ b/tests/fronts/test_hostile_input.py
@@ -7,15 +7,12 @@
 import pytest_asyncio
 from aiohttp import web
 
-from marjoramstile.fronts import bodies, listening, turns
+from marjoramstile.fronts import bodies, caller_connection, turns
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
 from marjoramstile.fronts.buffers import BufferBudget
+from marjoramstile.fronts.caller_connection import CallerConnection
 from marjoramstile.fronts.closing import CloseReason
-from marjoramstile.fronts.listening import (
-    CallerConnection,
-    CallerServer,
-    close_when_idle,
-)
+from marjoramstile.fronts.listening import CallerServer, close_when_idle
 from marjoramstile.fronts.received import HeldBytes, ReadLimits
 from tests.fronts.support import KeptClosings
 from tests.support import captured_logs
@@ -244,7 +241,7 @@
 
 async def test_refused_body_goes_on_without_end(front, monkeypatch):
     """What is discarded, so that its client reads the refusal, has a bound."""
-    monkeypatch.setattr(listening, "DISCARDED_MAX_BYTES", 200_000)
+    monkeypatch.setattr(caller_connection, "DISCARDED_MAX_BYTES", 200_000)
     head = CHUNKED.replace(b"/x", b"/unread")
     chunks = [b"1000\r\n%s\r\n" % (b"x" * 4096)] * 500
     answer = await front.exchange(head, *chunks)
