--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 from collections.abc import Callable, Iterator
 
 import pytest
@@ -52,6 +53,7 @@
 SLOW_S = 1.5
 # Connections that a slow crowd has then at least.
 SLOW_CONNECTIONS_MIN = 40
+DATAGRAM_SENDERS = 40
 # Connections of an ordinary caller before it gives up.
 ATTEMPTS = 3
 _ids = itertools.count()
@@ -293,6 +295,23 @@
     await check_daemon(fleet, before)
 
 
+async def test_datagrams_without_pause_keep_others_from_their_answers(launch):
+    fleet = await launch()
+    before = descriptors(fleet)
+    address = (fleet.vm_host(1), PEERS_PORT)
+    kinds = itertools.cycle([b"[" * 60_000, b"[%s1]" % (b"1," * 30_000), b"x", b"{}"])
+    senders = [socket.socket(type=socket.SOCK_DGRAM) for _ in range(DATAGRAM_SENDERS)]
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(SENDING_S):
+            while True:
+                for sender in senders:
+                    sender.sendto(next(kinds), address)
+                await asyncio.sleep(0)
+    for sender in senders:
+        sender.close()
+    await check_daemon(fleet, before)
+
+
 @pytest.mark.parametrize("size", [1, 2])
 async def test_a_request_in_the_smallest_chunks_is_refused(launch, size):
     """Each chunk of a body within the limits may be as small as its sender likes."""
--- a/tests/processes/test_crowds_of_callers.py
+++ b/tests/processes/test_crowds_of_callers.py
@@ -7,8 +7,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import resource
 from collections.abc import Callable, Iterator
+from functools import partial
 
 import pytest
 import pytest_asyncio
@@ -25,6 +27,8 @@
 )
 from tests.processes.test_hostile_clients import (
     DESCRIPTORS_KEPT_MAX,
+    INPUTS,
+    fast_parts,
     process_descriptors,
     process_memory_mb,
 )
@@ -170,6 +174,23 @@
     await check_daemon(fleet, before)
 
 
+@pytest.mark.parametrize("port", PORTS)
+async def test_bytes_that_never_make_a_request_use_up_the_memory(start, port):
+    """Endless heads, lines, chunks, extensions and trailers, all at once."""
+    fleet = await start()
+    await check_answers(fleet)
+    before = descriptors(fleet)
+    host, _ = fleet.peers_address(1)
+    inputs = itertools.islice(itertools.cycle(INPUTS.values()), CROWD)
+    await asyncio.gather(
+        *(
+            send_until_left(host, PORTS[port], partial(fast_parts, given))
+            for given in inputs
+        )
+    )
+    await check_daemon(fleet, before)
+
+
 async def send_slowly(host: str, port: int, first: bytes, repeated: bytes) -> None:
     """Send a byte now and then; come back when the connection is closed."""
     while True:
--- a/tests/processes/test_hostile_clients.py
+++ b/tests/processes/test_hostile_clients.py
@@ -22,6 +22,7 @@
 from demo.fleet import own_network
 from demo.published_fleet import (
     ADDRESSES_PORT,
+    COMPLETIONS_PORT,
     FRONT_PORT,
     HOST_NAME,
     METRICS_PORT,
@@ -64,6 +65,7 @@
     "ready": READY_PORT,
     "directory": ADDRESSES_PORT,
     "metrics": METRICS_PORT,
+    "completions": COMPLETIONS_PORT,
 }
 REQUEST_LINE = b"POST /first/look/x HTTP/1.1\r\n"
 FIELDS = f"Host: {HOST_NAME}\r\nX-Request-Id: ".encode()
