Connections closed at a bound have a log line each only at the level debug

What operators saw: while slow clients came back, some thousand lines caller_connection_closed a second with the reason room_needed, which anybody can cause, beside the summary connections_at_limit (a probe of 200 clients: 1,700 in 1.5 s). Change: room_needed and no_room are logged like what clients cause otherwise; one that left a whole request unanswered is still a warning. The test fails before.

--- a/marjoramstile/fronts/caller_connection.py
+++ b/marjoramstile/fronts/caller_connection.py
@@ -84,7 +84,7 @@
 
     def __init__(
         self,
-        server: "ConnectionServer",
+        server: ConnectionServer,
         *,
         limit: ConnectionLimit | None = None,
         held: HeldBytes | None = None,
--- a/marjoramstile/fronts/closing.py
+++ b/marjoramstile/fronts/closing.py
@@ -47,7 +47,10 @@
         CloseReason.MEMORY_NEEDED,
     }
 )
+# Anybody can cause these, too; ``connections_at_limit`` has their number.
+_AT_LIMIT = frozenset({CloseReason.ROOM_NEEDED, CloseReason.NO_ROOM})
 _ORDINARY = frozenset({CloseReason.CALLER_GONE, CloseReason.ANSWERED})
+_QUIET = _UNUSABLE | _AT_LIMIT | _ORDINARY
 
 
 @dataclass(frozen=True)
@@ -96,6 +99,6 @@
 def _log_method(closed: ClosedConnection):
     if closed.unanswered or closed.reason in _FAILURES:
         return logger.warning
-    if closed.reason in _ORDINARY or closed.reason in _UNUSABLE:
+    if closed.reason in _QUIET:
         return logger.debug
     return logger.info
--- a/tests/fronts/test_closing.py
+++ b/tests/fronts/test_closing.py
@@ -3,14 +3,17 @@
 import asyncio
 import contextlib
 
+import pytest
 import pytest_asyncio
 
 from marjoramstile.fronts import answers, bodies, listening
-from marjoramstile.fronts.closing import CloseReason
+from marjoramstile.fronts.closing import ClosedConnection, CloseReason, ClosingReport
 from marjoramstile.platform.front import FrontHandler
+from marjoramstile.reports.metrics import Metrics
 from marjoramstile.utils import loop_time
 from tests.fronts.support import FrontHarness
 from tests.platform.support import HOST
+from tests.support import captured_logs
 
 
 @pytest_asyncio.fixture
@@ -54,6 +57,18 @@
     assert (closed.reason, closed.unanswered) == (CloseReason.BODY_REFUSED, 0)
 
 
+@pytest.mark.parametrize("reason", [CloseReason.ROOM_NEEDED, CloseReason.NO_ROOM])
+def test_connections_closed_at_a_bound_fill_the_log(reason):
+    report = ClosingReport(Metrics())
+    with captured_logs("info") as logs:
+        for _ in range(100):
+            report.record(ClosedConnection("front", reason, 0, "", False, ""))
+        report.record(ClosedConnection("front", reason, 1, "q1", True, ""))
+    (line,) = logs.getvalue().splitlines()
+    assert "level=warning" in line
+    assert "request=q1" in line
+
+
 async def test_unreadable_request_is_named(harness):
     answer = await harness.exchange(b"no request\r\n\r\n")
     assert answer.startswith(b"HTTP/1.0 400")
