--- a/marjoramstile/pools/client.py
+++ b/marjoramstile/pools/client.py
@@ -150,9 +150,12 @@
         """Return a placement id that no other request has."""
         return placement_id(self._id_prefix, next(self._numbers))
 
-    def choose_shard(self, service: str) -> int:
-        """Return a random shard of a pool for a new request."""
-        return self._shards.choose(service, self._rng)
+    def choose_shard(self, service: str, avoid: frozenset[str] = frozenset()) -> int:
+        """Return a random shard of a pool for a new request.
+
+        It has a replica that is not in ``avoid``, if any shard has.
+        """
+        return self._shards.choose(service, self._rng, avoid)
 
     async def ask(self, request: PlacementRequest) -> HeldLease | PlacementRefusal:
         """Request a lease; return it or the scheduler's refusal.
--- a/marjoramstile/pools/shards.py
+++ b/marjoramstile/pools/shards.py
@@ -45,8 +45,19 @@
         shard_count = self.count(replica.service)
         return 0 if shard_count == 1 else shard_of(replica.id, shard_count)
 
-    def choose(self, service: str, rng: random.Random) -> int:
-        """Return a random shard for a new request."""
+    def choose(
+        self, service: str, rng: random.Random, avoid: frozenset[str] = frozenset()
+    ) -> int:
+        """Return a random shard for a new request.
+
+        If it may not use the replicas in ``avoid``, it is one with a usable decode
+        replica, each of which is as likely as the others.
+        """
+        if avoid and self.count(service) > 1:
+            usable = self._directory.usable(service, Stage.DECODE)
+            allowed = [replica for replica in usable if replica.id not in avoid]
+            if allowed:
+                return self.shard_of(rng.choice(allowed))
         return rng.randrange(self.count(service))
 
 
--- a/marjoramstile/routes/placement.py
+++ b/marjoramstile/routes/placement.py
@@ -173,7 +173,7 @@
         return PlacementRequest(
             id=self._pool.new_id(),
             service=request.service,
-            shard=self._pool.choose_shard(request.service),
+            shard=self._pool.choose_shard(request.service, avoid),
             content=request.content[:FINGERPRINT_CHARACTERS],
             data_centre=self._pool.data_centre,
             tokens=reserved_tokens(request, engine),
--- a/tests/pools/test_shards.py
+++ b/tests/pools/test_shards.py
@@ -1,6 +1,7 @@
 """Shards of pools and the daemons that schedule them."""
 
 import asyncio
+import random
 from collections import Counter
 
 from marjoramstile.membership.view import PeerState, Report, View
@@ -82,3 +83,20 @@
     for number in range(45):
         directory.put(replica(f"r{number}", Stage.DECODE))
     assert PoolShards(directory).count(SERVICE) == 1
+
+
+def test_a_request_for_few_replicas_is_sent_to_a_shard_without_any():
+    """A stream goes on at one software version, which few replicas may have."""
+    directory = ReplicaDirectory()
+    for number in range(203):
+        directory.put(replica(f"r{number}", Stage.DECODE))
+    shards = PoolShards(directory)
+    allowed = {"r7", "r8"}
+    avoid = frozenset(f"r{number}" for number in range(203)) - allowed
+    count = shards.count(SERVICE)
+    expected = {shard_of(name, count) for name in allowed}
+    rng = random.Random(1)
+    chosen = {shards.choose(SERVICE, rng, avoid) for _ in range(100)}
+    assert chosen == expected
+    everything = avoid | allowed
+    assert shards.choose(SERVICE, rng, everything) < count
