--- a/marjoramstile/streams/keeper.py
+++ b/marjoramstile/streams/keeper.py
@@ -40,6 +40,8 @@
 UNKNOWN_TIMEOUT_S = 60.0
 # Longest wait of a take-up for what the store knows, after a start.
 LOAD_WAIT_S = 0.5
+# Time between two reads for streams that no keeper knows.
+READ_PERIOD_S = 1.0
 # Delay after which the second keeper stores a change of versions.
 SECOND_RANK_S = 1.0
 # Age up to which the list of replicas proves by itself that one version serves alone.
@@ -81,6 +83,8 @@
         self._longest_timeout_s = longest_timeout_s
         self._numbers = itertools.count()
         self._loaded = asyncio.Event()
+        self._reading: asyncio.Future[bool] | None = None
+        self._read_at = 0.0
         self._differs_since: dict[str, float] = {}
         self._answers: dict[str, dict[str, VersionAnswer]] = {}
         self._arrived: dict[str, asyncio.Event] = {}
@@ -178,6 +182,8 @@
             version, versions = _combine(answers, versions)
         if version is None and len(versions) == 1:
             version = next(iter(versions)) if self._knows_all(service) else None
+        elif version is None and request.resumes and await self._read_again():
+            version = self._registry.version(stream)
         logger.info(
             "take_up_decided",
             request=request.id,
@@ -187,6 +193,23 @@
         )
         return None if version == AMBIGUOUS else version
 
+    async def _read_again(self) -> bool:
+        """Read stored streams, which their keepers may have been lost with.
+
+        Return whether they were read since the call or just before it. Take-ups at the
+        same time share one read.
+        """
+        if self._reading is None or (
+            self._reading.done() and loop_time() >= self._read_at + READ_PERIOD_S
+        ):
+            self._read_at = loop_time()
+            self._reading = asyncio.ensure_future(self._store.load_streams())
+        try:
+            async with asyncio.timeout(LOAD_WAIT_S):
+                return await asyncio.shield(self._reading)
+        except TimeoutError:
+            return False
+
     async def _wait_for_store(self) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout(LOAD_WAIT_S):
--- a/marjoramstile/streams/storage.py
+++ b/marjoramstile/streams/storage.py
@@ -100,6 +100,19 @@
         )
         return True
 
+    async def load_streams(self) -> bool:
+        """Take over the rows of streams; return whether the store could be read."""
+        answer = await self._feed.read_table(STREAMS_TABLE)
+        if answer.is_err():
+            logger.info("streams_not_read", reason=answer.unwrap_err().message)
+            return False
+        now = loop_time()
+        for row in answer.unwrap().rows:
+            if not row.key.startswith(VERSIONS_PREFIX):
+                for stream, version in _decode_streams(row).items():
+                    self._registry.record(stream, version, now)
+        return True
+
     async def write_versions(
         self, service: str, present: set[str], forget_gone: bool
     ) -> None:
--- a/tests/streams/test_fleet.py
+++ b/tests/streams/test_fleet.py
@@ -64,6 +64,21 @@
     assert await fleet.take_up(begun) == begun
 
 
+async def test_a_stream_is_taken_up_after_its_daemon_and_both_keepers_were_killed(
+    fleets,
+):
+    """The next two keepers have no records; one read of the store serves all."""
+    fleet = fleets(9, *V1, *V2)
+    await asyncio.sleep(1.0)
+    begun = await fleet.begin_streams(40, *NAMES)
+    await asyncio.sleep(2 * PERIOD_S)
+    keepers = fleet.daemons[0].keeper.keepers((SERVICE, 0))
+    fleet.kill(*(fleet.daemon(vm) for vm in keepers))
+    calls = fleet.store.calls
+    assert await fleet.take_up(begun) == begun
+    assert fleet.store.calls - calls <= len(fleet.living) + 2
+
+
 async def test_a_daemon_that_has_just_started_knows_the_streams_of_others(fleets):
     fleet = fleets(9, *V1, *V2)
     await asyncio.sleep(1.0)
