--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -238,13 +238,16 @@
     crowd = [
         asyncio.create_task(send_slowly(fleet, port, first)) for _ in range(SLOW_CROWD)
     ]
-    async with asyncio.timeout(HANG_S):
-        while descriptors(fleet) < before + SLOW_CONNECTIONS_MIN:
-            await asyncio.sleep(POLL_S)
-        await asyncio.sleep(SLOW_S)
-        yield
-    for client in crowd:
-        client.cancel()
+    try:
+        async with asyncio.timeout(HANG_S):
+            while descriptors(fleet) < before + SLOW_CONNECTIONS_MIN:
+                await asyncio.sleep(POLL_S)
+            await asyncio.sleep(SLOW_S)
+            yield
+    finally:
+        # A crowd that stays would also take the connections of the next test's daemon.
+        for client in crowd:
+            client.cancel()
 
 
 async def call_on(reader, writer) -> int:
