--- a/marjoramstile/streams/storage.py
+++ b/marjoramstile/streams/storage.py
@@ -80,21 +80,17 @@
 
     async def load(self) -> bool:
         """Take over all rows; return whether the store could be read."""
-        answer = await self._feed.read_table(STREAMS_TABLE)
-        if answer.is_err():
-            logger.info("streams_not_read", reason=answer.unwrap_err().message)
+        rows = await self._read_streams()
+        if rows is None:
             return False
         now = loop_time()
-        for row in answer.unwrap().rows:
+        for row in rows:
             if row.key.startswith(VERSIONS_PREFIX):
                 stored = decode_versions(row)
                 if stored is not None:
                     service = row.key.removeprefix(VERSIONS_PREFIX)
                     self._versions[service] = stored
                     self._history.load(service, stored, now)
-            else:
-                for stream, version in _decode_streams(row).items():
-                    self._registry.record(stream, version, now)
         logger.info(
             "streams_read", streams=len(self._registry), services=len(self._versions)
         )
@@ -102,16 +98,21 @@
 
     async def load_streams(self) -> bool:
         """Take over the rows of streams; return whether the store could be read."""
+        return await self._read_streams() is not None
+
+    async def _read_streams(self) -> tuple[StoredRow, ...] | None:
+        """Take over the rows of streams; return all rows, None if they are unread."""
         answer = await self._feed.read_table(STREAMS_TABLE)
         if answer.is_err():
             logger.info("streams_not_read", reason=answer.unwrap_err().message)
-            return False
+            return None
+        rows = answer.unwrap().rows
         now = loop_time()
-        for row in answer.unwrap().rows:
+        for row in rows:
             if not row.key.startswith(VERSIONS_PREFIX):
                 for stream, version in _decode_streams(row).items():
                     self._registry.record(stream, version, now)
-        return True
+        return rows
 
     async def write_versions(
         self, service: str, present: set[str], forget_gone: bool
