--- a/marjoramstile/entry/connections.py
+++ b/marjoramstile/entry/connections.py
@@ -9,7 +9,7 @@
 from sanic.http.http1 import HTTP_CONTINUE, Http
 from sanic.server.protocols.http_protocol import HttpProtocol
 
-from marjoramstile.fronts.caller_connection import has_unread_bytes
+from marjoramstile.fronts.caller_connection import CHUNKS_PER_TURN, has_unread_bytes
 from marjoramstile.fronts.chunks import CRLF, ChunkDecoder, ChunkError
 from marjoramstile.fronts.connection_limit import ConnectionLimit
 from marjoramstile.fronts.reading import READ_MAX_BYTES, BoundedReads
@@ -20,8 +20,6 @@
 
 # Room for a connection may be made at any moment.
 RETRY_AFTER_REFUSED_S = 1.0
-# Chunks of a body that are decoded at a time; the rest waits for a turn.
-CHUNKS_PER_TURN = 256
 # Framing of a chunked body between two parts of its payload, and in all beside a
 # multiple of it.
 FRAMING_MAX_BYTES = 16_384
