Completions: bodies of many JSON values are scanned, not parsed whole

What callers saw: one completion within the limits, 4 MB of JSON such as "extra": [{},{},...], ended a daemon on a VM of 128 or 150 MB; all its other callers were cut off.

Cause: a parsed value takes up to a hundred times the memory of its bytes (orjson.loads of 4 MB: 56 MB for numbers, 118 MB for empty objects or lists, 168 MB for nested lists, measured in a bare process), for the time of the parsing. The buffer budget counts bytes only.

Change: a body with more than 16,384 separators is scanned. The fields in use are parsed one by one, messages are only measured, other values are passed over by their strings and brackets. It is done by turns of 2,048 tokens, so that anything else goes on; while 16 bodies wait, one that has had 64 turns is refused with 503 (not run). A limit on the number of values was ruled out: a long chat of short messages has many. What is malformed within a value that routing doesn't use is left to the replica. A chat nested deeper than 1,000 is answered 400, not 500.

Evidence: test_costly_messages.py, three clients for 5 s, 128 MB, fixed before the change.

--- a/marjoramstile/completions/handler.py
+++ b/marjoramstile/completions/handler.py
@@ -12,6 +12,7 @@
 from marjoramstile.completions.bodies import (
     CompletionBody,
     parse_chat_body,
+    parse_fields,
     parse_text_body,
 )
 from marjoramstile.completions.errors import (
@@ -39,8 +40,9 @@
 )
 from marjoramstile.fronts.answers import ResponseStream
 from marjoramstile.fronts.bodies import BodyReader, BodyRefusedError
-from marjoramstile.fronts.buffers import BufferFullError
+from marjoramstile.fronts.buffers import BufferBudgetExceededError, BufferFullError
 from marjoramstile.fronts.listening import close_when_idle, note_request
+from marjoramstile.fronts.turns import Turns
 from marjoramstile.logs import get_logger
 from marjoramstile.routes.entry import IncomingRequest, RequestDispatcher
 from marjoramstile.routes.ports import Responder
@@ -101,6 +103,7 @@
         bodies: BodyReader,
         generation_headers: GenerationHeaders,
     ):
+        self._turns = Turns()
         self._dispatcher = dispatcher
         self._table = table
         self._bodies = bodies
@@ -157,7 +160,7 @@
         reading = self._bodies.read_body(request, table.limits.body_max_bytes)
         try:
             async with reading as data:
-                body = PARSERS[kind](data)
+                body = await self._parse(kind, data)
                 return await self._complete(request, table, kind, body, data)
         except BodyRefusedError as error:
             raise CompletionError(
@@ -168,6 +171,20 @@
                 should_retry=error.retry_after_s is not None,
             ) from error
 
+    async def _parse(self, kind: CompletionKind, data: bytes) -> CompletionBody:
+        """Parse a body; raises CompletionError, also if too many others take long."""
+        try:
+            fields = await parse_fields(data, self._turns)
+        except BufferBudgetExceededError as error:
+            raise CompletionError(
+                UNAVAILABLE,
+                "body_refused",
+                str(error),
+                retry_after_s=RETRY_AFTER_NO_ROOM_S,
+                should_retry=True,
+            ) from error
+        return PARSERS[kind](fields)
+
     async def _complete(
         self,
         request: web.BaseRequest,
--- a/marjoramstile/json_fields.py
+++ b/marjoramstile/json_fields.py
@@ -25,6 +25,15 @@
     """Bytes are no JSON object, or a field of one can't be used."""
 
 
+def count_values(data: bytes | str) -> int:
+    """Return a number that is no smaller than that of the values in JSON.
+
+    Each may take a hundred bytes of memory and more, however short it is.
+    """
+    separators = (b",", b"[", b"{") if isinstance(data, bytes) else (",", "[", "{")
+    return 1 + sum(data.count(separator) for separator in separators)
+
+
 def parse_object(data: bytes) -> "JSONObject":
     """Return the object that ``data`` holds; raises MalformedJSONError."""
     try:
