Peers: calls that cost much more than their bytes are refused

What callers saw: frames within 4 MB on the peers' port ended a daemon, or kept it so busy that ordinary calls got 503 (no replica).

Causes, each shown by a kind of frame: the changes of one table were sent as often as a frame asked for them (100,000 times); a query, and a proposal, was parsed whatever it held; marjoramstiled kept strikes of any length and, in its queue of gossip, any number of them; the check of a message, which is in Python, took about a second for a frame of many values; a probe's sender was remembered though unknown.

With only the tables bounded, an ordinary call right after the crowd still got 503 in one of two kinds of changes; that was the check of the values.

--- a/marjoramstile/admission/quarantine.py
+++ b/marjoramstile/admission/quarantine.py
@@ -14,6 +14,9 @@
 QUARANTINE_TABLE = "quarantine"
 MAX_CLEARED_STRIKES = 4096
 MAX_STRUCK_CONTENTS = 4096
+# Strikes of one content, and characters of a content's fingerprint or an endpoint.
+MAX_ENDPOINTS = 64
+MAX_TEXT = 1024
 
 logger = get_logger(__name__)
 
@@ -40,18 +43,27 @@
     def strike(self, content: str, endpoint: str) -> bool:
         """Record an endpoint lost while it ran ``content``; return whether it is new.
 
-        A strike that has been cleared is not recorded again.
+        A strike that has been cleared is not recorded again, nor is one whose texts
+        are too long, or one more than a content can have.
         """
         known = self._strikes.get(content, frozenset())
         if endpoint in known or (content, endpoint) in self._cleared:
             return False
+        is_full = len(known) >= MAX_ENDPOINTS
+        if is_full or len(content) > MAX_TEXT or len(endpoint) > MAX_TEXT:
+            return False
         self._strikes[content] = known | {endpoint}
         while len(self._strikes) > MAX_STRUCK_CONTENTS:
-            del self._strikes[next(iter(self._strikes))]
+            self._forget(next(iter(self._strikes)))
         self._gossip.put((content, endpoint), (content, endpoint))
         logger.warning("request_struck", content=content[:16], endpoint=endpoint)
         return True
 
+    def _forget(self, content: str) -> None:
+        """Drop the strikes of a content, also those that wait to be sent."""
+        for endpoint in self._strikes.pop(content):
+            self._gossip.discard((content, endpoint))
+
     def clear(self, content: str) -> bool:
         """Remove the strikes of a content that has finished elsewhere.
 
--- a/marjoramstile/membership/view.py
+++ b/marjoramstile/membership/view.py
@@ -15,6 +15,9 @@
 from marjoramstile.membership.gossip import GossipQueue
 from marjoramstile.ports.vms import ListedState, ListedVM
 
+# Incarnations that have ended and are remembered.
+ENDED_MAX = 16_384
+
 
 class PeerState(IntEnum):
     """States of a daemon, from best to worst."""
@@ -168,6 +171,8 @@
 
     def _end_incarnation(self, incarnation: str, now: float) -> None:
         self._ended[incarnation] = now
+        if len(self._ended) > ENDED_MAX:
+            del self._ended[next(iter(self._ended))]
         self._vm_by_incarnation.pop(incarnation, None)
 
     def record_contact(self, vm: str, incarnation: str, now: float) -> None:
--- a/marjoramstile/peers/checks.py
+++ b/marjoramstile/peers/checks.py
@@ -28,59 +28,71 @@
     """A message violates the binary protocol."""
 
 
-def check_message(message: bytes) -> None:
-    """Raise MalformedMessageError unless the message can be read in bounded time."""
-    try:
-        (version,) = _U32.unpack_from(message, 0)
-        if version & _VERSION_MASK != _VERSION_1:
-            raise MalformedMessageError("protocol version is missing")
-        position = _skip_string(message, _U32.size) + _I32.size
-        if _skip_struct(message, position, 0) != len(message):
-            raise MalformedMessageError("trailing bytes after the message")
-    except (struct.error, IndexError) as error:
-        raise MalformedMessageError("message is truncated") from error
-
-
-def _skip_value(data: bytes, position: int, kind: int, depth: int) -> int:
-    """Return the position after a value."""
-    if depth > DEPTH_MAX:
-        raise MalformedMessageError("values are nested too deep")
-    if kind in _FIXED_SIZES:
-        return position + _FIXED_SIZES[kind]
-    if kind == TType.STRING:
-        return _skip_string(data, position)
-    if kind == TType.STRUCT:
-        return _skip_struct(data, position, depth + 1)
-    if kind == TType.MAP:
-        kinds = (data[position], data[position + 1])
-        return _skip_elements(data, position + 2, kinds, depth + 1)
-    if kind in (TType.LIST, TType.SET):
-        return _skip_elements(data, position + 1, (data[position],), depth + 1)
-    raise MalformedMessageError(f"unknown type {kind}")
-
-
-def _skip_string(data: bytes, position: int) -> int:
-    (length,) = _I32.unpack_from(data, position)
-    end = position + _I32.size + length
-    if length < 0 or end > len(data):
-        raise MalformedMessageError("string length exceeds the message")
-    return end
-
-
-def _skip_struct(data: bytes, position: int, depth: int) -> int:
-    while (kind := data[position]) != TType.STOP:
-        position = _skip_value(data, position + 3, kind, depth)
-    return position + 1
-
-
-def _skip_elements(
-    data: bytes, position: int, kinds: tuple[int, ...], depth: int
-) -> int:
-    (count,) = _I32.unpack_from(data, position)
-    position += _I32.size
-    if not 0 <= count <= len(data) - position:
-        raise MalformedMessageError("element count exceeds the bytes left")
-    for _ in range(count):
-        for kind in kinds:
-            position = _skip_value(data, position, kind, depth)
-    return position
+def check_message(message: bytes, max_values: int | None = None) -> None:
+    """Raise MalformedMessageError unless the message can be read in bounded time.
+
+    A message of more than ``max_values`` values is malformed, too.
+    """
+    _Check(message, max_values).run()
+
+
+class _Check:
+    """Passes over a message; methods return the position after what they skip."""
+
+    def __init__(self, message: bytes, max_values: int | None):
+        self._data = message
+        self._values_left = len(message) if max_values is None else max_values
+
+    def run(self) -> None:
+        data = self._data
+        try:
+            (version,) = _U32.unpack_from(data, 0)
+            if version & _VERSION_MASK != _VERSION_1:
+                raise MalformedMessageError("protocol version is missing")
+            position = self._skip_string(_U32.size) + _I32.size
+            if self._skip_struct(position, 0) != len(data):
+                raise MalformedMessageError("trailing bytes after the message")
+        except (struct.error, IndexError) as error:
+            raise MalformedMessageError("message is truncated") from error
+
+    def _skip_value(self, position: int, kind: int, depth: int) -> int:
+        self._values_left -= 1
+        if self._values_left < 0:
+            raise MalformedMessageError("the message has too many values")
+        if depth > DEPTH_MAX:
+            raise MalformedMessageError("values are nested too deep")
+        if kind in _FIXED_SIZES:
+            return position + _FIXED_SIZES[kind]
+        if kind == TType.STRING:
+            return self._skip_string(position)
+        if kind == TType.STRUCT:
+            return self._skip_struct(position, depth + 1)
+        if kind == TType.MAP:
+            kinds = (self._data[position], self._data[position + 1])
+            return self._skip_elements(position + 2, kinds, depth + 1)
+        if kind in (TType.LIST, TType.SET):
+            kinds = (self._data[position],)
+            return self._skip_elements(position + 1, kinds, depth + 1)
+        raise MalformedMessageError(f"unknown type {kind}")
+
+    def _skip_string(self, position: int) -> int:
+        (length,) = _I32.unpack_from(self._data, position)
+        end = position + _I32.size + length
+        if length < 0 or end > len(self._data):
+            raise MalformedMessageError("string length exceeds the message")
+        return end
+
+    def _skip_struct(self, position: int, depth: int) -> int:
+        while (kind := self._data[position]) != TType.STOP:
+            position = self._skip_value(position + 3, kind, depth)
+        return position + 1
+
+    def _skip_elements(self, position: int, kinds: tuple[int, ...], depth: int) -> int:
+        (count,) = _I32.unpack_from(self._data, position)
+        position += _I32.size
+        if not 0 <= count <= len(self._data) - position:
+            raise MalformedMessageError("element count exceeds the bytes left")
+        for _ in range(count):
+            for kind in kinds:
+                position = self._skip_value(position, kind, depth)
+        return position
--- a/marjoramstile/peers/frames.py
+++ b/marjoramstile/peers/frames.py
@@ -22,6 +22,9 @@
 from marjoramstile.peers.checks import check_message
 from marjoramstile.peers.peer_types import PeerService
 
+# Values of a call, those of its parts included; daemons send a few hundred.
+CALL_VALUES_MAX = 8192
+
 
 @dataclass(frozen=True)
 class IncomingCall:
@@ -50,8 +53,11 @@
 
 
 def decode_call(processor: TProcessor, message: bytes) -> IncomingCall:
-    """Return the call in ``message``; ``handle`` is None if its method is unknown."""
-    check_message(message)
+    """Return the call in ``message``; ``handle`` is None if its method is unknown.
+
+    Raises MalformedMessageError for more values than any call has.
+    """
+    check_message(message, CALL_VALUES_MAX)
     protocol = TBinaryProtocol(TMemoryBuffer(message))
     method, _, result, handle = processor.process_in(protocol)
     return IncomingCall(method, result, handle)
--- a/marjoramstile/peers/handler.py
+++ b/marjoramstile/peers/handler.py
@@ -15,6 +15,7 @@
     proposal_from_wire,
 )
 from marjoramstile.peers.peer_types import WirePrefillAnswer
+from marjoramstile.peers.queries import decode_query
 from marjoramstile.slots.broker import SlotBroker
 from marjoramstile.slots.service import OwnerService
 from marjoramstile.slots.wire import (
@@ -112,4 +113,4 @@
 
     async def query(self, request: str) -> str:
         """Answer an operator's query with this daemon's rows."""
-        return json.dumps(self._answer_query(json.loads(request)))
+        return json.dumps(self._answer_query(decode_query(request)))
--- a/marjoramstile/peers/membership_messages.py
+++ b/marjoramstile/peers/membership_messages.py
@@ -21,6 +21,8 @@
     version_in_era,
 )
 
+# Items of each kind that a probe may have; daemons send a few tens.
+ITEMS_MAX = 256
 # Era of a message of an older build, which names none.
 UNNAMED_ERA = 0
 
@@ -50,7 +52,10 @@
 
 
 def probe_from_wire(wire) -> Probe:
-    """Return the probe that ``wire`` holds."""
+    """Return the probe that ``wire`` holds; raises ValueError if it is too long."""
+    for items in (wire.reports, wire.strikes, wire.positions or ()):
+        if len(items) > ITEMS_MAX:
+            raise ValueError(f"a probe has {len(items)} items of a kind")
     return Probe(
         vm=wire.vm,
         incarnation=wire.incarnation,
--- a/marjoramstile/peers/messages.py
+++ b/marjoramstile/peers/messages.py
@@ -4,9 +4,13 @@
 from marjoramstile.configuration.edits import edits_from_json, edits_to_json
 from marjoramstile.configuration.freshness import PeerFreshness
 from marjoramstile.configuration.member import Proposal
+from marjoramstile.json_fields import count_values
 from marjoramstile.peers.peer_types import WireAsk, WireFreshness, WireProposal
 from marjoramstile.slots.reservations import Ask
 
+# Values of the edits in a frame; a proper frame of the largest size has no more.
+EDIT_VALUES_MAX = 262_144
+
 
 def ask_to_wire(ask: Ask):
     """Return the thrift form of a request for a slot."""
@@ -33,7 +37,12 @@
 
 
 def proposal_from_wire(wire) -> Proposal:
-    """Return the proposal that ``wire`` holds."""
+    """Return the proposal that ``wire`` holds.
+
+    Raises ValueError, also for more values than a configuration has.
+    """
+    if count_values(wire.edits) > EDIT_VALUES_MAX:
+        raise ValueError(f"edits have more than {EDIT_VALUES_MAX} values")
     return Proposal(
         wire.change_id, wire.version, wire.base_id, edits_from_json(wire.edits)
     )
--- a/marjoramstile/peers/router_handler.py
+++ b/marjoramstile/peers/router_handler.py
@@ -43,8 +43,12 @@
     async def changes(self, versions, whole: bool):
         """Return the changes that a daemon lacks, by table in the order requested.
 
-        Rows that are too long are withheld unless ``whole`` is set.
+        Rows that are too long are withheld unless ``whole`` is set. Raises ValueError
+        if a table is unknown, or asked for twice.
         """
+        tables = {item.table for item in versions}
+        if len(tables) < len(versions) or not tables <= self._followers.keys():
+            raise ValueError(f"{len(versions)} changes of {len(tables)} tables")
         return [self._changes_of(item, whole) for item in versions]
 
     def _changes_of(self, asked, whole: bool):
--- a/marjoramstile/routes/carrying.py
+++ b/marjoramstile/routes/carrying.py
@@ -117,8 +117,8 @@
         return int(self._links.state(loop_time()))
 
     def handle_state(self, vm: str, state: int) -> None:
-        """Record the state that a daemon has sent; older builds send none."""
-        if state in iter(LinkState):
+        """Record the state that a known daemon has sent; older builds send none."""
+        if self._view.get(vm) is not None and state in iter(LinkState):
             self._heard[vm] = LinkState(state), loop_time()
 
     def candidates(self) -> list[Carrier]:
--- a/marjoramstile/routes/status.py
+++ b/marjoramstile/routes/status.py
@@ -12,6 +12,7 @@
 from marjoramstile.mirrors.follower import MirrorFollower
 from marjoramstile.mirrors.mirror import TableMirror
 from marjoramstile.peers.membership_client import JoinedRows, MembershipClient
+from marjoramstile.peers.queries import decode_query
 from marjoramstile.pools.host import SchedulerHost
 from marjoramstile.pools.shares import Standing
 from marjoramstile.ports.feeds import era_of, number_of
@@ -320,8 +321,11 @@
         return known.source(self._sources) if known else []
 
     def answer_peer(self, request: str) -> str:
-        """Answer another daemon's query; both are JSON."""
-        return json.dumps(self.own_rows(json.loads(request)["subject"]))
+        """Answer another daemon's query; both are JSON.
+
+        Raises ValueError if the query can't be one.
+        """
+        return json.dumps(self.own_rows(decode_query(request)["subject"]))
 
     async def ask(self, name: str) -> JoinedRows:
         """Return a subject's rows, from all daemons if it is registered so."""
--- a/tests/peers/test_frames.py
+++ b/tests/peers/test_frames.py
@@ -9,6 +9,7 @@
 
 from marjoramstile.peers.checks import MalformedMessageError, check_message
 from marjoramstile.peers.frames import (
+    CALL_VALUES_MAX,
     IncomingCall,
     decode_answer,
     decode_call,
@@ -83,3 +84,12 @@
             decode_call(processor, bytes(data))
         longest_s = max(longest_s, time.process_time() - started)
     assert longest_s < 0.25
+
+
+def test_a_call_of_many_values_blocks_the_loop():
+    """Its check took a second for a frame of 4 MB."""
+    asked = [WireTableVersion(table="t", after=5)] * CALL_VALUES_MAX
+    message = encode_call("changes", asked, False)
+    with pytest.raises(MalformedMessageError):
+        decode_call(TProcessor(PeerService, object()), message)
+    check_message(message)
--- a/tests/processes/test_costly_messages.py
+++ b/tests/processes/test_costly_messages.py
@@ -9,6 +9,8 @@
 import asyncio
 import contextlib
 import itertools
+import json
+import struct
 from collections.abc import Callable
 
 import pytest
@@ -19,9 +21,17 @@
     COMPLETIONS_PORT,
     FRONT_PORT,
     HOST_NAME,
+    PEERS_PORT,
     STREAM_SERVICE,
     configuration,
 )
+from marjoramstile.peers.frames import encode_call
+from marjoramstile.peers.peer_types import (
+    WireProbe,
+    WireReport,
+    WireStrike,
+    WireTableVersion,
+)
 from tests.processes.test_crowds import (
     MAX_BODY_BYTES,
     MAX_FDS,
@@ -213,3 +223,61 @@
 @pytest.mark.parametrize("name", REQUESTS)
 async def test_requests_that_cost_more_than_their_bytes_take_all_memory(fleet, name):
     await run_crowd(fleet, FRONT_PORT, REQUESTS[name])
+
+
+def versions(table: str) -> bytes:
+    """Return a call for all changes of a table, as often as a frame can ask."""
+    asked = [WireTableVersion(table=table, after=0)] * CHANGES_ASKED
+    return encode_call("changes", asked, True)
+
+
+def probe(size: int) -> bytes:
+    """Return a probe that names what doesn't exist."""
+    count = FRAME_BYTES // (size + OVERHEAD_BYTES) // 3
+    return encode_call(
+        "probe",
+        WireProbe(
+            vm=unique(size),
+            incarnation=unique(size),
+            reports=[
+                WireReport(vm=unique(size), incarnation=unique(), counter=1, state=0)
+                for _ in range(count)
+            ],
+            strikes=[
+                WireStrike(content=unique(size), endpoint=unique())
+                for _ in range(count)
+            ],
+            blocklist=unique(size),
+            positions=[
+                WireTableVersion(table=unique(size), after=1) for _ in range(count)
+            ],
+            links=1,
+        ),
+    )
+
+
+FRAMES: dict[str, Callable[[], bytes]] = {
+    "changes of the replicas": lambda: versions("servers"),
+    "changes of the configuration": lambda: versions("op"),
+    "changes of unknown tables": lambda: versions("unknown"),
+    "probes with short names": lambda: probe(12),
+    "probes with long names": lambda: probe(15_000),
+    "probes with an endless name": lambda: probe(FRAME_BYTES // 3),
+    "probes through unknown VMs": lambda: encode_call(
+        "probe_through", unique(FRAME_BYTES)
+    ),
+    "queries": lambda: encode_call("query", json.dumps({"subject": "replicas"})),
+    "queries of unknown rows": lambda: encode_call(
+        "query", json.dumps({"subject": unique(FRAME_BYTES)})
+    ),
+    "queries of many values": lambda: encode_call(
+        "query", "[" + "{}," * (FRAME_BYTES // 3) + "0]"
+    ),
+}
+
+
+@pytest.mark.parametrize("name", FRAMES)
+async def test_calls_on_the_peers_port_use_up_the_memory(fleet, name):
+    frames = [FRAMES[name]() for _ in range(FRAMES_SENT)]
+    parts = itertools.cycle(struct.pack("!i", len(item)) + item for item in frames)
+    await run_crowd(fleet, PEERS_PORT, lambda: next(parts), FEW_CLIENTS)
