Peers: datagrams of addresses that are no known VM's are read up to a rate

What callers saw: well-formed datagrams that name replicas, leases, services or workspaces that don't exist filled a daemon's memory within seconds.

Cause: a dozen roles keep what other daemons tell for a while, some without end (streams and crashes of unknown services). Names had any length.

Texts have 1,024 characters. Reports of crashes must have proper keys, and are kept for 256 services; streams of services without replicas lapse with the streams themselves. Bounds in each role alone were ruled out: a proper unknown name, as of a replica whose row is late, can't be told from others there.

--- a/marjoramstile/crashes/coordinator.py
+++ b/marjoramstile/crashes/coordinator.py
@@ -23,7 +23,7 @@
     Suspect,
     choose_suspect,
 )
-from marjoramstile.crashes.keys import RequestKeys
+from marjoramstile.crashes.keys import RequestKeys, are_keys
 from marjoramstile.crashes.messages import (
     BeginAnswer,
     BeginCount,
@@ -33,6 +33,7 @@
     CrashReport,
 )
 from marjoramstile.crashes.sharing import BlocklistSharing
+from marjoramstile.log_summaries import EventSummary
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import View
 from marjoramstile.pools.client import PoolSender
@@ -57,6 +58,8 @@
 OTHERS_TRIED = 3
 # Incarnations whose checks are kept.
 CHECKS_KEPT = 1024
+# Services whose crashes are kept; reports may name some that do not exist.
+SERVICES_MAX = 256
 # Replicas named in an entry.
 CRASHES_NAMED = 5
 PLANNED_END = frozenset({Standing.DRAINING, Standing.LEAVING})
@@ -89,6 +92,7 @@
         self.begins = BeginLog()
         self._evidence: dict[str, CrashEvidence] = defaultdict(CrashEvidence)
         self._checks: dict[tuple[str, int], asyncio.Future[bool]] = {}
+        self._ignored = EventSummary(logger, "crash_report_ignored")
         self._judging: set[str] = set()
         self._numbers = itertools.count()
         self._answers: dict[str, dict[str, BeginAnswer]] = {}
@@ -138,6 +142,9 @@
 
     @handle_message.register
     def _(self, message: CrashReport, reply) -> None:
+        if not are_keys(RequestKeys(message.content, message.parts)):
+            self._ignored.count({}, replica=message.replica, service=message.service)
+            return
         self._tasks.start(self._examine(message, loop_time()), "examine a crash")
 
     @handle_message.register
@@ -160,12 +167,22 @@
     def _(self, message: BlockUpdate, reply) -> None:
         self._sharing.handle_update(message)
 
+    def _evidence_of(self, service: str) -> CrashEvidence:
+        """Return a service's evidence; that of others may be dropped for it."""
+        evidence = self._evidence[service]
+        if len(self._evidence) > SERVICES_MAX:
+            known = {replica.service for replica in self._directory.all}
+            others = [name for name in self._evidence if name != service]
+            unknown = [name for name in others if name not in known]
+            del self._evidence[(unknown or others)[0]]
+        return evidence
+
     async def _examine(self, report: CrashReport, received_at: float) -> None:
         """Count a report if the replica has crashed as far as this daemon can tell."""
         incarnation = (report.replica, report.started_at_ms)
         if not await self._has_crashed(incarnation, report.service):
             return
-        evidence = self._evidence[report.service]
+        evidence = self._evidence_of(report.service)
         request = RequestKeys(report.content, report.parts)
         if not evidence.add(incarnation, request, received_at - report.age_s):
             return
--- a/marjoramstile/crashes/keys.py
+++ b/marjoramstile/crashes/keys.py
@@ -6,6 +6,8 @@
 from marjoramstile.utils import content_fingerprint
 
 KEY_CHARACTERS = 16
+# Parts of a prompt that a request is compared by.
+PARTS_MAX = 64
 _PART = "part/"
 _CONTENT = "content/"
 
@@ -38,6 +40,11 @@
     return _PART + part
 
 
+def are_keys(request: RequestKeys) -> bool:
+    """Return whether what another daemon has sent can be the keys of a request."""
+    return len(request.parts) <= PARTS_MAX and all(map(is_key, request.all))
+
+
 def is_part(key: str) -> bool:
     """Return whether a key is that of a prompt's part."""
     return key.startswith(_PART)
--- a/marjoramstile/peers/pool_datagrams.py
+++ b/marjoramstile/peers/pool_datagrams.py
@@ -36,6 +36,7 @@
 from marjoramstile.log_summaries import EventSummary
 from marjoramstile.logs import get_logger
 from marjoramstile.membership.view import Peer
+from marjoramstile.peers.datagram_sources import DatagramSources
 from marjoramstile.pools.client import PoolClient
 from marjoramstile.pools.host import SchedulerHost
 from marjoramstile.pools.messages import (
@@ -127,6 +128,8 @@
     kind: [item.default for item in fields(kind) if OPTIONAL in item.metadata]
     for kind in _FIELD_TYPES
 }
+# Longest text in a message, in characters; names and ids are shorter.
+TEXT_MAX = 1024
 _MALFORMED = (ValueError, TypeError, KeyError, IndexError)
 
 logger = get_logger(__name__)
@@ -196,6 +199,8 @@
         return float(value)
     if type(value) is not field_type:
         raise TypeError(f"{value!r} is not of type {field_type.__name__}")
+    if field_type is str and len(value) > TEXT_MAX:
+        raise ValueError(f"a text has {len(value)} characters")
     return value
 
 
@@ -212,9 +217,14 @@
         streams: StreamKeeper,
         quotas: QuotaClient,
         quota_owner: QuotaOwner,
+        sources: DatagramSources,
         on_unreadable: Callable[[str, str], None] = lambda name, kind: None,
     ):
-        """``on_unreadable`` gets a counter's name, and the kind of the error."""
+        """``sources`` admits datagrams by their senders.
+
+        ``on_unreadable`` gets a counter's name, and the kind of the error.
+        """
+        self._sources = sources
         self._on_unreadable = on_unreadable
         self._unreadable = EventSummary(logger, "datagram_unreadable")
         self._host = host
@@ -233,6 +243,8 @@
 
     def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
         """Decode one message and pass it on; log and ignore malformed ones."""
+        if not self._sources.admits(address[0], len(data)):
+            return
         try:
             message = decode_message(data)
         except _MALFORMED as error:
--- a/marjoramstile/routes/node.py
+++ b/marjoramstile/routes/node.py
@@ -29,6 +29,7 @@
 )
 from marjoramstile.mirrors.peers import PeerChangeSource
 from marjoramstile.peers.connections import IDLE_ADDRESSES_MAX, PeerConnections
+from marjoramstile.peers.datagram_sources import DatagramSources
 from marjoramstile.peers.membership_client import MembershipClient
 from marjoramstile.peers.pool_datagrams import DatagramSender, PoolProtocol
 from marjoramstile.peers.router_handler import RouterPeerHandler
@@ -581,6 +582,9 @@
                 self.streams,
                 self.quotas,
                 self.quota_owner,
+                DatagramSources(
+                    self.view, lambda: self._vm_list.entries, self.metrics.count
+                ),
                 self.metrics.count,
             ),
             sock=bound,
--- a/marjoramstile/streams/keeper.py
+++ b/marjoramstile/streams/keeper.py
@@ -158,7 +158,14 @@
                 self._record(service, stream, restarted.version)
 
     def expire(self) -> None:
-        """Drop what was begun too long ago to be falsified by a restart."""
+        """Drop what was begun too long ago to be falsified by a restart.
+
+        So are old streams of services without replicas, which may not exist.
+        """
+        since = loop_time() - self._life_s
+        for bucket, kept in list(self._kept.items()):
+            if not self._history.present(bucket[0]) and not kept.since(since):
+                del self._kept[bucket]
         oldest = loop_time() - RESTART_UNSEEN_S
         for incarnation, begun in list(self._begun_at.items()):
             kept = [item for item in begun if item[2] >= oldest]
--- a/tests/peers/test_pool_datagrams.py
+++ b/tests/peers/test_pool_datagrams.py
@@ -105,6 +105,14 @@
     assert decode_message(encode_message(message)) == message
 
 
+class AllSources:
+    """Admits all datagrams."""
+
+    def admits(self, host, size):
+        """Admit one."""
+        return True
+
+
 def receive(data: bytes) -> list:
     """Pass bytes to the protocol; return the messages that it passes on."""
     received = []
@@ -117,7 +125,7 @@
             received.append(answer)
 
     roles = [Role() for _ in range(8)]
-    PoolProtocol(*roles).datagram_received(data, ("10.0.0.1", 1))
+    PoolProtocol(*roles, AllSources()).datagram_received(data, ("10.0.0.1", 1))
     return received
 
 
--- a/tests/processes/test_costly_messages.py
+++ b/tests/processes/test_costly_messages.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 import json
+import socket
 import struct
 from collections.abc import Callable
 
@@ -22,9 +23,17 @@
     FRONT_PORT,
     HOST_NAME,
     PEERS_PORT,
+    PLAIN_SERVICE,
     STREAM_SERVICE,
     configuration,
 )
+from marjoramstile.crashes.blocklist import BY_CRASHES, BlockEntry
+from marjoramstile.crashes.messages import (
+    BeginQuery,
+    BlockUpdate,
+    CrashReport,
+)
+from marjoramstile.limits.messages import LimitedReplica, LimitReport, PermitRequest
 from marjoramstile.peers.frames import encode_call
 from marjoramstile.peers.peer_types import (
     WireProbe,
@@ -32,6 +41,26 @@
     WireStrike,
     WireTableVersion,
 )
+from marjoramstile.peers.pool_datagrams import Message, encode_message
+from marjoramstile.pools.messages import (
+    LeaseRenewal,
+    LeaseUsage,
+    PlacementRequest,
+    ProfileUpdate,
+    SpeedUpdate,
+)
+from marjoramstile.pools.speeds import ReplicaSpeed
+from marjoramstile.pools.statistics import GenerationProfile
+from marjoramstile.quotas.messages import (
+    QuotaBackup,
+    QuotaReport,
+    QuotaRequest,
+    Sender,
+    SpenderState,
+    WorkspaceUse,
+)
+from marjoramstile.streams.messages import StreamBegun, VersionQuery
+from marjoramstile.workspaces.table import QuotaUnit
 from tests.processes.test_crowds import (
     MAX_BODY_BYTES,
     MAX_FDS,
@@ -281,3 +310,120 @@
     frames = [FRAMES[name]() for _ in range(FRAMES_SENT)]
     parts = itertools.cycle(struct.pack("!i", len(item)) + item for item in frames)
     await run_crowd(fleet, PEERS_PORT, lambda: next(parts), FEW_CLIENTS)
+
+
+def limited(size: int) -> LimitedReplica:
+    """Return what messages say of a replica that doesn't exist."""
+    return LimitedReplica(unique(size), 1, unique(size), 0)
+
+
+def states(size: int) -> tuple[SpenderState, ...]:
+    """Return the states of a daemon with workspaces that don't exist."""
+    return tuple(
+        SpenderState(unique(size), QuotaUnit.REQUESTS, 0.0, 0.0, 0.0)
+        for _ in range(DATAGRAM_BYTES // (size + OVERHEAD_BYTES))
+    )
+
+
+def uses(size: int) -> tuple[WorkspaceUse, ...]:
+    """Return what was used of workspaces that don't exist."""
+    return tuple(
+        WorkspaceUse(unique(size), QuotaUnit.REQUESTS, 1.0)
+        for _ in range(DATAGRAM_BYTES // (size + OVERHEAD_BYTES))
+    )
+
+
+def entries(size: int) -> tuple[BlockEntry, ...]:
+    """Return entries of a blocklist."""
+    count = DATAGRAM_BYTES // (size + OVERHEAD_BYTES)
+    return tuple(
+        BlockEntry(unique(size), "part/1", 1, True, 0, 1.0, (), BY_CRASHES)
+        for _ in range(count)
+    )
+
+
+def placement(size: int, service: str) -> PlacementRequest:
+    """Return a request for a place that no daemon waits for."""
+    counts = (100, 90, 10, 1)
+    times_s = (0.1, 0.0, 10.0)
+    zone = "gr-north-a"
+    id_ = unique(size)
+    return PlacementRequest(id_, service, 0, unique(size), zone, *counts, *times_s)
+
+
+def lease(size: int) -> LeaseUsage:
+    """Return a lease that was not granted."""
+    return LeaseUsage(f"{unique(size)}-1", "decode-1", 100, 10, 1, 0.1, 0.1)
+
+
+def renewal(size: int) -> LeaseRenewal:
+    """Return a renewal of as many leases as a datagram holds."""
+    count = DATAGRAM_BYTES // (size + OVERHEAD_BYTES)
+    return LeaseRenewal(STREAM_SERVICE, 0, tuple(lease(size) for _ in range(count)))
+
+
+def crash(size: int, service: str) -> CrashReport:
+    """Return a report of a crash of a replica that doesn't exist."""
+    parts = (unique(size),)
+    return CrashReport(service, unique(size), 1, 0.1, unique(size), parts)
+
+
+def quota_request(size: int) -> QuotaRequest:
+    """Return a request for units of a workspace that doesn't exist."""
+    sender = Sender(unique(size), unique(), 1)
+    return QuotaRequest(sender, states(size)[0], *(1.0,) * 5)
+
+
+DATAGRAMS: dict[str, Callable[[int], Message]] = {
+    "placements": lambda size: placement(size, STREAM_SERVICE),
+    "placements of unknown services": lambda size: placement(size, unique(size)),
+    "renewals": renewal,
+    "profiles": lambda size: ProfileUpdate(
+        unique(size), 0, GenerationProfile(1.0, 1.0, 1.0, 1.0)
+    ),
+    "speeds": lambda size: SpeedUpdate(
+        STREAM_SERVICE, 0, (ReplicaSpeed(unique(size), 1, 0.5, 0.5),)
+    ),
+    "permits": lambda size: PermitRequest(unique(), limited(size), 1.0),
+    "limits": lambda size: LimitReport(limited(size), 1.0),
+    "crashes": lambda size: crash(size, PLAIN_SERVICE),
+    "crashes of unknown services": lambda size: crash(size, unique(size)),
+    "queries of begins": lambda size: BeginQuery(unique(), unique(), (unique(size),)),
+    "blocks": lambda size: BlockUpdate(entries(size)),
+    "streams": lambda size: StreamBegun(STREAM_SERVICE, unique(size), unique(size)),
+    "streams of unknown services": lambda size: StreamBegun(
+        unique(size), unique(), "v1"
+    ),
+    "queries of versions": lambda size: VersionQuery(
+        unique(), unique(size), unique(size)
+    ),
+    "quota requests": quota_request,
+    "quota reports": lambda size: QuotaReport(
+        Sender(unique(size), unique(), 1), states(size)
+    ),
+    "quota backups": lambda size: QuotaBackup(unique(size), uses(size)),
+}
+
+
+async def send_datagrams(
+    sender: socket.socket, address: tuple[str, int], message: Callable[[], Message]
+) -> None:
+    """Send datagrams for a time, some at once."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(SENDING_S):
+            while True:
+                for _ in range(DATAGRAMS_AT_ONCE):
+                    sender.sendto(encode_message(message()), address)
+                await asyncio.sleep(DATAGRAMS_PAUSE_S)
+
+
+@pytest.mark.parametrize("size", NAME_BYTES)
+@pytest.mark.parametrize("name", DATAGRAMS)
+async def test_datagrams_that_name_what_does_not_exist_use_up_the_memory(
+    fleet, name, size
+):
+    before = descriptors(fleet)
+    address = (fleet.vm_host(1), PEERS_PORT)
+    with socket.socket(type=socket.SOCK_DGRAM) as sender:
+        await send_datagrams(sender, address, lambda: DATAGRAMS[name](size))
+    await check_daemon(fleet, before)
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -28,7 +28,7 @@
 from marjoramstile.streams import storage
 from marjoramstile.streams.versions import StoredVersions, decode_versions
 from tests.odd_values import ODD, paths, with_odd_value
-from tests.peers.test_pool_datagrams import MESSAGES
+from tests.peers.test_pool_datagrams import MESSAGES, AllSources
 from tests.support import captured_logs
 
 ERA = 3
@@ -159,7 +159,7 @@
             raise RecursionError("nested")
 
     failing = Failing()
-    protocol = PoolProtocol(*[failing] * 8)
+    protocol = PoolProtocol(*[failing] * 8, AllSources())
     with captured_logs() as logs:
         protocol.datagram_received(encode_message(MESSAGES[0]), ("10.0.0.9", 1))
     assert "datagram_not_handled" in logs.getvalue()
