Connection limit: connections that are being refused count as incomplete

What callers saw: beside clients that send a bad head slowly, are refused and come back, a kept connection in use was closed for room (KNOWN-RED, test_slow_requests_that_come_back_take_all_connections[heads]).

Cause: the second byte of these clients makes a bad method, so they are answered 400. From then until it is closed, a connection counted as neither silent nor stalled. All clients began at once, so most connections were in that state at once, others held less than their share, and the only ones to close were idle ones in use.

Change: connections that close after a refusal count with the silent and the stalled ones. has_unread_bytes moves to fronts/reading.

The unit test fails without it.

--- a/marjoramstile/entry/connections.py
+++ b/marjoramstile/entry/connections.py
@@ -9,10 +9,14 @@
 from sanic.http.http1 import HTTP_CONTINUE, Http
 from sanic.server.protocols.http_protocol import HttpProtocol
 
-from marjoramstile.fronts.caller_connection import CHUNKS_PER_TURN, has_unread_bytes
+from marjoramstile.fronts.caller_connection import CHUNKS_PER_TURN
 from marjoramstile.fronts.chunks import CRLF, ChunkDecoder, ChunkError
 from marjoramstile.fronts.connection_limit import ConnectionLimit
-from marjoramstile.fronts.reading import READ_MAX_BYTES, BoundedReads
+from marjoramstile.fronts.reading import (
+    READ_MAX_BYTES,
+    BoundedReads,
+    has_unread_bytes,
+)
 from marjoramstile.fronts.received import FramingCounter
 from marjoramstile.fronts.turns import Turns
 from marjoramstile.logs import get_logger
@@ -142,6 +146,12 @@
         reads_body = http.stage is Stage.HANDLER and http.request_body is not None
         return self._part_began_at if reads_head or reads_body else None
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether it closes after an answer, as what was received was refused."""
+        http = self.http
+        return http is not None and http.stage is Stage.FAILED
+
     def close_idle(self) -> None:
         """Close the connection to make room for another one."""
         self.close_if_idle()
--- a/marjoramstile/entry/draining.py
+++ b/marjoramstile/entry/draining.py
@@ -11,7 +11,7 @@
 
 from marjoramstile.entry.connections import is_idle
 from marjoramstile.fronts import draining
-from marjoramstile.fronts.caller_connection import has_unread_bytes
+from marjoramstile.fronts.reading import has_unread_bytes
 from marjoramstile.logs import get_logger
 from marjoramstile.results import Failure, Ran, RequestFailedError, ResultCode
 from marjoramstile.utils import loop_time
--- a/marjoramstile/fronts/caller_connection.py
+++ b/marjoramstile/fronts/caller_connection.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import select
 from collections import deque
 from itertools import islice
 from typing import Any, Protocol
@@ -24,6 +23,7 @@
     CloseReason,
 )
 from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.fronts.reading import has_unread_bytes
 from marjoramstile.fronts.received import (
     HEAD_END,
     FramingCounter,
@@ -163,6 +163,11 @@
         is_behind = self._has_waiting_requests if self._reads_body else self.is_busy
         return None if is_behind else self._part_began_at
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether it closes after an answer, as what was received was refused."""
+        return self._input_ended
+
     @property
     def _is_just_opened(self) -> bool:
         age_s = self._loop.time() - self._opened_at
@@ -688,15 +693,6 @@
         response.headers["Connection"] = "close"
 
 
-def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
-    """Return whether the kernel holds bytes, or an end, that were not read yet."""
-    if transport.is_closing():
-        return False
-    poller = select.poll()
-    poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-    return bool(poller.poll(0))
-
-
 def _announcing(handler):
     """Return a handler whose answers announce that their connection closes."""
 
--- a/marjoramstile/fronts/connection_limit.py
+++ b/marjoramstile/fronts/connection_limit.py
@@ -16,8 +16,8 @@
 
 # Share of the bound that connections may hold on which no byte was received.
 SILENT_SHARE = 0.5
-# Share of these and of those that have sent a part of a request. If they hold more,
-# connections in use are not closed for them.
+# Share of these, and of those that have sent a part of a request or what was refused.
+# If they hold more, connections in use are not closed for them.
 INCOMPLETE_SHARE = 0.5
 # Time for the rest of a request before its connection is closed in place of idle ones.
 STALLED_MIN_S = 0.5
@@ -44,6 +44,10 @@
     def stalled_since(self) -> float | None:
         """Loop time since which only the rest of a request is awaited, if it is."""
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether it closes after an answer, as what was received was refused."""
+
     def close_idle(self) -> None:
         """Close the connection."""
 
@@ -149,8 +153,10 @@
         ]
 
     def _holds_share(self, stalled: list[tuple[float, LimitedConnection]]) -> bool:
-        """Return whether those without a whole request hold more than their share."""
-        incomplete = self._silent.keys() | {connection for _, connection in stalled}
+        """Return whether those without a proper request hold more than their share."""
+        ending = (connection for connection in self._used if connection.is_ending)
+        incomplete = {connection for _, connection in stalled}.union(ending)
+        incomplete |= self._silent.keys()
         return len(incomplete) > self._max_open * INCOMPLETE_SHARE
 
     def _find_idle(self, count: int, only_silent: bool) -> list[LimitedConnection]:
--- a/marjoramstile/fronts/reading.py
+++ b/marjoramstile/fronts/reading.py
@@ -5,10 +5,20 @@
 """
 
 import asyncio
+import select
 
 READ_MAX_BYTES = 16_384
 
 
+def has_unread_bytes(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the kernel holds bytes, or an end, that were not read yet."""
+    if transport.is_closing():
+        return False
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 class BoundedReads(asyncio.BufferedProtocol):
     """Passes received bytes to a protocol in parts of at most READ_MAX_BYTES."""
 
--- a/tests/fronts/test_connection_limit.py
+++ b/tests/fronts/test_connection_limit.py
@@ -23,6 +23,7 @@
     def __init__(self, is_idle: bool = True, stalled_since: float | None = None):
         self.is_idle = is_idle
         self.stalled_since = stalled_since
+        self.is_ending = False
         self.closed = False
 
     def close_idle(self) -> None:
@@ -139,6 +140,16 @@
     assert not any(connection.closed for connection in busy)
 
 
+async def test_connections_that_are_refused_push_out_those_in_use():
+    """Clients that come back after each refusal took the places of kept connections."""
+    counted = Counted()
+    used = counted.add_used(MAX_OPEN // 4)
+    for connection in counted.add_used(MAX_OPEN * 3 // 4, is_idle=False):
+        connection.is_ending = True
+    counted.limit.add(FakeConnection())
+    assert not any(connection.closed for connection in used)
+
+
 async def test_connections_are_refused_and_then_closed_unread_if_none_is_idle():
     counted = Counted()
     counted.add_used(MAX_OPEN, is_idle=False)
