Peers: connections are accepted one in each iteration of the loop, and wait for room

Cause, three parts: the loop's server accepts its whole backlog (50) at one time, more than the 48 places, and connections counted only when their tasks ran; bytes that had arrived but were not looked at left a connection "idle", or "stalled" though its frame was whole; with many connects at once, a new connection was closed for the next one before its peer had sent anything.

Change: the listener accepts one connection in each iteration, and counts it then. A connection with bytes that were not seen yet is neither idle nor stalled.

Tests read the port of a PeerServer from it, not from its private server.

--- a/marjoramstile/fronts/connection_limit.py
+++ b/marjoramstile/fronts/connection_limit.py
@@ -26,6 +26,8 @@
 REFUSED_SHARE = 1 / 16
 # Share of the bound that is closed at a time.
 CLOSED_AT_ONCE_SHARE = 1 / 64
+# Time for the first byte of a connection while others can wait to be accepted.
+FIRST_BYTE_S = 0.1
 # Pause after a search that found no idle connection.
 SEARCH_PAUSE_S = 0.02
 LOG_PERIOD_S = 1.0
@@ -66,8 +68,9 @@
         self._name = name
         self._max_open = max_open
         self._on_closed = on_closed
-        # Both from the longest without a received byte to the shortest.
-        self._silent: dict[LimitedConnection, None] = {}
+        # Both from the longest without a received byte to the shortest; the silent ones
+        # with the loop time of their start.
+        self._silent: dict[LimitedConnection, float] = {}
         self._used: dict[LimitedConnection, None] = {}
         self._refused: set[LimitedConnection] = set()
         self._search_at = 0.0
@@ -92,9 +95,19 @@
             return False
         if self.open >= self._max_open:
             self._refused.add(connection)
-        self._silent[connection] = None
+        self._silent[connection] = asyncio.get_running_loop().time()
         return True
 
+    def has_room(self) -> bool:
+        """Make room for a connection that can wait to be accepted.
+
+        Return whether there is some. Unlike ``add``, this closes no connection that was
+        opened just now, and may be about to send its first request.
+        """
+        if self.open >= self._max_open:
+            self._make_room(FIRST_BYTE_S)
+        return self.open < self._max_open
+
     def record_received(self, connection: LimitedConnection) -> None:
         """Record that bytes were received on a connection."""
         if connection in self._silent or connection in self._used:
@@ -118,8 +131,11 @@
         self._record_refused()
         return True
 
-    def _make_room(self) -> None:
-        """Close those that wait for the rest of a request or are idle for longest."""
+    def _make_room(self, silent_min_s: float = 0.0) -> None:
+        """Close those that wait for the rest of a request or are idle for longest.
+
+        Silent ones are closed only if they were opened ``silent_min_s`` ago.
+        """
         now = asyncio.get_running_loop().time()
         if now < self._search_at:
             return
@@ -131,7 +147,7 @@
         if stalled:
             for _, connection in nsmallest(count, stalled, key=itemgetter(0)):
                 self._close(connection, connection.close_stalled)
-        elif idle := self._find_idle(count, holds_share):
+        elif idle := self._find_idle(count, holds_share, now - silent_min_s):
             for connection in idle:
                 self._close(connection, connection.close_idle)
         else:
@@ -159,9 +175,15 @@
         incomplete |= self._silent.keys()
         return len(incomplete) > self._max_open * INCOMPLETE_SHARE
 
-    def _find_idle(self, count: int, only_silent: bool) -> list[LimitedConnection]:
-        """Return the longest idle ones; silent ones first if they hold their share."""
-        kinds = [self._silent] if only_silent else [self._used, self._silent]
+    def _find_idle(
+        self, count: int, only_silent: bool, opened_by: float
+    ) -> list[LimitedConnection]:
+        """Return the longest idle ones; silent ones first if they hold their share.
+
+        Silent ones that were opened after the loop time ``opened_by`` are left out.
+        """
+        silent = [item for item, opened in self._silent.items() if opened <= opened_by]
+        kinds = [silent] if only_silent else [self._used, silent]
         if len(self._silent) >= self._max_open * SILENT_SHARE:
             kinds.reverse()
         for kind in kinds:
--- a/marjoramstile/peers/transport.py
+++ b/marjoramstile/peers/transport.py
@@ -19,9 +19,11 @@
     BufferFullError,
 )
 from marjoramstile.fronts.connection_limit import ConnectionLimit
+from marjoramstile.fronts.reading import has_unread_bytes
 from marjoramstile.log_summaries import EventSummary
 from marjoramstile.logs import get_logger
 from marjoramstile.loops import LISTEN_BACKLOG, connect, listening_socket
+from marjoramstile.peers.accepting import Acceptor
 from marjoramstile.peers.frames import (
     decode_answer,
     decode_call,
@@ -43,6 +45,34 @@
     """A frame has an invalid length or holds no valid message."""
 
 
+class FrameReader(asyncio.StreamReader):
+    """Tells whether bytes have arrived that the task that reads has not seen yet."""
+
+    def __init__(self):
+        super().__init__()
+        self._has_unseen = False
+
+    @property
+    def has_unseen(self) -> bool:
+        """Whether bytes arrived since the last read began to wait."""
+        return self._has_unseen
+
+    def feed_data(self, data: bytes) -> None:
+        """Add received bytes."""
+        self._has_unseen = True
+        super().feed_data(data)
+
+    async def read(self, n: int = -1) -> bytes:
+        """Return up to ``n`` bytes."""
+        self._has_unseen = False
+        return await super().read(n)
+
+    async def readexactly(self, n: int) -> bytes:
+        """Return ``n`` bytes; IncompleteReadError at the end of the stream."""
+        self._has_unseen = False
+        return await super().readexactly(n)
+
+
 class FrameStream:
     """Reads and writes frames of at most ``max_bytes``."""
 
@@ -58,37 +88,21 @@
         self._writer = writer
         self._max_bytes = max_bytes
         self._buffers = buffers
-        self._awaits_frame = True
-        self._frame_began_at: float | None = None
 
     @property
     def usable(self) -> bool:
         """Whether another frame can be written."""
         return not self._writer.is_closing()
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether the next frame is awaited."""
-        return self._awaits_frame
-
-    @property
-    def stalled_since(self) -> float | None:
-        """Loop time since which the rest of a frame is awaited, if it is."""
-        return self._frame_began_at
-
     async def read(self) -> bytes:
         """Return the next frame's message; EOFError at the stream's end."""
-        self._awaits_frame = True
-        try:
-            first = await self._reader.readexactly(1)
-        finally:
-            self._awaits_frame = False
-        self._frame_began_at = loop_time()
-        try:
-            async with asyncio.timeout(FRAME_TIMEOUT_S):
-                return await self._read_frame(first)
-        finally:
-            self._frame_began_at = None
+        first = await self._reader.readexactly(1)
+        self._begin_frame()
+        async with asyncio.timeout(FRAME_TIMEOUT_S):
+            return await self._read_frame(first)
+
+    def _begin_frame(self) -> None:
+        """Note that a frame's first byte was read."""
 
     async def _read_frame(self, first: bytes) -> bytes:
         header = first + await self._reader.readexactly(_FRAME_HEADER.size - 1)
@@ -119,6 +133,47 @@
         """Close the stream."""
         self._writer.close()
 
+
+class AcceptedStream(FrameStream):
+    """Frames of a connection that counts towards a limit."""
+
+    def __init__(self, reader: FrameReader, writer: asyncio.StreamWriter, *args):
+        """``args`` are those of FrameStream."""
+        super().__init__(reader, writer, *args)
+        self._received = reader
+        self._awaits_frame = True
+        self._frame_began_at: float | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the next frame is awaited, and nothing of it has arrived."""
+        if not self._awaits_frame or self._received.has_unseen:
+            return False
+        return not has_unread_bytes(self._writer.transport)
+
+    @property
+    def stalled_since(self) -> float | None:
+        """Loop time since which the rest of a frame is awaited, if it is."""
+        return None if self._received.has_unseen else self._frame_began_at
+
+    @property
+    def is_ending(self) -> bool:
+        """False: what is refused closes the stream at once."""
+        return False
+
+    async def read(self) -> bytes:
+        """Return the next frame's message; EOFError at the stream's end."""
+        self._awaits_frame = True
+        try:
+            return await super().read()
+        finally:
+            self._awaits_frame = False
+            self._frame_began_at = None
+
+    def _begin_frame(self) -> None:
+        self._awaits_frame = False
+        self._frame_began_at = loop_time()
+
     def close_idle(self) -> None:
         """Close the stream to make room for another one."""
         self.close()
@@ -178,11 +233,16 @@
         self._processor = TProcessor(PeerService, handler)
         self._max_bytes = max_bytes
         self._buffers = buffers
-        self._server: asyncio.Server | None = None
+        self._acceptor: Acceptor | None = None
         self._connections: set[asyncio.Task] = set()
         self._answering: set[asyncio.Task] = set()
         self._closing = False
 
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._acceptor.port
+
     async def start(self, host: str, port: int) -> None:
         """Listen on ``host``:``port``."""
         await self.serve(listening_socket(host, port))
@@ -191,22 +251,30 @@
         self, listener: socket.socket, backlog: int = LISTEN_BACKLOG
     ) -> None:
         """Serve the connections of a listening socket."""
-        self._server = await asyncio.start_server(
-            self._serve, sock=listener, backlog=backlog
+        listener.listen(backlog)
+        self._acceptor = Acceptor(
+            listener,
+            lambda: asyncio.StreamReaderProtocol(FrameReader(), self._accept),
+            self._limit.has_room if self._limit is not None else lambda: True,
         )
 
+    def _accept(self, reader: FrameReader, writer: asyncio.StreamWriter) -> None:
+        """Serve a new connection; close it if there is no room for it."""
+        stream = AcceptedStream(reader, writer, self._max_bytes, self._buffers)
+        if self._limit is not None and not self._limit.add(stream):
+            stream.close()
+            return
+        serving = self._serve(stream, writer)
+        self._connections.add(asyncio.get_running_loop().create_task(serving))
+
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, stream: AcceptedStream, writer: asyncio.StreamWriter
     ) -> None:
         task = asyncio.current_task()
-        self._connections.add(task)
-        stream = FrameStream(reader, writer, self._max_bytes, self._buffers)
         try:
-            if self._limit is not None and not self._limit.add(stream):
-                return
             while not self._closing:
                 await self._answer(stream)
-        except (TException, TimeoutError) as error:
+        except (TException, TimeoutError, ValueError) as error:
             self._record_refused(writer, error)
         except (OSError, EOFError):
             pass
@@ -248,8 +316,8 @@
 
     async def close(self) -> None:
         """Stop listening, answer the calls that were read, and end all connections."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            await self._acceptor.close()
         self._closing = True
         for task in self._connections - self._answering:
             task.cancel()
--- a/tests/fronts/test_connection_limit.py
+++ b/tests/fronts/test_connection_limit.py
@@ -6,7 +6,11 @@
 import pytest
 from aiohttp import web
 
-from marjoramstile.fronts.connection_limit import LOG_PERIOD_S, ConnectionLimit
+from marjoramstile.fronts.connection_limit import (
+    FIRST_BYTE_S,
+    LOG_PERIOD_S,
+    ConnectionLimit,
+)
 from marjoramstile.fronts.listening import CallerServer
 from tests.support import captured_logs
 
@@ -140,6 +144,19 @@
     assert not any(connection.closed for connection in busy)
 
 
+async def test_connections_that_were_just_opened_are_closed_for_those_that_can_wait():
+    """With many connects at once nobody had time to send anything."""
+    counted = Counted()
+    silent = [FakeConnection() for _ in range(MAX_OPEN)]
+    for connection in silent:
+        counted.limit.add(connection)
+    assert not counted.limit.has_room()
+    await asyncio.sleep(1.01 * FIRST_BYTE_S)
+    assert counted.limit.has_room()
+    assert [connection.closed for connection in silent].index(True) == 0
+    assert counted.limit.open == MAX_OPEN - 1
+
+
 async def test_connections_that_are_refused_push_out_those_in_use():
     """Clients that come back after each refusal took the places of kept connections."""
     counted = Counted()
--- a/tests/peers/test_transport.py
+++ b/tests/peers/test_transport.py
@@ -27,7 +27,7 @@
     buffers = BufferBudget(1_000_000)
     server = PeerServer(SlowHandler(work_s), FRAME_MAX_BYTES, buffers)
     await server.start(HOST, 0)
-    port = server._server.sockets[0].getsockname()[1]
+    port = server.port
     peers = PeerConnections(FRAME_MAX_BYTES, buffers)
     address = f"{HOST}:{port}"
     call = asyncio.create_task(
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -89,7 +89,7 @@
     buffers = BufferBudget(BUFFER_BYTES)
     server = PeerServer(Echo(), FRAME_MAX_BYTES, buffers)
     await server.start(HOST, 0)
-    port = server._server.sockets[0].getsockname()[1]
+    port = server.port
     proxy = LinkProxy(f"{HOST}:{port}")
     await proxy.start(HOST, 0)
     peers = PeerConnections(FRAME_MAX_BYTES, buffers)
@@ -111,7 +111,7 @@
     limit = ConnectionLimit("peers", PEERS_MAX, lambda name, listener: None)
     server = PeerServer(Echo(), FRAME_MAX_BYTES, buffers, limit)
     await server.start(HOST, 0)
-    port = server._server.sockets[0].getsockname()[1]
+    port = server.port
     peers = PeerConnections(FRAME_MAX_BYTES, buffers)
 
     async def call() -> bool | None:
