marjoramstiled: a body is dropped when its handler has ended

What callers saw: clients that send whole bodies within the limits as fast as they are answered (250 connections, 1 MB each, here without credentials: 401) made the daemon grow for as long as they came, until a VM's memory was used up.

Cause: sanic's request, its stream and protocol refer to each other. The body stays with the request until the garbage collector finds them, while the budget counts it as released.

Change: the request's body is dropped at the end of the handler.

--- a/marjoramstile/entry/web.py
+++ b/marjoramstile/entry/web.py
@@ -108,7 +108,11 @@
             except BufferBudgetExceededError as error:
                 _abandon_body(request)
                 raise overloaded(str(error)) from error
-            return await handler(request, *args, **kwargs)
+            try:
+                return await handler(request, *args, **kwargs)
+            finally:
+                # The request may be kept long after, by a cycle of references.
+                request.body = b""
 
     return receive_and_handle
 
