Fronts: 16 KiB of a body wait for its handler, not 64

What callers saw: 250 clients that send whole bodies of 4 MB took a daemon on a VM of 128 MB to its limit and over it.

Cause: aiohttp pauses reading at twice the buffer's size: up to 128 KiB of each connection lay between the socket and its handler, which no budget counts.

Change: the buffer is a quarter.

Evidence: test_crowds.py, whole bodies (unchanged, 128 MB), here: 131 (just before), 124 and 132 MB, two of three over the bound; 108, 89 and 108 MB after. tests/fronts, tests/entry, tests/platform/test_front.py passed.

--- a/marjoramstile/fronts/caller_connection.py
+++ b/marjoramstile/fronts/caller_connection.py
@@ -41,7 +41,7 @@
 # Chunks of a body that are decoded at a time; a connection with more waits for a turn.
 CHUNKS_PER_TURN = 256
 # Bytes of a body that are buffered for a handler before reading pauses.
-BODY_BUFFER_BYTES = 65_536
+BODY_BUFFER_BYTES = 16_384
 # Pipelined requests that wait for their handler before reading pauses.
 QUEUED_MAX = 4
 # Bytes of a refused body that are discarded, so that its client reads the refusal.
