Peers: datagrams of unknown addresses have 16 KiB a second, and speeds a bounded number

What callers saw: nothing yet.

Cause: each kind is kept for its own time, seconds to minutes, and takes up to 30 times its bytes.

Change: an eighth of the rate, 64 KiB at once. Speeds, which lapse last, are taken over for 1,024 replicas of a shard at most (a shard has some 40).

--- a/marjoramstile/peers/datagram_sources.py
+++ b/marjoramstile/peers/datagram_sources.py
@@ -14,8 +14,8 @@
 from marjoramstile.utils import loop_time
 
 # Bytes a second that are read of all other addresses together, and at one time.
-UNKNOWN_BYTES_PER_S = 131_072
-UNKNOWN_BURST_BYTES = 131_072
+UNKNOWN_BYTES_PER_S = 16_384
+UNKNOWN_BURST_BYTES = 65_536
 
 logger = get_logger(__name__)
 
--- a/marjoramstile/pools/speeds.py
+++ b/marjoramstile/pools/speeds.py
@@ -31,6 +31,8 @@
 # its ratio is below the second one. Replicas of the same kind differ by less.
 DIFFERENCE_MIN = 1.2
 DIFFERENCE_KEPT = 1.1
+# Replicas whose speeds are taken over; a message may name some that do not exist.
+REPLICAS_MAX = 1024
 # Weight of a speed that another scheduler has learned.
 ADOPTED_WEIGHT = 8.0
 # Period at which replicas without recent observations are dropped, and the weight
@@ -254,6 +256,8 @@
         """Take over what another scheduler has learned, where less is known here."""
         self._forget_idle(now)
         for item in speeds:
+            if len(self._known) >= REPLICAS_MAX and item.replica not in self._known:
+                continue
             known = self._replica(item.replica, item.started_at_ms)
             if known is None:
                 continue
